Serve the whole path thinly as separate processes

Cause: nothing stood yet; every later measurement needs a path to run on.

Ruled out: one process with threads for the stand-ins (kills and cuts could not be proved on it); a daemon per role (every entry instance has to be replaceable by any other).

Change: settings with numbered faults, numbered results and events with pages generated from them, the ports (log, workers, instance list, clock), gRPC adapters, group commit, the reducers of configuration and of a shard of workers, the request path, the command-line tool, stand-ins of the log, workers, instance list and executors, a daemon that can leave out a named guarding strategy for negative controls, and the build.

Conclusion: the path stands; what guards it under failure comes next.

--- /dev/null
+++ b/plantainhold/adapters/HealthServer.h
@@ -0,0 +1,25 @@
+// Serves /metrics, /healthz and /readyz to the platform's probes.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace prometheus {
+class Registry;
+}
+
+namespace plantainhold {
+
+class HealthServer {
+public:
+    // Starts to serve. Throws ResultError(CannotListen).
+    HealthServer(const std::string& address, std::shared_ptr<prometheus::Registry> metrics, std::function<bool()> isReady);
+    ~HealthServer();
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/base/DecisionLog.h
@@ -0,0 +1,40 @@
+// Remembers why recent requests and tasks went where they went. A bounded ring:
+// the oldest notes make room, so memory stays fixed whatever the load.
+#pragma once
+
+#include "plantainhold/base/Event.h"
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace plantainhold {
+
+struct Decision {
+    std::string subject;
+    EventId event;
+    std::string text;
+    std::chrono::steady_clock::time_point at;
+};
+
+class DecisionLog {
+public:
+    explicit DecisionLog(std::size_t capacity);
+
+    // Adds a note about one request or task. Thread-safe.
+    void note(std::string_view subject, EventId event, std::string_view text);
+
+    // The notes on one subject, oldest first. Linear in the ring's size. Thread-safe.
+    std::vector<Decision> about(std::string_view subject) const;
+
+private:
+    const std::size_t m_capacity;
+    mutable std::mutex m_mutex;
+    std::deque<Decision> m_decisions;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/base/Event.h
@@ -0,0 +1,35 @@
+// Numbered log events. A log line is "PHE<number> <name> key=value ..."; the
+// catalogue is Events.inc.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace plantainhold {
+
+enum class EventId : std::uint16_t {
+#define PLANTAINHOLD_EVENT(name, number, severity, meaning) name = number,
+#include "plantainhold/base/Events.inc"
+#undef PLANTAINHOLD_EVENT
+};
+
+enum class EventSeverity : std::uint8_t { Info,
+    Warning,
+    Error };
+
+struct EventInfo {
+    EventId id;
+    std::string_view name;
+    EventSeverity severity;
+    std::string_view meaning;
+};
+
+// All events in the order of their definition. Thread-safe.
+std::span<const EventInfo> allEvents();
+
+// The description of one event. Precondition: id is defined. Thread-safe.
+const EventInfo& eventInfo(EventId id);
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/base/ResultCode.h
@@ -0,0 +1,35 @@
+// Numbered result codes: every error and outcome that a person or a program can
+// see has one number, defined once in ResultCodes.inc.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace plantainhold {
+
+enum class ResultCode : std::uint16_t {
+#define PLANTAINHOLD_RESULT(name, number, exitStatus, meaning) name = number,
+#include "plantainhold/base/ResultCodes.inc"
+#undef PLANTAINHOLD_RESULT
+};
+
+struct ResultInfo {
+    ResultCode code;
+    std::string_view name;
+    // Exit status of the command-line tool when a call ends with this result.
+    int exitStatus;
+    std::string_view meaning;
+};
+
+// All results in the order of their definition. Thread-safe.
+std::span<const ResultInfo> allResults();
+
+// The description of one code. Precondition: code is defined. Thread-safe.
+const ResultInfo& resultInfo(ResultCode code);
+
+// The printed form, "PH" and the number. Thread-safe.
+std::string resultLabel(ResultCode code);
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/config/ConfigModule.h
@@ -0,0 +1,31 @@
+// Follows the "config" stream, puts each new version in force, and answers the
+// operators' calls.
+#pragma once
+
+#include "plantainhold/base/Module.h"
+
+#include <memory>
+
+namespace plantainhold {
+
+struct InstanceContext;
+
+class ConfigModule final : public Module {
+public:
+    explicit ConfigModule(InstanceContext& context);
+    ~ConfigModule() override;
+
+    std::vector<grpc::Service*> services() override;
+    void start() override;
+    void stop() override;
+    bool isReady() const override;
+    std::vector<StatusLine> status() const override;
+
+private:
+    class Follower;
+    class Calls;
+    std::unique_ptr<Follower> m_follower;
+    std::unique_ptr<Calls> m_calls;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/config/FieldBinding.h
@@ -0,0 +1,35 @@
+// Binds one key of a TOML table to the variable that takes its value.
+#pragma once
+
+#include "plantainhold/ports/Clock.h"
+
+#include <cstdint>
+#include <limits>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace plantainhold {
+
+// A value written as one of a few names and kept as the name's index.
+struct NamedChoice {
+    std::uint8_t* target;
+    std::span<const std::string_view> names;
+};
+
+struct FieldBinding {
+    using Target = std::variant<std::string*, std::int64_t*, bool*, Milliseconds*, std::vector<std::string>*, NamedChoice>;
+
+    std::string_view key;
+    Target target;
+    bool isRequired = false;
+    // Bounds of numbers; durations are written and bounded in milliseconds.
+    std::int64_t minimum = 0;
+    std::int64_t maximum = std::numeric_limits<std::int32_t>::max();
+    // A text that must be IP:port.
+    bool isAddress = false;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/config/TomlDocument.cpp
@@ -0,0 +1,226 @@
+// Checked reading of TOML with toml++, which keeps the line of every node.
+
+#include "plantainhold/config/TomlDocument.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <fstream>
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace plantainhold {
+
+namespace {
+
+    constexpr std::size_t s_fileLimitBytes = 1 << 20;
+    constexpr long s_lastPort = 65535;
+
+} // namespace
+
+struct TomlDocument::Content {
+    std::string name;
+    toml::table root;
+    std::vector<Diagnostic> diagnostics;
+
+    void fault(ResultCode code, const toml::source_region& where, std::string text)
+    {
+        diagnostics.push_back({ code, name, static_cast<std::uint32_t>(where.begin.line), std::move(text) });
+    }
+
+    const toml::table* find(std::string_view section, std::string_view entry) const
+    {
+        const toml::table* table = root[section].as_table();
+        if (!table || entry.empty())
+            return table;
+        return (*table)[entry].as_table();
+    }
+
+    void checkRange(const FieldBinding& field, const toml::node& node, std::int64_t value)
+    {
+        if (value >= field.minimum && value <= field.maximum)
+            return;
+        fault(ResultCode::OutOfRange, node.source(),
+            std::string(field.key) + " = " + std::to_string(value) + " is not within " + std::to_string(field.minimum) + ".." + std::to_string(field.maximum));
+    }
+
+    void wrongType(const FieldBinding& field, const toml::node& node, std::string_view wanted)
+    {
+        fault(ResultCode::WrongType, node.source(), std::string(field.key) + " must be " + std::string(wanted));
+    }
+
+    void store(const FieldBinding& field, const toml::node& node, std::string* target)
+    {
+        auto value = node.value_exact<std::string>();
+        if (!value)
+            return wrongType(field, node, "a text");
+        if (field.isAddress && !isNumericAddress(*value))
+            fault(ResultCode::BadAddress, node.source(), std::string(field.key) + " = \"" + *value + "\" is not IP:port");
+        *target = std::move(*value);
+    }
+
+    void store(const FieldBinding& field, const toml::node& node, std::int64_t* target)
+    {
+        auto value = node.value_exact<std::int64_t>();
+        if (!value)
+            return wrongType(field, node, "a whole number");
+        checkRange(field, node, *value);
+        *target = *value;
+    }
+
+    void store(const FieldBinding& field, const toml::node& node, bool* target)
+    {
+        auto value = node.value_exact<bool>();
+        if (!value)
+            return wrongType(field, node, "true or false");
+        *target = *value;
+    }
+
+    void store(const FieldBinding& field, const toml::node& node, Milliseconds* target)
+    {
+        std::int64_t value = target->count();
+        store(field, node, &value);
+        *target = Milliseconds(value);
+    }
+
+    void store(const FieldBinding& field, const toml::node& node, std::vector<std::string>* target)
+    {
+        const toml::array* array = node.as_array();
+        if (!array)
+            return wrongType(field, node, "a list of texts");
+        for (const toml::node& it : *array) {
+            auto value = it.value_exact<std::string>();
+            if (!value)
+                return wrongType(field, it, "a list of texts");
+            target->push_back(std::move(*value));
+        }
+    }
+
+    void store(const FieldBinding& field, const toml::node& node, const NamedChoice& choice)
+    {
+        auto value = node.value_exact<std::string>();
+        if (!value)
+            return wrongType(field, node, "a text");
+        auto it = std::find(choice.names.begin(), choice.names.end(), *value);
+        if (it != choice.names.end()) {
+            *choice.target = static_cast<std::uint8_t>(it - choice.names.begin());
+            return;
+        }
+        std::string text = std::string(field.key) + " must be one of";
+        for (std::string_view allowed : choice.names)
+            text += " " + std::string(allowed);
+        fault(ResultCode::OutOfRange, node.source(), std::move(text));
+    }
+};
+
+TomlDocument::TomlDocument(std::unique_ptr<Content> content)
+    : m_content(std::move(content))
+{
+}
+
+TomlDocument::TomlDocument(TomlDocument&&) noexcept = default;
+TomlDocument& TomlDocument::operator=(TomlDocument&&) noexcept = default;
+TomlDocument::~TomlDocument() = default;
+
+TomlDocument TomlDocument::fromFile(const std::filesystem::path& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    if (file && !std::filesystem::is_directory(path))
+        text << file.rdbuf();
+    if (file && text.str().size() <= s_fileLimitBytes && text.tellp() > 0)
+        return fromText(text.str(), path.string());
+    auto content = std::make_unique<Content>();
+    content->name = path.string();
+    content->diagnostics.push_back({ ResultCode::SettingsUnreadable, path.string(), 0, "cannot be read, is empty, or is larger than 1 MiB" });
+    return TomlDocument(std::move(content));
+}
+
+TomlDocument TomlDocument::fromText(std::string_view text, std::string name)
+{
+    auto content = std::make_unique<Content>();
+    content->name = std::move(name);
+    try {
+        content->root = toml::parse(text, content->name);
+    } catch (const toml::parse_error& error) {
+        content->fault(ResultCode::SettingsSyntax, error.source(), std::string(error.description()));
+    }
+    return TomlDocument(std::move(content));
+}
+
+void TomlDocument::readTable(std::string_view section, std::string_view entry, std::span<const FieldBinding> fields)
+{
+    const toml::table* table = m_content->find(section, entry);
+    std::string where = "[" + std::string(section) + (entry.empty() ? "" : "." + std::string(entry)) + "]";
+    for (const FieldBinding& field : fields) {
+        const toml::node* node = table ? table->get(field.key) : nullptr;
+        if (node)
+            std::visit([&](const auto& target) { m_content->store(field, *node, target); }, field.target);
+        else if (field.isRequired)
+            m_content->fault(ResultCode::MissingKey, table ? table->source() : m_content->root.source(), where + " needs " + std::string(field.key));
+    }
+    if (!table)
+        return;
+    for (const auto& [key, node] : *table) {
+        bool isKnown = std::any_of(fields.begin(), fields.end(), [&key = key](const FieldBinding& field) { return field.key == key.str(); });
+        if (!isKnown)
+            m_content->fault(ResultCode::UnknownKey, key.source(), where + " has no key " + std::string(key.str()));
+    }
+}
+
+std::vector<std::string> TomlDocument::entriesOf(std::string_view section)
+{
+    std::vector<std::string> names;
+    const toml::node* node = m_content->root.get(section);
+    if (!node)
+        return names;
+    const toml::table* table = node->as_table();
+    if (!table) {
+        m_content->fault(ResultCode::WrongType, node->source(), "[" + std::string(section) + "] must be a table");
+        return names;
+    }
+    for (const auto& [key, child] : *table) {
+        if (child.is_table())
+            names.emplace_back(key.str());
+        else
+            m_content->fault(ResultCode::WrongType, key.source(), "[" + std::string(section) + "." + std::string(key.str()) + "] must be a table");
+    }
+    return names;
+}
+
+void TomlDocument::allowSections(std::span<const std::string_view> sections)
+{
+    for (const auto& [key, node] : m_content->root) {
+        if (std::find(sections.begin(), sections.end(), key.str()) == sections.end())
+            m_content->fault(ResultCode::UnknownKey, key.source(), "unknown section " + std::string(key.str()));
+    }
+}
+
+void TomlDocument::addFault(ResultCode code, std::string_view section, std::string_view entry, std::string text)
+{
+    const toml::table* table = m_content->find(section, entry);
+    m_content->fault(code, table ? table->source() : m_content->root.source(), std::move(text));
+}
+
+std::span<const Diagnostic> TomlDocument::diagnostics() const
+{
+    return m_content->diagnostics;
+}
+
+bool isNumericAddress(std::string_view text)
+{
+    auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon + 1 == text.size())
+        return false;
+    std::string_view port = text.substr(colon + 1);
+    bool isPortNumeric = port.size() <= 5 && std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; });
+    if (!isPortNumeric || std::stol(std::string(port)) > s_lastPort)
+        return false;
+    std::string host(text.substr(0, colon));
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    boost::system::error_code ec;
+    boost::asio::ip::make_address(host, ec);
+    return !ec;
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/ports/SteadyClock.h
@@ -0,0 +1,13 @@
+// The process's monotonic clock.
+#pragma once
+
+#include "plantainhold/ports/Clock.h"
+
+namespace plantainhold {
+
+class SteadyClock final : public Clock {
+public:
+    TimePoint now() const override { return std::chrono::steady_clock::now(); }
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/scheduling/TaskModule.h
@@ -0,0 +1,33 @@
+// Tasks: follows every shard of this data centre, owns some, and answers the
+// operators' calls about all of them.
+#pragma once
+
+#include "plantainhold/base/Module.h"
+
+#include <memory>
+#include <vector>
+
+namespace plantainhold {
+
+class ShardOwner;
+struct InstanceContext;
+
+class TaskModule final : public Module {
+public:
+    explicit TaskModule(InstanceContext& context);
+    ~TaskModule() override;
+
+    std::vector<grpc::Service*> services() override;
+    void start() override;
+    void beginDrain() override;
+    bool isDrained() const override;
+    void stop() override;
+    std::vector<StatusLine> status() const override;
+
+private:
+    class Calls;
+    std::vector<std::unique_ptr<ShardOwner>> m_shards;
+    std::unique_ptr<Calls> m_calls;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/util/RcuCell.cpp
@@ -0,0 +1,22 @@
+// Registration of reading threads with the RCU library.
+
+#include "plantainhold/util/RcuCell.h"
+
+namespace plantainhold {
+
+namespace {
+
+    struct RcuRegistration {
+        RcuRegistration() { urcu_memb_register_thread(); }
+        ~RcuRegistration() { urcu_memb_unregister_thread(); }
+    };
+
+} // namespace
+
+void ensureRcuThread()
+{
+    thread_local RcuRegistration s_registration;
+    (void)s_registration;
+}
+
+} // namespace plantainhold
