Sum burn over all instances, dead ones included, with alerts and plots

Ruled out: one log record a request (beyond the log's appends); counts kept by a peer (lost with a data centre); reading the whole stream for a report.

Change: counters in two resolutions, an archive of cumulative five-minute buckets in the "burn" stream (a repeated append is harmless), a report that asks every instance and takes the rest from the archive, names what it did not reach, applies the multi-window, multi-burn-rate alert rule, and prints text, JSON or a self-contained page. explain asks every instance as well.

--- a/cmd/plantainhold/ReportCommands.cpp
+++ b/cmd/plantainhold/ReportCommands.cpp
@@ -2,14 +2,17 @@
 
 #include "cmd/plantainhold/Command.h"
 #include "cmd/plantainhold/CommonOptions.h"
+#include "plantainhold/base/ResultError.h"
 #include "plantainhold/proto/report.grpc.pb.h"
+#include "plantainhold/report/BurnPage.h"
+#include "plantainhold/report/BurnReport.h"
 
+#include <algorithm>
 #include <array>
-#include <cstdio>
+#include <fstream>
 #include <grpcpp/channel.h>
 #include <grpcpp/client_context.h>
 #include <iostream>
-#include <map>
 
 namespace plantainhold {
 
@@ -55,38 +58,49 @@
         return 0;
     }
 
-    void printBurn(const report::BurnReply& reply)
+    BurnReport reportFrom(const report::BurnReply& reply)
     {
-        std::map<std::string, std::uint32_t> objectives;
-        for (const report::ServiceObjective& it : reply.objectives())
-            objectives[it.service()] = it.objective_milli();
-        std::cout << "service              profile              window_s      total       good  share    burn\n";
+        BurnReport burn;
         for (const report::BurnWindow& it : reply.windows()) {
-            double share = it.total() ? static_cast<double>(it.good()) / static_cast<double>(it.total()) : 1;
-            double budget = 1 - objectives[it.service()] / 1000.0;
-            char buf[256];
-            std::snprintf(buf, sizeof buf, "%-20s %-20s %8u %10llu %10llu  %.4f  %.2f", it.service().c_str(), it.profile().c_str(), it.window_s(),
-                static_cast<unsigned long long>(it.total()), static_cast<unsigned long long>(it.good()), share, (1 - share) / budget);
-            std::cout << buf << '\n';
+            auto matches = [&it](const BurnWindowInfo& window) { return window.length == std::chrono::seconds(it.window_s()); };
+            auto window = std::find_if(s_burnWindows.begin(), s_burnWindows.end(), matches);
+            if (window != s_burnWindows.end())
+                burn.addCount({ it.service(), it.profile() }, static_cast<BurnWindowIndex>(window - s_burnWindows.begin()), { it.total(), it.good() });
         }
+        for (const report::BurnPoint& it : reply.points())
+            burn.addPoint({ it.service(), it.profile() }, it.number(), { it.total(), it.good() });
+        for (const report::ServiceObjective& it : reply.objectives())
+            burn.setObjective({ it.service(), it.profile() }, it.objective_milli(), it.latency_objective_ms());
         for (const std::string& it : reply.reached())
-            std::cout << "reached: " << it << '\n';
+            burn.addReached(it);
         for (const std::string& it : reply.unreached())
-            std::cout << "not reached: " << it << '\n';
+            burn.addUnreached(it);
+        burn.setArchivedCount(reply.archived());
+        return burn;
+    }
+
+    void writePage(const BurnReport& burn, const std::string& path)
+    {
+        std::ofstream file(path);
+        file << burnPage(burn);
+        if (!file.flush())
+            throw ResultError(ResultCode::CannotWrite, path);
+        std::cout << path << " written\n";
     }
 
     int burn(std::vector<std::string> arguments)
     {
-        CommonOptions options("report burn", "Reports how fast services use up their error budgets.");
+        CommonOptions options("report burn", "Reports how fast services use up their error budgets, over all instances.");
+        TCLAP::ValueArg<std::string> page("", "html", "also write a page with plots", false, "", "FILE.html", options.line());
         options.parse(std::move(arguments));
         report::BurnReply reply;
         grpc::ClientContext context;
         options.prepare(context);
         requireOk(report::Report::NewStub(options.channel())->Burn(&context, {}, &reply));
-        if (options.isJson())
-            printJson(reply);
-        else
-            printBurn(reply);
+        BurnReport burnReport = reportFrom(reply);
+        std::cout << (options.isJson() ? burnReport.json() : burnReport.text());
+        if (!page.getValue().empty())
+            writePage(burnReport, page.getValue());
         return 0;
     }
 
--- a/plantainhold/adapters/Daemon.cpp
+++ b/plantainhold/adapters/Daemon.cpp
@@ -120,6 +120,7 @@
     if (m_impl->control)
         m_impl->control->Shutdown(std::chrono::system_clock::now());
     m_impl->health.reset();
+    m_impl->reports->stop();
     for (auto it = m_impl->modules.rbegin(); it != m_impl->modules.rend(); ++it)
         (*it)->stop();
 }
@@ -130,6 +131,7 @@
     m_impl->health = std::make_unique<HealthServer>(m_impl->settings.metricsAddress, m_impl->metrics, [impl = m_impl.get()] { return impl->isReady(); });
     for (const auto& it : m_impl->modules)
         it->start();
+    m_impl->reports->start();
     const Settings& settings = m_impl->settings;
     LogEvent(EventId::DaemonStarted).field("instance", settings.instanceId).field("data_centre", settings.dataCentre).field("callers", settings.callerAddress).field("control", settings.controlAddress);
 }
@@ -151,6 +153,9 @@
     TimePoint until = start + m_impl->settings.drainLimit;
     while (!m_impl->isDrained() && m_impl->clock.now() < until && !m_impl->isHurried)
         m_impl->wakeUp.wait_for(lock, s_drainPoll, isHurried);
+    lock.unlock();
+    // Leaves the last counts in the log.
+    m_impl->reports->stop();
     LogEvent(EventId::DrainEnded).field("clean", m_impl->isDrained() ? "yes" : "no");
 }
 
--- a/plantainhold/adapters/FanOut.h
+++ b/plantainhold/adapters/FanOut.h
@@ -12,7 +12,7 @@
 namespace grpc {
 class Channel;
 class ClientContext;
-}
+} // namespace grpc
 
 namespace plantainhold {
 
--- a/plantainhold/config/Settings.cpp
+++ b/plantainhold/config/Settings.cpp
@@ -73,6 +73,14 @@
         document.readTable("drain", "", fields);
     }
 
+    void readReport(TomlDocument& document, Settings& settings)
+    {
+        const std::array fields {
+            FieldBinding { .key = "interval_ms", .target = &settings.reportInterval, .minimum = 100, .maximum = s_dayMs },
+        };
+        document.readTable("report", "", fields);
+    }
+
     void checkRules(TomlDocument& document, const Settings& settings)
     {
         // A renewal must fit several times into a lease, or one slow append loses it.
@@ -87,13 +95,14 @@
     TomlDocument document = TomlDocument::fromFile(path);
     Settings settings;
     if (document.diagnostics().empty()) {
-        static constexpr std::array<std::string_view, 5> s_sections { "instance", "platform", "requests", "tasks", "drain" };
+        static constexpr std::array<std::string_view, 6> s_sections { "instance", "platform", "requests", "tasks", "drain", "report" };
         document.allowSections(s_sections);
         readInstance(document, settings);
         readPlatform(document, settings);
         readRequests(document, settings);
         readTasks(document, settings);
         readDrain(document, settings);
+        readReport(document, settings);
         checkRules(document, settings);
     }
     faults.assign(document.diagnostics().begin(), document.diagnostics().end());
--- a/plantainhold/config/Settings.h
+++ b/plantainhold/config/Settings.h
@@ -49,6 +49,9 @@
 
     Milliseconds drainLinger { 2000 };
     Milliseconds drainLimit { 30000 };
+
+    // How often counts are left in the log, so that they outlive this instance.
+    Milliseconds reportInterval { 60000 };
 };
 
 // Reads and checks a settings file; each fault is one diagnostic, and the
--- a/plantainhold/report/ReportModule.cpp
+++ b/plantainhold/report/ReportModule.cpp
@@ -1,73 +1,208 @@
-// Reports over gRPC.
+// Reports over gRPC. A question is answered for this instance, or put to every
+// instance and summed.
 
 #include "plantainhold/report/ReportModule.h"
 
+#include "plantainhold/adapters/FanOut.h"
 #include "plantainhold/base/DecisionLog.h"
 #include "plantainhold/base/InstanceContext.h"
 #include "plantainhold/config/ConfigSnapshot.h"
 #include "plantainhold/config/Settings.h"
+#include "plantainhold/membership/InstanceView.h"
 #include "plantainhold/proto/report.grpc.pb.h"
+#include "plantainhold/report/BurnArchive.h"
+#include "plantainhold/report/BurnRules.h"
 #include "plantainhold/routing/BurnCounters.h"
 #include "plantainhold/util/RcuCell.h"
 
-#include <array>
+#include <algorithm>
+#include <condition_variable>
+#include <grpcpp/channel.h>
+#include <map>
+#include <mutex>
+#include <thread>
 
 namespace plantainhold {
 
 namespace {
 
-    constexpr std::array<std::chrono::seconds, 3> s_windows { std::chrono::seconds(60), std::chrono::seconds(300), std::chrono::seconds(3600) };
+    constexpr Milliseconds s_peerTimeout { 1500 };
+
+    using WindowSums = std::map<std::pair<BurnKey, std::uint32_t>, BurnCount>;
+    using PointSums = std::map<std::pair<BurnKey, std::int64_t>, BurnCount>;
+
+    std::uint32_t windowSeconds(std::size_t index)
+    {
+        return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::seconds>(s_burnWindows[index].length).count());
+    }
+
+    template <typename Message>
+    void fill(Message& message, const BurnKey& key, const BurnCount& count)
+    {
+        message.set_service(key.service);
+        message.set_profile(key.profile);
+        message.set_total(count.total);
+        message.set_good(count.good);
+    }
+
+    // Sums the answers of several instances.
+    class BurnSum {
+    public:
+        void add(const report::BurnReply& reply)
+        {
+            std::lock_guard lock(m_mutex);
+            for (const report::BurnWindow& it : reply.windows())
+                m_windows[{ { it.service(), it.profile() }, it.window_s() }] += { it.total(), it.good() };
+            for (const report::BurnPoint& it : reply.points())
+                m_points[{ { it.service(), it.profile() }, it.number() }] += { it.total(), it.good() };
+            m_living.insert(reply.incarnation());
+            m_reached.push_back(reply.instance());
+        }
+
+        void add(const ArchivedCounts& archived)
+        {
+            for (const ArchivedCount& it : archived.counts)
+                m_windows[{ it.key, windowSeconds(static_cast<std::size_t>(it.window)) }] += it.count;
+        }
+
+        const std::unordered_set<std::string>& living() const { return m_living; }
+
+        void fillReply(report::BurnReply& reply)
+        {
+            for (const auto& [id, count] : m_windows) {
+                report::BurnWindow* window = reply.add_windows();
+                fill(*window, id.first, count);
+                window->set_window_s(id.second);
+            }
+            for (const auto& [id, count] : m_points) {
+                report::BurnPoint* point = reply.add_points();
+                fill(*point, id.first, count);
+                point->set_number(id.second);
+            }
+            std::sort(m_reached.begin(), m_reached.end());
+            reply.mutable_reached()->Assign(m_reached.begin(), m_reached.end());
+        }
+
+    private:
+        std::mutex m_mutex;
+        WindowSums m_windows;
+        PointSums m_points;
+        std::unordered_set<std::string> m_living;
+        std::vector<std::string> m_reached;
+    };
 
 } // namespace
 
+// Writes changed buckets to the log now and then, and once more at the end.
+class ReportModule::Archivist {
+public:
+    Archivist(InstanceContext& context, BurnCounters& burn)
+        : m_context(context)
+        , m_burn(burn)
+        , m_archive(context.log, context.settings.instanceId, context.incarnation, context.settings.logTimeout)
+    {
+    }
+
+    void start()
+    {
+        m_thread = std::thread([this] { run(); });
+    }
+
+    void stop()
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            m_isStopping = true;
+        }
+        m_wakeUp.notify_all();
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+    const BurnArchive& archive() const { return m_archive; }
+
+private:
+    void run()
+    {
+        std::unique_lock lock(m_mutex);
+        while (!m_isStopping) {
+            m_wakeUp.wait_for(lock, m_context.settings.reportInterval, [this] { return m_isStopping; });
+            lock.unlock();
+            m_archive.write(m_burn.takeChanged());
+            lock.lock();
+        }
+    }
+
+    InstanceContext& m_context;
+    BurnCounters& m_burn;
+    BurnArchive m_archive;
+    std::mutex m_mutex;
+    std::condition_variable m_wakeUp;
+    bool m_isStopping = false;
+    std::thread m_thread;
+};
+
 class ReportModule::Calls final : public report::Report::Service {
 public:
-    Calls(InstanceContext& context, const BurnCounters& burn, std::span<const std::unique_ptr<Module>> modules)
+    Calls(InstanceContext& context, const BurnCounters& burn, const BurnArchive& archive, std::span<const std::unique_ptr<Module>> modules)
         : m_context(context)
         , m_burn(burn)
+        , m_archive(archive)
         , m_modules(modules)
     {
     }
 
-    grpc::Status Burn(grpc::ServerContext*, const report::BurnRequest*, report::BurnReply* reply) override
+    grpc::Status Burn(grpc::ServerContext*, const report::BurnRequest* request, report::BurnReply* reply) override
     {
-        TimePoint now = m_context.clock.now();
-        for (const BurnKey& key : m_burn.keys()) {
-            for (std::chrono::seconds window : s_windows) {
-                BurnCount count = m_burn.count(key, window, now);
-                report::BurnWindow* line = reply->add_windows();
-                line->set_service(key.service);
-                line->set_profile(key.profile);
-                line->set_window_s(static_cast<std::uint32_t>(window.count()));
-                line->set_total(count.total);
-                line->set_good(count.good);
-            }
+        fillObjectives(*reply);
+        if (request->local_only()) {
+            fillLocalBurn(*reply);
+            return grpc::Status::OK;
         }
-        auto config = m_context.config.read();
-        for (const plantainhold::Service& it : config->document.services) {
-            const Profile* profile = config->findProfile(it.profile);
-            if (!profile)
-                continue;
-            report::ServiceObjective* objective = reply->add_objectives();
-            objective->set_service(it.name);
-            objective->set_profile(profile->name);
-            objective->set_objective_milli(static_cast<std::uint32_t>(profile->objectiveMilli));
-            objective->set_latency_objective_ms(static_cast<std::uint32_t>(profile->latencyObjective.count()));
-        }
-        reply->add_reached(m_context.settings.instanceId);
+        BurnSum sum;
+        report::BurnReply own;
+        fillLocalBurn(own);
+        sum.add(own);
+        auto ask = [&](const Instance&, const std::shared_ptr<grpc::Channel>& channel, grpc::ClientContext& call) {
+            report::BurnRequest question;
+            question.set_local_only(true);
+            report::BurnReply answer;
+            if (!report::Report::NewStub(channel)->Burn(&call, question, &answer).ok())
+                return false;
+            sum.add(answer);
+            return true;
+        };
+        for (const Instance& it : fanOut(otherEntries(), s_peerTimeout, ask))
+            reply->add_unreached(it.id + " in " + it.dataCentre);
+        ArchivedCounts archived = m_archive.read(sum.living(), m_burn.wallMs(m_context.clock.now()));
+        sum.add(archived);
+        reply->set_archived(static_cast<std::uint32_t>(archived.incarnations));
+        if (!archived.isComplete)
+            reply->add_unreached("the log, with the counts of instances that are gone");
+        sum.fillReply(*reply);
         return grpc::Status::OK;
     }
 
     grpc::Status Explain(grpc::ServerContext*, const report::ExplainRequest* request, report::ExplainReply* reply) override
     {
-        TimePoint now = m_context.clock.now();
-        for (const Decision& it : m_context.decisions.about(request->id())) {
-            report::Reason* reason = reply->add_reasons();
-            reason->set_event(static_cast<std::uint32_t>(it.event));
-            reason->set_text(std::string(eventInfo(it.event).name) + it.text);
-            reason->set_age_ms(static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now - it.at).count()));
-            reason->set_instance(m_context.settings.instanceId);
-        }
+        fillLocalReasons(request->id(), *reply);
+        if (request->local_only())
+            return grpc::Status::OK;
+        std::mutex mutex;
+        auto ask = [&](const Instance&, const std::shared_ptr<grpc::Channel>& channel, grpc::ClientContext& call) {
+            report::ExplainRequest question;
+            question.set_id(request->id());
+            question.set_local_only(true);
+            report::ExplainReply answer;
+            if (!report::Report::NewStub(channel)->Explain(&call, question, &answer).ok())
+                return false;
+            std::lock_guard lock(mutex);
+            reply->mutable_reasons()->MergeFrom(answer.reasons());
+            return true;
+        };
+        for (const Instance& it : fanOut(otherEntries(), s_peerTimeout, ask))
+            reply->add_unreached(it.id + " in " + it.dataCentre);
+        std::sort(reply->mutable_reasons()->begin(), reply->mutable_reasons()->end(), [](const report::Reason& a, const report::Reason& b) { return a.age_ms() > b.age_ms(); });
         return grpc::Status::OK;
     }
 
@@ -91,21 +226,89 @@
     }
 
 private:
+    std::vector<Instance> otherEntries() const
+    {
+        std::vector<Instance> entries = entryInstances(*m_context.instances.read());
+        std::erase_if(entries, [this](const Instance& it) { return it.id == m_context.settings.instanceId; });
+        return entries;
+    }
+
+    void fillLocalBurn(report::BurnReply& reply) const
+    {
+        TimePoint now = m_context.clock.now();
+        reply.set_instance(m_context.settings.instanceId);
+        reply.set_incarnation(m_context.incarnation);
+        for (const BurnKey& key : m_burn.keys()) {
+            for (std::size_t i = 0; i < s_burnWindowCount; ++i) {
+                report::BurnWindow* window = reply.add_windows();
+                fill(*window, key, m_burn.count(key, s_burnWindows[i].length, now));
+                window->set_window_s(windowSeconds(i));
+            }
+            for (const BurnSeries::Point& it : m_burn.recentPoints(key, now)) {
+                report::BurnPoint* point = reply.add_points();
+                fill(*point, key, it.count);
+                point->set_number(it.number);
+            }
+        }
+    }
+
+    void fillObjectives(report::BurnReply& reply) const
+    {
+        auto config = m_context.config.read();
+        for (const plantainhold::Service& it : config->document.services) {
+            const Profile* profile = config->findProfile(it.profile);
+            if (!profile)
+                continue;
+            report::ServiceObjective* objective = reply.add_objectives();
+            objective->set_service(it.name);
+            objective->set_profile(profile->name);
+            objective->set_objective_milli(static_cast<std::uint32_t>(profile->objectiveMilli));
+            objective->set_latency_objective_ms(static_cast<std::uint32_t>(profile->latencyObjective.count()));
+        }
+    }
+
+    void fillLocalReasons(const std::string& id, report::ExplainReply& reply) const
+    {
+        TimePoint now = m_context.clock.now();
+        for (const Decision& it : m_context.decisions.about(id)) {
+            report::Reason* reason = reply.add_reasons();
+            reason->set_event(static_cast<std::uint32_t>(it.event));
+            reason->set_text(std::string(eventInfo(it.event).name) + it.text);
+            reason->set_age_ms(static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now - it.at).count()));
+            reason->set_instance(m_context.settings.instanceId);
+        }
+    }
+
     InstanceContext& m_context;
     const BurnCounters& m_burn;
+    const BurnArchive& m_archive;
     std::span<const std::unique_ptr<Module>> m_modules;
 };
 
-ReportModule::ReportModule(InstanceContext& context, const BurnCounters& burn, std::span<const std::unique_ptr<Module>> modules)
-    : m_calls(std::make_unique<Calls>(context, burn, modules))
+ReportModule::ReportModule(InstanceContext& context, BurnCounters& burn, std::span<const std::unique_ptr<Module>> modules)
+    : m_archivist(std::make_unique<Archivist>(context, burn))
+    , m_calls(std::make_unique<Calls>(context, burn, m_archivist->archive(), modules))
 {
 }
 
-ReportModule::~ReportModule() = default;
+ReportModule::~ReportModule()
+{
+    stop();
+}
 
 std::vector<grpc::Service*> ReportModule::services()
 {
     return { m_calls.get() };
 }
 
+void ReportModule::start()
+{
+    m_archivist->start();
+}
+
+void ReportModule::stop()
+{
+    m_archivist->stop();
+}
+
 } // namespace plantainhold
--- a/plantainhold/report/ReportModule.h
+++ b/plantainhold/report/ReportModule.h
@@ -1,4 +1,5 @@
-// Answers what operators ask about the past: burn, reasons, status.
+// Answers what operators ask about the past, over all instances that can be
+// reached: burn, reasons, status.
 #pragma once
 
 #include "plantainhold/base/Module.h"
@@ -14,15 +15,17 @@
 class ReportModule final : public Module {
 public:
     // Precondition: the modules outlive this one.
-    ReportModule(InstanceContext& context, const BurnCounters& burn, std::span<const std::unique_ptr<Module>> modules);
+    ReportModule(InstanceContext& context, BurnCounters& burn, std::span<const std::unique_ptr<Module>> modules);
     ~ReportModule() override;
 
     std::vector<grpc::Service*> services() override;
-    void start() override { }
-    void stop() override { }
+    void start() override;
+    void stop() override;
 
 private:
+    class Archivist;
     class Calls;
+    std::unique_ptr<Archivist> m_archivist;
     std::unique_ptr<Calls> m_calls;
 };
 
--- a/plantainhold/routing/BurnCounters.cpp
+++ b/plantainhold/routing/BurnCounters.cpp
@@ -1,52 +1,94 @@
-// A ring of time buckets per service.
+// Two rings a service, one fine and one coarse.
 
 #include "plantainhold/routing/BurnCounters.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace plantainhold {
 
-std::int64_t BurnCounters::bucketNumber(TimePoint now)
+namespace {
+
+    constexpr std::size_t s_fineBuckets = 361;
+    // Three days of five-minute buckets.
+    constexpr std::size_t s_coarseBuckets = 865;
+    constexpr std::int64_t s_unchanged = std::numeric_limits<std::int64_t>::max();
+
+    template <typename Clock>
+    std::int64_t millisecondsOf(typename Clock::time_point time)
+    {
+        return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch()).count();
+    }
+
+} // namespace
+
+BurnCounters::Entry::Entry()
+    : fine(s_fineBucket, s_fineBuckets)
+    , coarse(s_coarseBucket, s_coarseBuckets)
+    , changedFrom(s_unchanged)
+{
+}
+
+BurnCounters::BurnCounters()
+    : m_wallOffsetMs(millisecondsOf<std::chrono::system_clock>(std::chrono::system_clock::now()) - millisecondsOf<std::chrono::steady_clock>(std::chrono::steady_clock::now()))
+{
+}
+
+std::int64_t BurnCounters::wallMs(TimePoint now) const
 {
-    return std::chrono::duration_cast<Milliseconds>(now.time_since_epoch()) / s_bucket;
+    return millisecondsOf<std::chrono::steady_clock>(now) + m_wallOffsetMs;
 }
 
 void BurnCounters::add(std::string_view service, std::string_view profile, bool isGood, TimePoint now)
 {
-    std::int64_t number = bucketNumber(now);
+    std::int64_t atMs = wallMs(now);
+    BurnCount count { 1, isGood ? 1U : 0U };
     std::lock_guard lock(m_mutex);
-    Ring& ring = m_rings[BurnKey { std::string(service), std::string(profile) }];
-    Bucket& bucket = ring[static_cast<std::size_t>(number) % s_buckets];
-    if (bucket.number != number)
-        bucket = { number, {} };
-    ++bucket.count.total;
-    if (isGood)
-        ++bucket.count.good;
+    Entry& entry = m_entries[BurnKey { std::string(service), std::string(profile) }];
+    entry.fine.add(atMs, count);
+    entry.coarse.add(atMs, count);
+    entry.changedFrom = std::min(entry.changedFrom, entry.coarse.numberAt(atMs));
 }
 
 BurnCount BurnCounters::count(const BurnKey& key, Milliseconds window, TimePoint now) const
 {
-    std::int64_t last = bucketNumber(now);
-    std::int64_t first = bucketNumber(now - window);
     std::lock_guard lock(m_mutex);
-    BurnCount sum;
-    auto it = m_rings.find(key);
-    if (it == m_rings.end())
-        return sum;
-    for (const Bucket& bucket : it->second) {
-        if (bucket.number < first || bucket.number > last)
-            continue;
-        sum.total += bucket.count.total;
-        sum.good += bucket.count.good;
-    }
-    return sum;
+    auto it = m_entries.find(key);
+    if (it == m_entries.end())
+        return {};
+    const BurnSeries& series = window <= s_fineWindow ? it->second.fine : it->second.coarse;
+    return series.sum(wallMs(now), window);
 }
 
 std::vector<BurnKey> BurnCounters::keys() const
 {
     std::lock_guard lock(m_mutex);
     std::vector<BurnKey> keys;
-    for (const auto& [key, ring] : m_rings)
+    for (const auto& [key, entry] : m_entries)
         keys.push_back(key);
     return keys;
 }
 
+std::vector<BurnSeries::Point> BurnCounters::recentPoints(const BurnKey& key, TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    auto it = m_entries.find(key);
+    if (it == m_entries.end())
+        return {};
+    const BurnSeries& fine = it->second.fine;
+    return fine.pointsFrom(fine.numberAt(wallMs(now) - s_fineWindow.count()));
+}
+
+std::vector<BurnBucket> BurnCounters::takeChanged()
+{
+    std::vector<BurnBucket> changed;
+    std::lock_guard lock(m_mutex);
+    for (auto& [key, entry] : m_entries) {
+        for (const BurnSeries::Point& it : entry.coarse.pointsFrom(entry.changedFrom))
+            changed.push_back({ key, it.number, it.count });
+        entry.changedFrom = s_unchanged;
+    }
+    return changed;
+}
+
 } // namespace plantainhold
--- a/scenarios/demo.sh
+++ b/scenarios/demo.sh
@@ -110,7 +110,7 @@
 grep cupping-7 "$out"/workers*.journal | sed 's/^[^{]*//'
 
 say "burn of the service's objective"
-"$bin/plantainhold" report burn --server 127.0.0.11:7081
+"$bin/plantainhold" report burn --server 127.0.0.11:7081 --html "$out/burn.html"
 
 say "why did the task go where it went"
 "$bin/plantainhold" explain cupping-7 --server 127.0.0.11:7081
