Add the planner's interface with three-dimensional placement

Cause: the task loop chose the first worker that fits, by a scan of all workers and all tasks at each turn, in no fair order. Ruled out: a bucketed list by free processors alone, as it says nothing about memory and accelerators and must be scanned for them. Change: policy/ with the Planner (events in, decisions out), a tournament tree over free room, lanes of waiting tasks ordered by dominant share, quotas, racks for services, and impossible jobs with their reason.

--- /dev/null
+++ b/plantainhold/policy/FairQueue.cpp
@@ -0,0 +1,164 @@
+// Lanes, bands and turns.
+
+#include "plantainhold/policy/FairQueue.h"
+
+#include "plantainhold/policy/PolicyTask.h"
+#include "plantainhold/policy/TeamAccounts.h"
+
+#include <algorithm>
+
+namespace plantainhold {
+
+namespace {
+
+    // Lanes are keyed by demands on this grid, so that their number stays bounded.
+    constexpr std::int64_t s_millicoreGrid = 500;
+    constexpr std::int64_t s_memoryGridMib = 512;
+
+    std::int64_t roundedUp(std::int64_t amount, std::int64_t grid)
+    {
+        return (amount + grid - 1) / grid * grid;
+    }
+
+    // The team with the smaller share is served first; std heaps keep the largest on top.
+    constexpr auto s_servedLater = [](const auto& a, const auto& b) { return a.share > b.share || (a.share == b.share && a.team > b.team); };
+
+} // namespace
+
+FairQueue::FairQueue(const TeamAccounts& accounts)
+    : m_accounts(accounts)
+{
+}
+
+void FairQueue::add(PolicyTask& task, const Resources& demand)
+{
+    LaneKey key;
+    key.band = task.isUrgent ? 0 : static_cast<std::uint8_t>(1 + static_cast<int>(task.priority));
+    key.team = task.team;
+    key.kind = task.kind;
+    key.millicores = roundedUp(demand.millicores, s_millicoreGrid);
+    key.memoryMib = roundedUp(demand.memoryMib, s_memoryGridMib);
+    key.accelerators = demand.accelerators;
+    task.lane = laneOf(key);
+    task.sequence = m_nextSequence++;
+    m_lanes[task.lane].tasks.emplace(task.sequence, &task);
+    ++m_size;
+}
+
+void FairQueue::remove(PolicyTask& task)
+{
+    if (task.lane == PolicyTask::s_noLane)
+        return;
+    Lane& lane = m_lanes[task.lane];
+    lane.tasks.erase(task.sequence);
+    --m_size;
+    if (lane.tasks.empty()) {
+        m_laneIds.erase(lane.key);
+        m_freeLanes.push_back(task.lane);
+    }
+    task.lane = PolicyTask::s_noLane;
+}
+
+std::uint32_t FairQueue::laneOf(const LaneKey& key)
+{
+    auto [it, isNew] = m_laneIds.try_emplace(key, 0);
+    if (!isNew)
+        return it->second;
+    if (m_freeLanes.empty()) {
+        m_freeLanes.push_back(static_cast<std::uint32_t>(m_lanes.size()));
+        m_lanes.emplace_back();
+    }
+    it->second = m_freeLanes.back();
+    m_freeLanes.pop_back();
+    m_lanes[it->second].key = key;
+    return it->second;
+}
+
+std::size_t FairQueue::effectiveBand(const Lane& lane, TimePoint now) const
+{
+    std::size_t band = lane.key.band;
+    auto steps = static_cast<std::size_t>((now - lane.tasks.begin()->second->waitingSince) / s_agingStep);
+    return band == 0 ? 0 : std::max<std::size_t>(1, band - std::min(steps, band));
+}
+
+void FairQueue::beginRound(TimePoint now, const Resources& fleetCapacity)
+{
+    m_fleetCapacity = fleetCapacity;
+    m_band = 0;
+    ++m_rounds;
+    std::array<std::vector<std::uint32_t>, s_bands> lanes;
+    for (const auto& [key, id] : m_laneIds)
+        lanes[effectiveBand(m_lanes[id], now)].push_back(id);
+    for (std::size_t band = 0; band < s_bands; ++band)
+        buildTurns(band, lanes[band]);
+}
+
+void FairQueue::buildTurns(std::size_t band, std::vector<std::uint32_t>& lanes)
+{
+    std::vector<Turn>& turns = m_turns[band];
+    turns.clear();
+    std::sort(lanes.begin(), lanes.end(), [this](std::uint32_t a, std::uint32_t b) {
+        const Lane& first = m_lanes[a];
+        const Lane& second = m_lanes[b];
+        return first.key.team != second.key.team ? first.key.team < second.key.team : first.tasks.begin()->first < second.tasks.begin()->first;
+    });
+    for (std::uint32_t it : lanes) {
+        NameId team = m_lanes[it].key.team;
+        if (turns.empty() || turns.back().team != team)
+            turns.push_back({ m_accounts.dominantShare(team, m_fleetCapacity), team, {}, 0, 0 });
+        turns.back().lanes.push_back(it);
+    }
+    // Past the limit, each round tries the oldest half and another part of the rest.
+    constexpr std::size_t s_oldest = s_blockLimit / 2;
+    for (Turn& it : turns) {
+        if (it.lanes.size() <= s_blockLimit)
+            continue;
+        auto rest = it.lanes.begin() + s_oldest;
+        std::size_t offset = m_rounds * s_oldest % (it.lanes.size() - s_oldest);
+        std::rotate(rest, rest + static_cast<std::ptrdiff_t>(offset), it.lanes.end());
+    }
+    std::make_heap(turns.begin(), turns.end(), s_servedLater);
+}
+
+PolicyTask* FairQueue::next()
+{
+    for (; m_band < s_bands; ++m_band) {
+        std::vector<Turn>& heap = m_turns[m_band];
+        while (!heap.empty()) {
+            Turn& turn = heap.front();
+            // A placement since the turn was queued has raised the share: look who comes first now.
+            double share = m_accounts.dominantShare(turn.team, m_fleetCapacity);
+            if (share != turn.share) {
+                turn.share = share;
+                requeue(heap);
+                continue;
+            }
+            while (turn.position < turn.lanes.size()) {
+                const Lane& lane = m_lanes[turn.lanes[turn.position]];
+                if (!lane.tasks.empty())
+                    return lane.tasks.begin()->second;
+                ++turn.position;
+            }
+            std::pop_heap(heap.begin(), heap.end(), s_servedLater);
+            heap.pop_back();
+        }
+    }
+    return nullptr;
+}
+
+void FairQueue::requeue(std::vector<Turn>& heap)
+{
+    std::pop_heap(heap.begin(), heap.end(), s_servedLater);
+    std::push_heap(heap.begin(), heap.end(), s_servedLater);
+}
+
+void FairQueue::block()
+{
+    std::vector<Turn>& heap = m_turns[m_band];
+    Turn& turn = heap.front();
+    ++turn.position;
+    if (++turn.blocked == s_blockLimit)
+        turn.position = turn.lanes.size();
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/policy/PolicyTask.h
@@ -0,0 +1,56 @@
+// One task as the planner keeps it. Plain data; Planner alone owns the records
+// and their addresses stay fixed while the task is known.
+#pragma once
+
+#include "plantainhold/config/ConfigDocument.h"
+#include "plantainhold/policy/NameTable.h"
+#include "plantainhold/policy/WorkerIndex.h"
+#include "plantainhold/ports/Clock.h"
+#include "plantainhold/ports/Resources.h"
+
+#include <cstdint>
+#include <limits>
+#include <string>
+
+namespace plantainhold {
+
+struct PolicyTask {
+    static constexpr WorkerSlot s_noWorker = std::numeric_limits<WorkerSlot>::max();
+
+    std::string id;
+    NameId team = 0;
+    NameId kind = 0;
+    Priority priority = Priority::Normal;
+    bool isService = false;
+    bool isUrgent = false;
+    bool hasGuards = true;
+    std::uint32_t slowdownLimitMilli = 0;
+    // Percent of the work that a durable checkpoint covers.
+    std::uint32_t checkpoint = 0;
+    Resources declared;
+    Milliseconds expected { 0 };
+    TimePoint waitingSince;
+
+    // Set while the task waits in the FairQueue: its lane and place there.
+    static constexpr std::uint32_t s_noLane = std::numeric_limits<std::uint32_t>::max();
+    std::uint32_t lane = s_noLane;
+    std::uint64_t sequence = 0;
+
+    // Set while an attempt holds resources.
+    WorkerSlot worker = s_noWorker;
+    // Zero until attemptStarted() gives the number.
+    std::uint32_t attempt = 0;
+    Resources reserved;
+    TimePoint startedAt;
+
+    // Newest report.
+    Resources used;
+    std::uint32_t progress = 0;
+    std::uint32_t throttlePercent = 100;
+
+    bool isPlaced() const { return worker != s_noWorker; }
+    // Whether the interference policy keeps its latency within the objective.
+    bool isGuarded() const { return isService && hasGuards; }
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/policy/WorkerIndex.h
@@ -0,0 +1,47 @@
+// Finds workers with room for a demand without looking at all of them: a
+// tournament tree (max segment tree) whose inner nodes hold the component-wise
+// maximum of the room below, so that a subtree in which no worker can fit is skipped.
+#pragma once
+
+#include "plantainhold/ports/Resources.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace plantainhold {
+
+using WorkerSlot = std::uint32_t;
+
+class WorkerIndex {
+public:
+    // Sets the room of one worker; unknown slots up to it have none. O(log n). Not thread-safe, as the class.
+    void set(WorkerSlot slot, const Resources& room);
+
+    // Replaces found by up to limit slots whose room fits the demand, beginning
+    // at slot start and wrapping round. Finds one whenever there is one.
+    void collect(const Resources& demand, WorkerSlot start, std::size_t limit, std::vector<WorkerSlot>& found) const;
+
+    const Resources& room(WorkerSlot slot) const { return m_nodes[m_leaves + slot]; }
+    std::size_t size() const { return m_size; }
+
+private:
+    struct Query {
+        const Resources& demand;
+        std::size_t begin;
+        std::size_t end;
+        std::size_t limit;
+        std::vector<WorkerSlot>& found;
+    };
+
+    void grow(std::size_t slots);
+    void pull(std::size_t node);
+    void descend(const Query& query, std::size_t node, std::size_t first, std::size_t width) const;
+
+    // Heap order: node i has the children 2i and 2i + 1; leaves start at m_leaves.
+    std::vector<Resources> m_nodes;
+    std::size_t m_leaves = 0;
+    std::size_t m_size = 0;
+};
+
+} // namespace plantainhold
