Prove the burn report against what callers received

The run also showed peers' keepalive pings answered with GOAWAY (too_many_pings).

Ruled out: comparing with the daemons' own metrics (the product's opinion of itself).

A killed instance loses what it counted since its last write, at most report.interval_ms.

--- a/plantainhold/adapters/Daemon.cpp
+++ b/plantainhold/adapters/Daemon.cpp
@@ -38,6 +38,7 @@
     constexpr std::size_t s_decisionCapacity = 20'000;
     constexpr Milliseconds s_drainPoll { 20 };
     constexpr Milliseconds s_workerTimeout { 1000 };
+    constexpr int s_shortestPingIntervalMs = 500;
     constexpr int s_messageLimitBytes = 16 << 20;
 
 } // namespace
@@ -78,6 +79,9 @@
         int port = 0;
         builder.AddListeningPort(settings.controlAddress, grpc::InsecureServerCredentials(), &port);
         builder.SetMaxReceiveMessageSize(s_messageLimitBytes);
+        // Peers ping to find silent connections; gRPC's default would end theirs for it.
+        builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, s_shortestPingIntervalMs);
+        builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
         for (const auto& module : modules) {
             for (grpc::Service* it : module->services())
                 builder.RegisterService(it);
--- a/plantainhold/report/ReportModule.cpp
+++ b/plantainhold/report/ReportModule.cpp
@@ -6,6 +6,7 @@
 #include "plantainhold/adapters/FanOut.h"
 #include "plantainhold/base/DecisionLog.h"
 #include "plantainhold/base/InstanceContext.h"
+#include "plantainhold/base/StrategySet.h"
 #include "plantainhold/config/ConfigSnapshot.h"
 #include "plantainhold/config/Settings.h"
 #include "plantainhold/membership/InstanceView.h"
@@ -128,7 +129,8 @@
         while (!m_isStopping) {
             m_wakeUp.wait_for(lock, m_context.settings.reportInterval, [this] { return m_isStopping; });
             lock.unlock();
-            m_archive.write(m_burn.takeChanged());
+            if (m_context.strategies.uses(Strategy::BurnArchive))
+                m_archive.write(m_burn.takeChanged());
             lock.lock();
         }
     }
--- a/standin/proving/CallSteps.cpp
+++ b/standin/proving/CallSteps.cpp
@@ -249,4 +249,14 @@
         generate();
 }
 
+// burn [via ENTRY]: takes the report on service-level burn for a later check.
+void StepRunner::burnStep(WordList& words)
+{
+    std::string via = words.after("via").value_or(anyEntry());
+    std::vector<BurnSample> samples = clientOf(via).burn(s_operatorLimit);
+    if (samples.empty())
+        find("burn", via + " gave no report");
+    m_burn.insert(m_burn.end(), samples.begin(), samples.end());
+}
+
 } // namespace plantainhold::standin
--- a/standin/proving/Checks.cpp
+++ b/standin/proving/Checks.cpp
@@ -25,6 +25,7 @@
         Check { "slots", judgeSlots },
         Check { "in_force", judgeInForce },
         Check { "no_revert", judgeNoRevert },
+        Check { "burn", judgeBurn },
     };
 
     constexpr auto namesOf(const auto& checks)
--- a/standin/proving/Checks.h
+++ b/standin/proving/Checks.h
@@ -45,5 +45,6 @@
 std::vector<std::string> judgeSlots(const Evidence& evidence, WordList& words);
 std::vector<std::string> judgeInForce(const Evidence& evidence, WordList& words);
 std::vector<std::string> judgeNoRevert(const Evidence& evidence, WordList& words);
+std::vector<std::string> judgeBurn(const Evidence& evidence, WordList& words);
 
 } // namespace plantainhold::standin
--- a/standin/proving/DaemonClient.cpp
+++ b/standin/proving/DaemonClient.cpp
@@ -23,6 +23,9 @@
     // The answer to a call that itself waits up to the limit may come a little later.
     constexpr std::chrono::milliseconds s_replyMargin { 500 };
 
+    // The window of the report that is compared with what callers received.
+    constexpr std::chrono::seconds s_burnWindow { 3600 };
+
     void prepare(grpc::ClientContext& context, std::chrono::milliseconds limit)
     {
         context.set_deadline(std::chrono::system_clock::now() + limit + s_replyMargin);
@@ -130,6 +133,22 @@
     return { true, reply.ready(), reply.config_version() };
 }
 
+std::vector<BurnSample> DaemonClient::burn(std::chrono::milliseconds limit)
+{
+    report::BurnRequest request;
+    report::BurnReply reply;
+    grpc::ClientContext context;
+    prepare(context, limit);
+    std::vector<BurnSample> samples;
+    if (!m_stubs->report->Burn(&context, request, &reply).ok())
+        return samples;
+    for (const report::BurnWindow& it : reply.windows()) {
+        if (std::chrono::seconds(it.window_s()) == s_burnWindow)
+            samples.push_back({ it.service(), it.total(), it.good() });
+    }
+    return samples;
+}
+
 bool setSwitch(const std::string& address, const std::string& name, const std::string& value, std::chrono::milliseconds limit)
 {
     SetRequest request;
--- a/standin/proving/DaemonClient.h
+++ b/standin/proving/DaemonClient.h
@@ -52,6 +52,8 @@
     // The task's phase; empty when it is not known here.
     std::string phaseOf(const std::string& task, std::chrono::milliseconds limit);
     StatusOutcome status(std::chrono::milliseconds limit);
+    // The last hour's counts of all instances; empty when the daemon did not answer.
+    std::vector<BurnSample> burn(std::chrono::milliseconds limit);
 
 private:
     struct Stubs;
--- a/standin/proving/Evidence.h
+++ b/standin/proving/Evidence.h
@@ -86,6 +86,13 @@
     std::uint64_t version = 0;
 };
 
+// One service's line of a burn report over the last hour.
+struct BurnSample {
+    std::string service;
+    std::uint64_t total = 0;
+    std::uint64_t good = 0;
+};
+
 struct SubmittedTask {
     std::string id;
     std::string entry;
@@ -109,6 +116,7 @@
     std::vector<CallEntry> calls;
     std::vector<VersionSample> versions;
     std::vector<SubmittedTask> tasks;
+    std::vector<BurnSample> burn;
     std::vector<Mark> marks;
     // Entry instances that run when the scenario ends.
     std::vector<std::string> runningEntries;
--- a/standin/proving/StepRunner.cpp
+++ b/standin/proving/StepRunner.cpp
@@ -45,6 +45,7 @@
         Verb { "await", &StepRunner::awaitStep },
         Verb { "chaos", &StepRunner::chaosStep },
         Verb { "join", &StepRunner::joinStep },
+        Verb { "burn", &StepRunner::burnStep },
     };
     auto it = std::find_if(s_verbs.begin(), s_verbs.end(), [&](const Verb& verb) { return verb.name == name; });
     return it == s_verbs.end() ? nullptr : &*it;
@@ -52,7 +53,7 @@
 
 std::span<const std::string_view> StepRunner::verbs()
 {
-    static constexpr std::array<std::string_view, 23> s_names { "start", "publish", "sleep", "kill", "pause", "resume", "terminate", "restart", "switch", "cut", "silence", "delay", "oneway", "reset", "lose_replies", "heal", "submit", "cancel", "call", "load", "await", "chaos", "join" };
+    static constexpr std::array<std::string_view, 24> s_names { "start", "publish", "sleep", "kill", "pause", "resume", "terminate", "restart", "switch", "cut", "silence", "delay", "oneway", "reset", "lose_replies", "heal", "submit", "cancel", "call", "load", "await", "chaos", "join", "burn" };
     return s_names;
 }
 
@@ -146,6 +147,7 @@
     evidence.versions = m_watch->samples();
     evidence.tasks = m_tasks;
     evidence.marks = m_marks;
+    evidence.burn = m_burn;
     for (const EntrySite& it : m_fleet.topology().entries()) {
         if (m_fleet.processes().isRunning(it.name) && !m_fleet.isPaused(it.name))
             evidence.runningEntries.push_back(it.name);
--- a/standin/proving/StepRunner.h
+++ b/standin/proving/StepRunner.h
@@ -77,6 +77,7 @@
     void awaitStep(WordList& words);
     void chaosStep(WordList& words);
     void joinStep(WordList& words);
+    void burnStep(WordList& words);
 
     void awaitTask(WordList& words);
     void awaitAttempt(WordList& words);
@@ -117,6 +118,7 @@
     std::uint64_t m_nextPublish = 0;
     std::vector<SubmittedTask> m_tasks;
     std::vector<Mark> m_marks;
+    std::vector<BurnSample> m_burn;
     std::chrono::steady_clock::time_point m_end;
 };
 
