Decide admission, slots, retries and outcomes in pure cores

The request path knew one rule, fewest in flight, and said 'outcome unknown' to everything else. Limits, retries and the three outcomes need decisions that can be tested without sockets.

Slot shares: each instance computes the same equal partition of an executor's slots from the list. A share shrinks at once and grows only after the list has stood still for twice the longest lag, which bounds the sum by the slots for every instance that gets the list. The exhaustive test plays all short histories of three versions with lagging views, the random one long ones. Ruled out: the share of the newest list alone (the exhaustive test with no hold finds sums above 8), and 'an empty list means that I am alone' (the random test found a sum of 40 on a list that lost all entries; now nothing grows meanwhile).

--- /dev/null
+++ b/plantainhold/routing/ByteBudget.h
@@ -0,0 +1,34 @@
+// Bounds the bytes of bodies that an instance holds at one time.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+namespace plantainhold {
+
+class ByteBudget {
+public:
+    explicit ByteBudget(std::int64_t limit)
+        : m_limit(limit)
+    {
+    }
+
+    // False, taking nothing, when the limit would be passed. Thread-safe, as all that follows.
+    bool take(std::int64_t bytes)
+    {
+        std::int64_t before = m_used.fetch_add(bytes, std::memory_order_relaxed);
+        if (before + bytes <= m_limit)
+            return true;
+        give(bytes);
+        return false;
+    }
+
+    void give(std::int64_t bytes) { m_used.fetch_sub(bytes, std::memory_order_relaxed); }
+    std::int64_t used() const { return m_used.load(std::memory_order_relaxed); }
+
+private:
+    const std::int64_t m_limit;
+    std::atomic<std::int64_t> m_used { 0 };
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/routing/EntryMembership.cpp
@@ -0,0 +1,74 @@
+// Keeps the sets of entry instances since the last growth; any of them may still
+// be in force somewhere.
+
+#include "plantainhold/routing/EntryMembership.h"
+
+#include "plantainhold/routing/SlotPartition.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantainhold {
+
+namespace {
+
+    constexpr std::size_t s_setLimit = 16;
+
+} // namespace
+
+EntryMembership::EntryMembership(std::string self, Milliseconds hold)
+    : m_self(std::move(self))
+    , m_hold(hold)
+{
+}
+
+void EntryMembership::adopt(std::vector<std::string> entries, TimePoint now)
+{
+    std::sort(entries.begin(), entries.end());
+    // A list that names no entry instance at all cannot be right, as this one
+    // exists: shares stay, but nothing grows until a list can be believed again.
+    bool wasEmpty = std::exchange(m_isListEmpty, entries.empty());
+    if (m_isListEmpty)
+        return;
+    bool isSame = !m_sets.empty() && m_sets.back() == entries;
+    if (isSame && !wasEmpty)
+        return;
+    m_stableSince = now;
+    std::erase(m_sets, entries);
+    m_sets.push_back(std::move(entries));
+    if (m_sets.size() > s_setLimit)
+        foldOldest();
+}
+
+void EntryMembership::foldOldest()
+{
+    EntrySet both;
+    std::set_union(m_folded.begin(), m_folded.end(), m_sets.front().begin(), m_sets.front().end(), std::back_inserter(both));
+    m_folded = std::move(both);
+    m_sets.erase(m_sets.begin());
+}
+
+bool EntryMembership::settle(TimePoint now)
+{
+    bool isSettled = m_hasSettled && m_sets.size() == 1 && m_folded.empty();
+    if (m_sets.empty() || m_isListEmpty || isSettled || now - m_stableSince < m_hold)
+        return false;
+    m_sets.erase(m_sets.begin(), m_sets.end() - 1);
+    m_folded.clear();
+    m_hasSettled = true;
+    return true;
+}
+
+std::uint32_t EntryMembership::share(std::string_view key, std::uint32_t slots) const
+{
+    if (!m_hasSettled)
+        return 0;
+    std::uint32_t least = slots;
+    for (const EntrySet& it : m_sets)
+        least = std::min(least, partitionSlots(key, slots, it, m_self));
+    if (!m_folded.empty())
+        least = std::min(least, slots / static_cast<std::uint32_t>(m_folded.size()));
+    return least;
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/routing/RequestMachine.cpp
@@ -0,0 +1,119 @@
+// A request finishes once; later events change nothing.
+
+#include "plantainhold/routing/RequestMachine.h"
+
+#include "plantainhold/routing/RequestOutcome.h"
+
+#include <algorithm>
+
+namespace plantainhold {
+
+RequestMachine::RequestMachine(const Rules& rules)
+    : m_rules(rules)
+{
+}
+
+RequestStep RequestMachine::granted(TimePoint)
+{
+    m_isWaiting = false;
+    ++m_attempts;
+    ++m_running;
+    return RequestStep::Wait;
+}
+
+RequestStep RequestMachine::refused(ResultCode code)
+{
+    m_isWaiting = false;
+    return m_running > 0 ? RequestStep::Wait : finish(code);
+}
+
+RequestStep RequestMachine::retryDenied()
+{
+    m_isWaiting = false;
+    return m_running > 0 ? RequestStep::Wait : finish(ResultCode::ExecutorsRefused);
+}
+
+void RequestMachine::sending(TimePoint now)
+{
+    if (m_firstSentAt == TimePoint {})
+        m_firstSentAt = now;
+    ++m_sent;
+}
+
+RequestStep RequestMachine::ended(const AttemptResult& result, TimePoint now)
+{
+    --m_running;
+    if (result.startedSending)
+        --m_sent;
+    if (::plantainhold::mayHaveRun(result.end)) {
+        m_mayHaveRun = true;
+        m_unknown = resultOf(result.end);
+    }
+    if (m_isFinished)
+        return RequestStep::Wait;
+    if (result.end == AttemptEnd::Answered) {
+        m_result = ResultCode::Done;
+        m_isFinished = true;
+        return RequestStep::Finish;
+    }
+    return m_running > 0 || m_isWaiting ? RequestStep::Wait : afterFailure(result, now);
+}
+
+RequestStep RequestMachine::afterFailure(const AttemptResult& result, TimePoint now)
+{
+    bool isOver = m_attempts >= s_attemptLimit || now >= m_rules.deadline;
+    bool isSafe = !m_mayHaveRun || m_rules.isIdempotent || !m_rules.retriesOnlyWhenSafe;
+    if (isOver || !isSafe)
+        return finish(resultOf(result.end));
+    m_isWaiting = true;
+    bool nothingLeft = result.end == AttemptEnd::ConnectFailed || result.end == AttemptEnd::NotSent;
+    return nothingLeft ? RequestStep::Reselect : RequestStep::Retry;
+}
+
+RequestStep RequestMachine::timer(TimePoint now)
+{
+    if (m_isFinished)
+        return RequestStep::Wait;
+    if (now >= m_rules.deadline)
+        return finish(ResultCode::DeadlineUnreachable);
+    if (now < nextTimer())
+        return RequestStep::Wait;
+    m_hasHedged = true;
+    return RequestStep::Hedge;
+}
+
+RequestStep RequestMachine::stopped()
+{
+    if (m_isFinished)
+        return RequestStep::Wait;
+    m_unknown = ResultCode::StoppedInFlight;
+    return finish(ResultCode::InstanceStopping);
+}
+
+RequestStep RequestMachine::callerGone()
+{
+    if (m_isFinished || m_running > 0)
+        return RequestStep::Wait;
+    return finish(ResultCode::CallerGone);
+}
+
+TimePoint RequestMachine::nextTimer() const
+{
+    bool mayHedge = m_rules.isIdempotent && m_rules.hedgeAfter > Milliseconds::zero() && !m_hasHedged && m_running == 1 && m_sent == 1;
+    return mayHedge ? std::min<TimePoint>(m_firstSentAt + m_rules.hedgeAfter, m_rules.deadline) : m_rules.deadline;
+}
+
+RequestStep RequestMachine::finish(ResultCode whenNotRun)
+{
+    if (m_isFinished)
+        return RequestStep::Wait;
+    m_isFinished = true;
+    m_isWaiting = false;
+    bool isUnknown = mayHaveRun();
+    m_result = isUnknown ? m_unknown : whenNotRun;
+    if (isUnknown && !m_rules.tellsUnknown)
+        m_result = ResultCode::ExecutorsRefused;
+    return RequestStep::Finish;
+}
+
+} // namespace plantainhold
