Show the process's own cost and the log's outages

Ruled out: a sampling thread (costs a node something between scrapes); a line an error (an outage of an hour would write tens of thousands).

Change: processor time, memory and threads are read when /metrics is scraped; the log adapter writes one event when an outage begins and one, with its length, when it ends.

--- a/plantainhold/adapters/Daemon.cpp
+++ b/plantainhold/adapters/Daemon.cpp
@@ -7,6 +7,7 @@
 #include "plantainhold/adapters/GrpcLog.h"
 #include "plantainhold/adapters/GrpcWorkers.h"
 #include "plantainhold/adapters/HealthServer.h"
+#include "plantainhold/adapters/ProcessMetrics.h"
 #include "plantainhold/base/DecisionLog.h"
 #include "plantainhold/base/InstanceContext.h"
 #include "plantainhold/base/LogEvent.h"
@@ -73,6 +74,11 @@
         return std::all_of(modules.begin(), modules.end(), [](const auto& it) { return it->isDrained(); });
     }
 
+    std::vector<std::shared_ptr<prometheus::Collectable>> collectables() const
+    {
+        return { metrics, std::make_shared<ProcessMetrics>() };
+    }
+
     void startControl()
     {
         grpc::ServerBuilder builder;
@@ -132,7 +138,7 @@
 void Daemon::start()
 {
     m_impl->startControl();
-    m_impl->health = std::make_unique<HealthServer>(m_impl->settings.metricsAddress, m_impl->metrics, [impl = m_impl.get()] { return impl->isReady(); });
+    m_impl->health = std::make_unique<HealthServer>(m_impl->settings.metricsAddress, m_impl->collectables(), [impl = m_impl.get()] { return impl->isReady(); });
     for (const auto& it : m_impl->modules)
         it->start();
     m_impl->reports->start();
--- a/plantainhold/adapters/GrpcLog.cpp
+++ b/plantainhold/adapters/GrpcLog.cpp
@@ -5,6 +5,7 @@
 #include "plantainhold/adapters/GrpcLog.h"
 
 #include "plantainhold/adapters/GrpcChannel.h"
+#include "plantainhold/base/LogEvent.h"
 #include "plantainhold/proto/platform.grpc.pb.h"
 
 #include <grpcpp/channel.h>
@@ -33,12 +34,28 @@
     request.set_payload(std::string(payload));
     platform::AppendReply reply;
     grpc::Status status = m_stub->log->Append(&context, request, &reply);
+    noteOutcome(stream, status.ok() || status.error_code() == grpc::StatusCode::RESOURCE_EXHAUSTED);
     if (status.ok())
         return { AppendStatus::Appended, reply.offset() };
     bool isRefused = status.error_code() == grpc::StatusCode::RESOURCE_EXHAUSTED;
     return { isRefused ? AppendStatus::Refused : AppendStatus::Unknown, 0 };
 }
 
+void GrpcLog::noteOutcome(std::string_view stream, bool succeeded)
+{
+    TimePoint::rep now = std::chrono::steady_clock::now().time_since_epoch().count();
+    TimePoint::rep none = 0;
+    if (!succeeded) {
+        if (m_failingSince.compare_exchange_strong(none, now))
+            LogEvent(EventId::LogUnavailable).field("stream", stream);
+        return;
+    }
+    // The common case costs one load.
+    TimePoint::rep since = m_failingSince.load(std::memory_order_relaxed);
+    if (since && m_failingSince.compare_exchange_strong(since, 0))
+        LogEvent(EventId::LogRecovered).field("after_ms", std::chrono::duration_cast<Milliseconds>(TimePoint::duration(now - since)).count());
+}
+
 ReadOutcome GrpcLog::read(std::string_view stream, std::uint64_t from, const ReadLimits& limits)
 {
     grpc::ClientContext context;
@@ -51,9 +68,10 @@
     request.set_wait_ms(static_cast<std::uint32_t>(limits.wait.count()));
     platform::ReadReply reply;
     ReadOutcome outcome;
-    if (!m_stub->log->Read(&context, request, &reply).ok())
+    outcome.succeeded = m_stub->log->Read(&context, request, &reply).ok();
+    noteOutcome(stream, outcome.succeeded);
+    if (!outcome.succeeded)
         return outcome;
-    outcome.succeeded = true;
     outcome.firstOffset = reply.first_offset();
     outcome.nextOffset = reply.next_offset();
     outcome.firstExpiresIn = Milliseconds(reply.first_expires_in_ms());
--- a/plantainhold/adapters/GrpcLog.h
+++ b/plantainhold/adapters/GrpcLog.h
@@ -3,6 +3,7 @@
 
 #include "plantainhold/ports/LogPort.h"
 
+#include <atomic>
 #include <memory>
 
 namespace plantainhold {
@@ -17,9 +18,14 @@
     ReadOutcome read(std::string_view stream, std::uint64_t from, const ReadLimits& limits) override;
 
 private:
+    // Logs the beginning and the end of an outage, not each failure.
+    void noteOutcome(std::string_view stream, bool succeeded);
+
     struct Stub;
     const std::unique_ptr<Stub> m_stub;
     const Milliseconds m_readTimeout;
+    // When the outage began, in ticks of the monotonic clock; 0 while the log answers.
+    std::atomic<TimePoint::rep> m_failingSince { 0 };
 };
 
 } // namespace plantainhold
--- a/plantainhold/adapters/HealthServer.cpp
+++ b/plantainhold/adapters/HealthServer.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <prometheus/registry.h>
+#include <prometheus/collectable.h>
 #include <prometheus/text_serializer.h>
 #include <thread>
 
@@ -27,7 +27,7 @@
 struct HealthServer::Impl {
     asio::io_context io { 1 };
     tcp::acceptor acceptor { io };
-    std::shared_ptr<prometheus::Registry> metrics;
+    std::vector<std::shared_ptr<prometheus::Collectable>> metrics;
     std::function<bool()> isReady;
     std::thread thread;
 
@@ -52,12 +52,22 @@
         co_await http::async_write(stream, response, asio::as_tuple(asio::use_awaitable));
     }
 
+    std::string metricsText() const
+    {
+        std::vector<prometheus::MetricFamily> families;
+        for (const auto& it : metrics) {
+            std::vector<prometheus::MetricFamily> more = it->Collect();
+            families.insert(families.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+        }
+        return prometheus::TextSerializer().Serialize(families);
+    }
+
     http::response<http::string_body> answer(const http::request<http::empty_body>& request)
     {
         http::response<http::string_body> response(http::status::ok, request.version());
         response.keep_alive(false);
         if (request.target() == "/metrics") {
-            response.body() = prometheus::TextSerializer().Serialize(metrics->Collect());
+            response.body() = metricsText();
         } else if (request.target() == "/readyz") {
             bool ready = isReady();
             response.result(ready ? http::status::ok : http::status::service_unavailable);
@@ -72,7 +82,7 @@
     }
 };
 
-HealthServer::HealthServer(const std::string& address, std::shared_ptr<prometheus::Registry> metrics, std::function<bool()> isReady)
+HealthServer::HealthServer(const std::string& address, std::vector<std::shared_ptr<prometheus::Collectable>> metrics, std::function<bool()> isReady)
     : m_impl(std::make_unique<Impl>())
 {
     m_impl->metrics = std::move(metrics);
--- a/plantainhold/adapters/HealthServer.h
+++ b/plantainhold/adapters/HealthServer.h
@@ -4,9 +4,10 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace prometheus {
-class Registry;
+class Collectable;
 }
 
 namespace plantainhold {
@@ -14,7 +15,7 @@
 class HealthServer {
 public:
     // Starts to serve. Throws ResultError(CannotListen).
-    HealthServer(const std::string& address, std::shared_ptr<prometheus::Registry> metrics, std::function<bool()> isReady);
+    HealthServer(const std::string& address, std::vector<std::shared_ptr<prometheus::Collectable>> metrics, std::function<bool()> isReady);
     ~HealthServer();
 
 private:
