--- a/plantainhold/policy/Planner.h
+++ b/plantainhold/policy/Planner.h
@@ -50,6 +50,9 @@
     // The attempt is proved over, so its resources are free. The planner learns
     // from Completed and Failed; Stopped is an eviction that took effect.
     void attemptEnded(const AttemptId& id, AttemptState state, TimePoint now);
+    // The same with the worker's last report, whose use of memory tells a task
+    // that needs more from one that fails for another reason.
+    void attemptEnded(const AttemptReport& last, TimePoint now);
 
     // The newest report of a running attempt. Repeating a report is harmless.
     void sample(const AttemptReport& report, TimePoint now);
--- a/plantainhold/policy/PolicyTask.h
+++ b/plantainhold/policy/PolicyTask.h
@@ -42,6 +42,13 @@
     std::uint32_t attempt = 0;
     Resources reserved;
     TimePoint startedAt;
+    // Unique a placement, never zero.
+    std::uint64_t serial = 0;
+    // Cores at work at full speed; from the kind until reports say more.
+    double busyCores = 0;
+    // Reports of this attempt that were taken at more than a tenth of full speed.
+    std::uint32_t useSamples = 0;
+    std::int64_t mostMemoryMib = 0;
 
     // Newest report.
     Resources used;
--- /dev/null
+++ b/plantainhold/policy/ServiceGuard.cpp
@@ -0,0 +1,260 @@
+// Learning from services' samples and steering the speeds beside them.
+
+#include "plantainhold/policy/ServiceGuard.h"
+
+#include "plantainhold/policy/Fleet.h"
+#include "plantainhold/policy/PolicyTask.h"
+#include "plantainhold/policy/SpeedProblem.h"
+#include "plantainhold/ports/WorkerPort.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace plantainhold {
+
+namespace {
+
+    constexpr Milliseconds s_sampleWindow { 5000 };
+    // How far ahead loads are planned for: about the lag of a sample and of the action on it.
+    constexpr double s_planAheadSeconds = 30;
+    constexpr double s_trendSmoothing = 0.1;
+    constexpr double s_loadSmoothing = 0.5;
+    // Before the first sample the load is taken to be high.
+    constexpr double s_unknownLoad = 0.8;
+    constexpr double s_burstMargin = 1.05;
+    // Share of the objective that is kept free.
+    constexpr double s_objectiveMargin = 0.08;
+    // Standard deviations of caution on each pair.
+    constexpr double s_caution = 0.5;
+    // A speed is raised only once the last change could be seen in samples.
+    constexpr Milliseconds s_settle { 25'000 };
+    constexpr double s_lowerHysteresis = 0.03;
+    constexpr double s_raiseHysteresis = 0.08;
+    constexpr double s_milli = 1000;
+    constexpr double s_percent = 100;
+
+} // namespace
+
+struct ServiceGuard::Mix {
+    struct Service {
+        const PolicyTask* task;
+        const ServiceState* state;
+        double load;
+        double own;
+        double gain;
+    };
+    std::vector<Service> services;
+    std::vector<PolicyTask*> batch;
+    SpeedProblem problem;
+    std::vector<double> fullPressure;
+};
+
+ServiceGuard::ServiceGuard(const Fleet& fleet)
+    : m_fleet(fleet)
+{
+}
+
+void ServiceGuard::taskStarted(const PolicyTask& task, TimePoint now)
+{
+    if (task.isService) {
+        if (task.isGuarded())
+            m_services[task.serial].bias = InterferenceModel::freshBias();
+        return;
+    }
+    m_history.begin(task.worker, task.serial, task.kind, task.busyCores, now);
+    m_batch[task.serial] = { 100, now };
+}
+
+void ServiceGuard::taskEnded(const PolicyTask& task, TimePoint now)
+{
+    m_history.end(task.worker, task.serial, now);
+    m_services.erase(task.serial);
+    m_batch.erase(task.serial);
+}
+
+void ServiceGuard::sample(const PolicyTask& task, const AttemptReport& report, TimePoint now)
+{
+    if (report.sampleAge > ColocationHistory::s_retention)
+        return;
+    if (task.isService)
+        sampleService(task, report, now);
+    else
+        sampleBatch(task, report, now);
+}
+
+void ServiceGuard::sampleBatch(const PolicyTask& task, const AttemptReport& report, TimePoint now)
+{
+    m_history.setCores(task.worker, task.serial, task.busyCores);
+    // A speed that was ordered but lost shows as another one in the report.
+    TimePoint takenAt = now - report.sampleAge;
+    auto it = m_batch.find(task.serial);
+    if (it == m_batch.end() || it->second.changedAt + s_sampleWindow > takenAt || it->second.percent == report.throttlePercent)
+        return;
+    m_history.setSpeed(task.worker, task.serial, report.throttlePercent, it->second.changedAt);
+    it->second.percent = report.throttlePercent;
+}
+
+void ServiceGuard::sampleService(const PolicyTask& task, const AttemptReport& report, TimePoint now)
+{
+    auto it = m_services.find(task.serial);
+    if (it == m_services.end() || !report.slowdownMilli || !task.reserved.millicores)
+        return;
+    ServiceState& state = it->second;
+    TimePoint takenAt = now - report.sampleAge;
+    // A report that is repeated, or overtaken by a newer one, says nothing new.
+    if (state.hasSample && takenAt <= state.sampledAt)
+        return;
+    double load = static_cast<double>(report.used.millicores) / static_cast<double>(task.reserved.millicores);
+    followLoad(state, load, takenAt);
+    std::vector<ColocationHistory::Presence> presences = m_history.presences(task.worker, takenAt - s_sampleWindow, takenAt);
+    std::erase_if(state.deviations, [&](const Deviation& one) {
+        return std::none_of(presences.begin(), presences.end(), [&](const auto& presence) { return presence.serial == one.serial; }) && !m_batch.contains(one.serial);
+    });
+    // All are created before any address is taken.
+    for (const auto& presence : presences)
+        deviationOf(state, task.kind, presence);
+    std::vector<InterferenceModel::Neighbour> neighbours;
+    for (const auto& presence : presences)
+        neighbours.push_back({ presence.kind, presence.cores, &deviationOf(state, task.kind, presence) });
+    m_model.learn({ task.kind, load, report.slowdownMilli / s_milli, &state.bias }, neighbours);
+}
+
+void ServiceGuard::followLoad(ServiceState& state, double load, TimePoint takenAt) const
+{
+    if (!state.hasSample) {
+        state.load = load;
+        state.hasSample = true;
+    } else {
+        double seconds = std::chrono::duration<double>(takenAt - state.sampledAt).count();
+        double expected = state.load + state.trend * seconds;
+        double error = load - expected;
+        state.load = expected + s_loadSmoothing * error;
+        state.trend += s_trendSmoothing * (s_loadSmoothing * error / seconds - 0.2 * state.trend);
+    }
+    state.sampledAt = takenAt;
+}
+
+double ServiceGuard::plannedLoad(const ServiceState& state, TimePoint now) const
+{
+    if (!state.hasSample)
+        return s_unknownLoad;
+    double ahead = std::chrono::duration<double>(now - state.sampledAt).count() + s_planAheadSeconds;
+    ahead = std::min(ahead, 3 * s_planAheadSeconds);
+    double rise = std::clamp(state.trend * ahead, 0.0, 0.3);
+    return std::min(1.0, (state.load + rise) * s_burstMargin);
+}
+
+Estimate& ServiceGuard::deviationOf(ServiceState& state, NameId serviceKind, const ColocationHistory::Presence& presence)
+{
+    auto it = std::find_if(state.deviations.begin(), state.deviations.end(), [&](const Deviation& one) { return one.serial == presence.serial; });
+    if (it != state.deviations.end())
+        return it->estimate;
+    Estimate fresh = InterferenceModel::freshDeviation(m_model.effect(serviceKind, presence.kind));
+    return state.deviations.emplace_back(Deviation { presence.serial, fresh }).estimate;
+}
+
+bool ServiceGuard::protectsServices(WorkerSlot slot) const
+{
+    const auto& tasks = m_fleet.worker(slot).tasks;
+    return std::any_of(tasks.begin(), tasks.end(), [](const PolicyTask* it) { return it->isGuarded(); });
+}
+
+ServiceGuard::Mix ServiceGuard::mixOf(WorkerSlot slot, TimePoint now) const
+{
+    static const ServiceState s_unknown { InterferenceModel::freshBias(), 0, 0, {}, false, {} };
+    Mix mix;
+    const auto& tasks = m_fleet.worker(slot).tasks;
+    for (const PolicyTask* it : tasks) {
+        if (!it->isGuarded())
+            continue;
+        auto found = m_services.find(it->serial);
+        const ServiceState& state = found == m_services.end() ? s_unknown : found->second;
+        double load = plannedLoad(state, now);
+        double own = m_model.own(it->kind, load) * state.bias.mean;
+        double gain = m_model.gain(it->kind, load);
+        mix.services.push_back({ it, &state, load, own, gain });
+        double limit = it->slowdownLimitMilli / s_milli * (1 - s_objectiveMargin);
+        mix.problem.addService(limit / own - 1);
+        mix.fullPressure.push_back(0);
+    }
+    if (mix.services.empty())
+        return mix;
+    for (PolicyTask* it : tasks) {
+        if (it->isService)
+            continue;
+        mix.batch.push_back(it);
+        addBatch(mix, it->kind, it->busyCores, it->serial);
+    }
+    return mix;
+}
+
+void ServiceGuard::addBatch(Mix& mix, NameId kind, double cores, std::uint64_t serial) const
+{
+    std::size_t number = mix.problem.addTask(cores);
+    for (std::size_t i = 0; i < mix.services.size(); ++i) {
+        const Mix::Service& service = mix.services[i];
+        Estimate effect = m_model.effect(service.task->kind, kind);
+        Estimate deviation = InterferenceModel::freshDeviation(effect);
+        for (const Deviation& it : service.state->deviations) {
+            if (it.serial == serial)
+                deviation = it.estimate;
+        }
+        Estimate sum { std::max(0.0, effect.mean + deviation.mean), effect.variance + deviation.variance };
+        double pressure = service.gain * cores * sum.upperBound(s_caution);
+        mix.problem.setPressure(number, i, pressure);
+        mix.fullPressure[i] += pressure;
+    }
+}
+
+double ServiceGuard::gainOf(WorkerSlot slot, NameId kind, double cores, TimePoint now) const
+{
+    Mix mix = mixOf(slot, now);
+    if (mix.services.empty())
+        return cores;
+    double before = mix.problem.solve();
+    constexpr std::uint64_t s_noSerial = 0;
+    addBatch(mix, kind, cores, s_noSerial);
+    return mix.problem.solve() - before;
+}
+
+std::uint32_t ServiceGuard::limitStep(const BatchState& state, double share, TimePoint now) const
+{
+    double current = state.percent / s_percent;
+    if (share < current - s_lowerHysteresis)
+        return static_cast<std::uint32_t>(std::max(1.0, std::floor(s_percent * share)));
+    bool isSettled = now - state.changedAt >= s_settle;
+    bool isWorthIt = share > current + s_raiseHysteresis || (share >= 1 && current < 1);
+    if (!isSettled || !isWorthIt)
+        return state.percent;
+    return static_cast<std::uint32_t>(std::floor(s_percent * share));
+}
+
+std::vector<SpeedDecision> ServiceGuard::steer(WorkerSlot slot, TimePoint now)
+{
+    std::vector<SpeedDecision> decisions;
+    Mix mix = mixOf(slot, now);
+    if (mix.services.empty())
+        return decisions;
+    mix.problem.solve();
+    std::size_t tightest = 0;
+    for (std::size_t i = 1; i < mix.services.size(); ++i) {
+        if (mix.fullPressure[i] > mix.fullPressure[tightest])
+            tightest = i;
+    }
+    for (std::size_t i = 0; i < mix.batch.size(); ++i) {
+        PolicyTask& task = *mix.batch[i];
+        auto it = m_batch.find(task.serial);
+        if (it == m_batch.end())
+            continue;
+        std::uint32_t percent = limitStep(it->second, mix.problem.share(i), now);
+        if (percent == it->second.percent)
+            continue;
+        it->second = { percent, now };
+        m_history.setSpeed(slot, task.serial, percent, now);
+        const Mix::Service& service = mix.services[tightest];
+        decisions.push_back({ &task, percent, service.task, service.own * (1 + mix.fullPressure[tightest]) });
+    }
+    return decisions;
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/policy/ServiceGuard.h
@@ -0,0 +1,89 @@
+// Protects the guarded services of each worker: learns from their samples, says
+// what a batch task would be worth beside them, and steers the speeds of batch
+// tasks so that the predicted slowdown stays within each objective.
+#pragma once
+
+#include "plantainhold/policy/ColocationHistory.h"
+#include "plantainhold/policy/Estimate.h"
+#include "plantainhold/policy/InterferenceModel.h"
+#include "plantainhold/policy/WorkerIndex.h"
+#include "plantainhold/ports/Clock.h"
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace plantainhold {
+
+class Fleet;
+class SpeedProblem;
+struct AttemptReport;
+struct PolicyTask;
+
+// A speed that a batch task should run at from now on.
+struct SpeedDecision {
+    PolicyTask* task = nullptr;
+    std::uint32_t percent = 100;
+    // The service that bounds it, and the slowdown that was predicted for it at full speed.
+    const PolicyTask* service = nullptr;
+    double predictedSlowdown = 0;
+};
+
+class ServiceGuard {
+public:
+    // The fleet must outlive the guard. Not thread-safe, as the class.
+    explicit ServiceGuard(const Fleet& fleet);
+
+    // An attempt runs, or is over. Precondition: the task is placed.
+    void taskStarted(const PolicyTask& task, TimePoint now);
+    void taskEnded(const PolicyTask& task, TimePoint now);
+    // Precondition: the task is placed, and its fields already hold this report.
+    void sample(const PolicyTask& task, const AttemptReport& report, TimePoint now);
+
+    // Worth at work that the worker gains, in cores, if a task of the kind with so
+    // many busy cores joins at the best speeds; services that it would harm count against it.
+    double gainOf(WorkerSlot slot, NameId kind, double cores, TimePoint now) const;
+    bool protectsServices(WorkerSlot slot) const;
+
+    // Decides speeds on one worker, and notes them as being in force.
+    std::vector<SpeedDecision> steer(WorkerSlot slot, TimePoint now);
+
+private:
+    struct Deviation {
+        std::uint64_t serial;
+        Estimate estimate;
+    };
+    struct ServiceState {
+        Estimate bias;
+        double load = 0;
+        // Change of the load a second, smoothed.
+        double trend = 0;
+        TimePoint sampledAt;
+        bool hasSample = false;
+        std::vector<Deviation> deviations;
+    };
+    struct BatchState {
+        std::uint32_t percent = 100;
+        TimePoint changedAt;
+    };
+    // What the worker runs, as a problem to solve.
+    struct Mix;
+
+    Mix mixOf(WorkerSlot slot, TimePoint now) const;
+    void addBatch(Mix& mix, NameId kind, double cores, std::uint64_t serial) const;
+    void sampleService(const PolicyTask& task, const AttemptReport& report, TimePoint now);
+    void sampleBatch(const PolicyTask& task, const AttemptReport& report, TimePoint now);
+    void followLoad(ServiceState& state, double load, TimePoint takenAt) const;
+    double plannedLoad(const ServiceState& state, TimePoint now) const;
+    Estimate& deviationOf(ServiceState& state, NameId serviceKind, const ColocationHistory::Presence& presence);
+    std::uint32_t limitStep(const BatchState& state, double share, TimePoint now) const;
+
+    const Fleet& m_fleet;
+    InterferenceModel m_model;
+    ColocationHistory m_history;
+    // By the serial of the placement.
+    std::unordered_map<std::uint64_t, ServiceState> m_services;
+    std::unordered_map<std::uint64_t, BatchState> m_batch;
+};
+
+} // namespace plantainhold
