--- a/plantainhold/adapters/Daemon.cpp
+++ b/plantainhold/adapters/Daemon.cpp
@@ -38,6 +38,7 @@
     constexpr std::size_t s_decisionCapacity = 20'000;
     constexpr Milliseconds s_drainPoll { 20 };
     constexpr Milliseconds s_workerTimeout { 1000 };
+    constexpr int s_shortestPingIntervalMs = 500;
     constexpr int s_messageLimitBytes = 16 << 20;
 
 } // namespace
@@ -78,6 +79,9 @@
         int port = 0;
         builder.AddListeningPort(settings.controlAddress, grpc::InsecureServerCredentials(), &port);
         builder.SetMaxReceiveMessageSize(s_messageLimitBytes);
+        // Peers ping to find silent connections; gRPC's default would end theirs for it.
+        builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, s_shortestPingIntervalMs);
+        builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
         for (const auto& module : modules) {
             for (grpc::Service* it : module->services())
                 builder.RegisterService(it);
@@ -120,6 +124,7 @@
     if (m_impl->control)
         m_impl->control->Shutdown(std::chrono::system_clock::now());
     m_impl->health.reset();
+    m_impl->reports->stop();
     for (auto it = m_impl->modules.rbegin(); it != m_impl->modules.rend(); ++it)
         (*it)->stop();
 }
@@ -130,6 +135,7 @@
     m_impl->health = std::make_unique<HealthServer>(m_impl->settings.metricsAddress, m_impl->metrics, [impl = m_impl.get()] { return impl->isReady(); });
     for (const auto& it : m_impl->modules)
         it->start();
+    m_impl->reports->start();
     const Settings& settings = m_impl->settings;
     LogEvent(EventId::DaemonStarted).field("instance", settings.instanceId).field("data_centre", settings.dataCentre).field("callers", settings.callerAddress).field("control", settings.controlAddress);
 }
@@ -151,6 +157,9 @@
     TimePoint until = start + m_impl->settings.drainLimit;
     while (!m_impl->isDrained() && m_impl->clock.now() < until && !m_impl->isHurried)
         m_impl->wakeUp.wait_for(lock, s_drainPoll, isHurried);
+    lock.unlock();
+    // Leaves the last counts in the log.
+    m_impl->reports->stop();
     LogEvent(EventId::DrainEnded).field("clean", m_impl->isDrained() ? "yes" : "no");
 }
 
