Harden the closed-loop fake and its oracle

Change: a task at share s of its speed exerts s^0.7 of its pressure; the oracle picks the kind that brings most of its cores to work, reserves the least shares first, and evicts what stands idle when that is cheap.

--- a/bench/ClosedOracle.cpp
+++ b/bench/ClosedOracle.cpp
@@ -21,6 +21,11 @@
     constexpr int s_lookAheadSeconds = 300;
     constexpr int s_retrySeconds = 10;
     constexpr int s_clearingSeconds = 8;
+    // A task that runs slower than this for so long makes room for others when
+    // that loses less work than this.
+    constexpr std::uint32_t s_idlePercent = 12;
+    constexpr int s_idleSeconds = 120;
+    constexpr double s_cheapSeconds = 30;
 
     // The most pressure that keeps the slowdown below the limit at this load.
     double pressureBudget(double load, double limit)
@@ -96,13 +101,14 @@
         pressed.push_back({ &it, m_world.pressure(index, it.task, mix.loads[service]) });
     // The least share of each is spent first: a task is never stopped altogether.
     for (const Pressed& it : pressed)
-        budget -= it.pressure * s_leastShare;
+        budget -= it.pressure * ClosedWorld::pressureShare(s_leastShare);
     // Least pressure a core first: the fractional knapsack's optimum.
     std::sort(pressed.begin(), pressed.end(), [](const Pressed& a, const Pressed& b) { return a.pressure * b.member->cores < b.pressure * a.member->cores; });
     for (Pressed& it : pressed) {
-        double affordable = s_leastShare + (it.pressure > 0 ? std::max(0.0, budget) / it.pressure : 1);
-        it.member->share = std::min(it.member->share, affordable);
-        budget -= it.pressure * (it.member->share - s_leastShare);
+        double least = it.pressure * ClosedWorld::pressureShare(s_leastShare);
+        double affordable = it.pressure > 0 ? std::min(1.0, (std::max(0.0, budget) + least) / it.pressure) : 1;
+        it.member->share = std::min(it.member->share, std::max(s_leastShare, ClosedWorld::speedOf(affordable)));
+        budget -= it.pressure * ClosedWorld::pressureShare(it.member->share) - least;
     }
 }
 
@@ -112,6 +118,7 @@
     m_claimed.assign(m_world.scenario().workers.size(), {});
     throttle(plan);
     place(plan);
+    evictIdle(plan);
     return plan;
 }
 
@@ -129,6 +136,24 @@
     }
 }
 
+void ClosedOracle::evictIdle(Plan& plan)
+{
+    bool hasWaiting = std::any_of(m_waiting.begin(), m_waiting.end(), [](const auto& it) { return !it.second.empty(); });
+    if (!hasWaiting || m_world.second() % s_retrySeconds)
+        return;
+    for (std::size_t worker = 0; worker < m_claimed.size(); ++worker) {
+        for (std::size_t it : m_world.tasksOn(worker)) {
+            const ClosedTask& task = m_world.tasks()[it];
+            if (task.scenario->isService || task.phase != ClosedPhase::Running)
+                continue;
+            bool isIdle = task.throttlePercent < s_idlePercent && m_world.second() - task.startedAt > s_idleSeconds;
+            bool isCheap = m_world.scenario().batchKinds[task.scenario->kind].canCheckpoint || task.doneSeconds - task.durableSeconds < s_cheapSeconds;
+            if (isIdle && isCheap)
+                plan.actions.push_back({ PolicyActionKind::Evict, { task.scenario->id, task.attempt }, "", 0, EventId::TaskEvicted, "oracle" });
+        }
+    }
+}
+
 void ClosedOracle::place(Plan& plan)
 {
     for (std::size_t n = m_urgent.size(); n; --n) {
@@ -137,28 +162,34 @@
         if (!placeOne(index, plan) && !makeRoom(index, plan))
             m_urgent.push_back(index);
     }
-    // The oldest first task over all kinds, as long as its kind is not blocked.
+    // Whichever kind's first task brings the largest share of its cores to work.
     while (true) {
-        std::deque<std::size_t>* oldest = nullptr;
+        Choice best;
+        std::deque<std::size_t>* bestQueue = nullptr;
         for (auto& [kind, queue] : m_waiting) {
-            bool isOpen = !queue.empty() && m_blockedUntil[kind] <= m_world.second();
-            if (isOpen && (!oldest || queue.front() < oldest->front()))
-                oldest = &queue;
+            if (queue.empty() || m_blockedUntil[kind] > m_world.second())
+                continue;
+            if (m_world.scenario().batchKinds[kind].alwaysFails) {
+                plan.impossible.push_back({ m_world.tasks()[queue.front()].scenario->id, EventId::TaskImpossible, "oracle" });
+                queue.pop_front();
+                continue;
+            }
+            Choice choice = choose(queue.front());
+            if (choice.worker == m_claimed.size())
+                m_blockedUntil[kind] = m_world.second() + s_retrySeconds;
+            else if (!bestQueue || choice.gainShare > best.gainShare) {
+                best = choice;
+                bestQueue = &queue;
+            }
         }
-        if (!oldest)
+        if (!bestQueue)
             return;
-        std::size_t kind = m_world.tasks()[oldest->front()].scenario->kind;
-        if (m_world.scenario().batchKinds[kind].alwaysFails)
-            plan.impossible.push_back({ m_world.tasks()[oldest->front()].scenario->id, EventId::TaskImpossible, "oracle" });
-        else if (!placeOne(oldest->front(), plan)) {
-            m_blockedUntil[kind] = m_world.second() + s_retrySeconds;
-            continue;
-        }
-        oldest->pop_front();
+        commit(bestQueue->front(), best.worker, plan);
+        bestQueue->pop_front();
     }
 }
 
-bool ClosedOracle::placeOne(std::size_t index, Plan& plan)
+ClosedOracle::Choice ClosedOracle::choose(std::size_t index) const
 {
     const ClosedTask& task = m_world.tasks()[index];
     const ClosedScenario& scenario = m_world.scenario();
@@ -187,10 +218,22 @@
             best = worker;
         }
     }
-    if (best == m_claimed.size())
+    return { best, bestGain / static_cast<double>(size.millicores) };
+}
+
+void ClosedOracle::commit(std::size_t index, std::size_t worker, Plan& plan)
+{
+    const ClosedTask& task = m_world.tasks()[index];
+    m_claimed[worker] = sizeOf(task);
+    plan.placements.push_back({ task.scenario->id, m_world.scenario().workers[worker].name, m_claimed[worker], EventId::TaskPlaced, "oracle" });
+}
+
+bool ClosedOracle::placeOne(std::size_t index, Plan& plan)
+{
+    Choice choice = choose(index);
+    if (choice.worker == m_claimed.size())
         return false;
-    m_claimed[best] = size;
-    plan.placements.push_back({ task.scenario->id, scenario.workers[best].name, size, EventId::TaskPlaced, "oracle" });
+    commit(index, choice.worker, plan);
     return true;
 }
 
--- a/bench/ClosedOracle.h
+++ b/bench/ClosedOracle.h
@@ -41,12 +41,21 @@
         std::vector<Member> batch;
     };
 
+    struct Choice {
+        // The number of workers when there is none.
+        std::size_t worker = 0;
+        double gainShare = 0;
+    };
+
     Mix mixOf(std::size_t worker, int loadSecond) const;
     // Sets each member's share of full speed to the best that keeps every objective; returns the cores at work.
     double solve(Mix& mix) const;
     void limitFor(Mix& mix, std::size_t service) const;
     void throttle(Plan& plan) const;
     void place(Plan& plan);
+    void evictIdle(Plan& plan);
+    Choice choose(std::size_t index) const;
+    void commit(std::size_t index, std::size_t worker, Plan& plan);
     bool placeOne(std::size_t index, Plan& plan);
     bool makeRoom(std::size_t index, Plan& plan);
     Resources sizeOf(const ClosedTask& task) const;
--- a/bench/ClosedWorld.cpp
+++ b/bench/ClosedWorld.cpp
@@ -24,6 +24,7 @@
     constexpr double s_slowdownNoise = 0.06;
     constexpr double s_usageNoise = 0.05;
     constexpr double s_perCores = 8;
+    constexpr double s_throttleExponent = 0.7;
     constexpr double s_milli = 1000;
 
 } // namespace
@@ -265,6 +266,16 @@
     return effect * other.intensity * phase * coresOf(m_tasks[batch]) / s_perCores * (0.2 + 0.8 * std::pow(load, 1.5));
 }
 
+double ClosedWorld::pressureShare(double speed)
+{
+    return std::pow(speed, s_throttleExponent);
+}
+
+double ClosedWorld::speedOf(double pressureShare)
+{
+    return std::pow(pressureShare, 1 / s_throttleExponent);
+}
+
 double ClosedWorld::slowdownOf(double load, double pressure)
 {
     constexpr double s_knee = 0.6;
@@ -279,7 +290,7 @@
     double sum = 0;
     for (std::size_t it : m_onWorker[task.worker]) {
         if (!m_tasks[it].scenario->isService)
-            sum += pressure(service, it, load) * m_tasks[it].throttlePercent / 100;
+            sum += pressure(service, it, load) * pressureShare(m_tasks[it].throttlePercent / 100.0);
     }
     return slowdownOf(load, sum);
 }
--- a/bench/ClosedWorld.h
+++ b/bench/ClosedWorld.h
@@ -89,6 +89,11 @@
     // Pressure of one batch task at full speed on a service, at this load.
     double pressure(std::size_t service, std::size_t batch, double load) const;
     static double slowdownOf(double load, double pressure);
+    // Share of its full pressure that a task at this share of full speed exerts:
+    // caches stay in use however slowly it runs.
+    static double pressureShare(double speed);
+    // The inverse.
+    static double speedOf(double pressureShare);
     double busyCores(const ClosedTask& task) const;
     std::size_t indexOf(const std::string& task) const { return m_indexes.at(task); }
     TaskRequest requestOf(const ClosedTask& task) const;
--- a/plantainhold/policy/InterferenceModel.cpp
+++ b/plantainhold/policy/InterferenceModel.cpp
@@ -9,23 +9,23 @@
 
 namespace {
 
-    constexpr double s_square(double value)
+    constexpr double square(double value)
     {
         return value * value;
     }
 
     // Relative standard deviation of one report, and of what the model leaves out.
     constexpr double s_sampleNoise = 0.08;
-    constexpr Estimate s_freshEffect { 0.03, s_square(0.045) };
-    constexpr double s_effectDrift = s_square(0.0002);
-    constexpr double s_deviationDrift = s_square(0.0015);
-    constexpr double s_biasDrift = s_square(0.002);
-    constexpr double s_curveDrift = s_square(0.0003);
-    constexpr double s_leastEffectVariance = s_square(0.002);
-    constexpr double s_leastBiasVariance = s_square(0.01);
+    constexpr Estimate s_freshEffect { 0.03, square(0.045) };
+    constexpr double s_effectDrift = square(0.0002);
+    constexpr double s_deviationDrift = square(0.0015);
+    constexpr double s_biasDrift = square(0.002);
+    constexpr double s_curveDrift = square(0.0003);
+    constexpr double s_leastEffectVariance = square(0.002);
+    constexpr double s_leastBiasVariance = square(0.01);
     // A sample this many standard deviations off says that the effects have changed.
     constexpr double s_surprise = 3;
-    constexpr double s_surprisedVariance = s_square(0.02);
+    constexpr double s_surprisedVariance = square(0.02);
     constexpr std::size_t s_pairLimit = 65536;
 
     // One unknown of the filter with the slope of the prediction along it.
@@ -41,20 +41,20 @@
     ServiceModel model;
     for (std::size_t i = 0; i < s_knots; ++i) {
         double load = static_cast<double>(i) / (s_knots - 1);
-        model.own[i] = { 1 + 0.2 * load * load, s_square(0.1) };
-        model.gain[i] = { 0.2 + 0.8 * load, s_square(0.1) };
+        model.own[i] = { 1 + 0.2 * load * load, square(0.1) };
+        model.gain[i] = { 0.2 + 0.8 * load, square(0.1) };
     }
     return model;
 }
 
 Estimate InterferenceModel::freshDeviation(const Estimate& effect)
 {
-    return { 0, s_square(0.3 * std::max(0.0, effect.mean) + 0.005) };
+    return { 0, square(0.3 * std::max(0.0, effect.mean) + 0.005) };
 }
 
 Estimate InterferenceModel::freshBias()
 {
-    return { 1, s_square(0.03) };
+    return { 1, square(0.03) };
 }
 
 InterferenceModel::Position InterferenceModel::positionOf(double load)
@@ -148,13 +148,13 @@
 
     double innovation = sample.slowdown - predicted;
     auto uncertainty = [&] {
-        double sum = s_square(s_sampleNoise * predicted);
+        double sum = square(s_sampleNoise * predicted);
         for (const Coordinate& it : coordinates)
-            sum += it.estimate->variance * s_square(it.slope);
+            sum += it.estimate->variance * square(it.slope);
         return sum;
     };
     double total = uncertainty();
-    if (s_square(innovation) > s_square(s_surprise) * total) {
+    if (square(innovation) > square(s_surprise) * total) {
         for (Estimate* it : effects)
             it->variance = std::max(it->variance, s_surprisedVariance);
         total = uncertainty();
