--- a/standin/proving/AwaitSteps.cpp
+++ b/standin/proving/AwaitSteps.cpp
@@ -109,10 +109,12 @@
 {
     auto version = static_cast<std::uint64_t>(words.takeNumber("a version"));
     std::vector<std::string> names = entryNames(words.after("on").value_or("all"));
+    // Only answers to questions from now on count, not those of an earlier process.
+    std::int64_t sinceUs = nowUs();
     awaitCondition(words, "config " + std::to_string(version), [&] {
         return std::all_of(names.begin(), names.end(), [&](const std::string& it) {
             VersionSample newest = m_watch->newest(it);
-            return newest.reached && newest.version >= version;
+            return newest.reached && newest.askedUs > sinceUs && newest.version >= version;
         });
     });
 }
@@ -120,10 +122,11 @@
 void StepRunner::awaitReady(WordList& words)
 {
     std::vector<std::string> names = entryNames(words.take("an entry instance"));
+    std::int64_t sinceUs = nowUs();
     awaitCondition(words, "ready " + names.front(), [&] {
         return std::all_of(names.begin(), names.end(), [&](const std::string& it) {
             VersionSample newest = m_watch->newest(it);
-            return newest.reached && newest.ready;
+            return newest.reached && newest.askedUs > sinceUs && newest.ready;
         });
     });
 }
--- a/standin/proving/Evidence.h
+++ b/standin/proving/Evidence.h
@@ -80,6 +80,8 @@
 // What an entry instance said of itself at one time.
 struct VersionSample {
     std::string instance;
+    // When it was asked, and when it answered.
+    std::int64_t askedUs = 0;
     std::int64_t atUs = 0;
     bool reached = false;
     bool ready = false;
--- a/standin/proving/VersionWatch.cpp
+++ b/standin/proving/VersionWatch.cpp
@@ -46,10 +46,11 @@
 {
     DaemonClient client(entry.controlAddress);
     while (!m_isStopping) {
+        std::int64_t askedUs = nowUs();
         StatusOutcome status = client.status(s_answerLimit);
         {
             std::lock_guard lock(m_mutex);
-            m_samples.push_back({ entry.name, nowUs(), status.reached, status.ready, status.version });
+            m_samples.push_back({ entry.name, askedUs, nowUs(), status.reached, status.ready, status.version });
         }
         std::this_thread::sleep_for(s_poll);
     }
