Run non-idempotent requests at most once by claims settled in log order

Cause: a retry through another entry instance, an append whose reply was lost, or a process paused past its right could each run a booklet or a reconciliation twice, or tell "not run" and leave a claim that blocks the honest repeat for good.

Ruled out: winning by the append's reply (two instances both get one), a lease that others take over (a paused holder's run cannot be told from none), and "not run" on an append of unknown outcome (it may land later).

Change: claims/ has a pure reducer (lowest offset on a free key wins), a pure state machine for one claim, and the shell that reads and writes the claim streams. A claim is won only by reading it back while it is valid by the claimant's own clock; "not run" is said only after a tombstone is in the log; a claim that lands after its tombstone holds nothing. A key is remembered for claim_retention_ms (an hour) after its newest record, then forgotten by a record that all readers apply alike; what the log would expire earlier is appended again. The group commit no longer delays a lone record, and slows down when the log refuses. ClaimPort gains abandon() with a callback, since "not run" is true for the repeat only once the release is in the log.

--- a/plantainhold/adapters/Daemon.cpp
+++ b/plantainhold/adapters/Daemon.cpp
@@ -12,6 +12,7 @@
 #include "plantainhold/base/InstanceContext.h"
 #include "plantainhold/base/LogEvent.h"
 #include "plantainhold/base/ResultError.h"
+#include "plantainhold/claims/ClaimModule.h"
 #include "plantainhold/config/ConfigModule.h"
 #include "plantainhold/config/ConfigSnapshot.h"
 #include "plantainhold/membership/InstanceView.h"
@@ -60,6 +61,7 @@
         modules.push_back(std::make_unique<MembershipModule>(context));
         modules.push_back(std::make_unique<ConfigModule>(context));
         modules.push_back(std::make_unique<TaskModule>(context));
+        modules.push_back(std::make_unique<ClaimModule>(context));
         modules.push_back(std::make_unique<RequestModule>(context, burn));
         reports = std::make_unique<ReportModule>(context, burn, modules);
     }
--- /dev/null
+++ b/plantainhold/claims/ClaimPartition.cpp
@@ -0,0 +1,402 @@
+// One claim stream on one instance. Callbacks run after the lock is released:
+// they may come back with finish() at once.
+
+#include "plantainhold/claims/ClaimPartition.h"
+
+#include "plantainhold/base/LogEvent.h"
+#include "plantainhold/claims/ClaimCodec.h"
+
+#include <algorithm>
+#include <limits>
+#include <random>
+
+namespace plantainhold {
+
+namespace {
+
+    constexpr Milliseconds s_readRetry { 50 };
+    // A begin that comes while the partition is still being read waits this long at most.
+    constexpr Milliseconds s_openPatience { 3000 };
+    // Parts of the retention.
+    constexpr int s_samplesPerRetention = 16;
+    constexpr int s_renewalsPerRetention = 4;
+    constexpr int s_lastWordPart = 4;
+    constexpr Milliseconds s_longestRetainMargin { 60'000 };
+    constexpr std::uint64_t s_lookBackRecords = 256;
+
+    double drawSpread()
+    {
+        std::random_device source;
+        return std::uniform_real_distribution<double>(0.5, 1.0)(source);
+    }
+
+    Milliseconds scaled(Milliseconds duration, double factor)
+    {
+        return Milliseconds(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+    }
+
+} // namespace
+
+ClaimPartition::ClaimPartition(LogPort& log, const Clock& clock, std::string stream, const ClaimOptions& options)
+    : m_log(log)
+    , m_clock(clock)
+    , m_options(options)
+    , m_spread(drawSpread())
+    , m_lastUsed(clock.now())
+    , m_nextForget(clock.now())
+    , m_cursor(log, stream)
+    , m_writer(log, stream, options.commitInterval, options.appendTimeout)
+    , m_reader([this] { run(); })
+{
+}
+
+ClaimPartition::~ClaimPartition()
+{
+    m_isStopping = true;
+    m_reader.join();
+}
+
+void ClaimPartition::begin(const ClaimKey& key, std::uint64_t bodyHash, TimePoint deadline, Callback callback)
+{
+    Answers answers;
+    {
+        std::lock_guard lock(m_mutex);
+        TimePoint now = m_clock.now();
+        m_lastUsed = now;
+        Waiting request { key, bodyHash, deadline, std::min(deadline, now + s_openPatience), std::move(callback) };
+        if (!m_isUp)
+            answers.push_back({ std::move(request.callback), {} });
+        else if (!m_isCaughtUp && m_waiting.size() < m_options.keyLimit)
+            m_waiting.push_back(std::move(request));
+        else
+            beginNow(request, answers);
+    }
+    deliver(answers);
+}
+
+bool ClaimPartition::finish(const ClaimId& id, std::uint32_t result, std::uint32_t status)
+{
+    Answers answers;
+    std::lock_guard lock(m_mutex);
+    auto it = m_entries.find(id);
+    if (it == m_entries.end() || it->second.claimant.phase() != Claimant::Phase::Won)
+        return false;
+    perform(it, it->second.claimant.finish(result, status, m_clock.now()), answers);
+    return true;
+}
+
+bool ClaimPartition::abandon(const ClaimId& id, TimePoint deadline, Callback callback)
+{
+    Answers answers;
+    std::lock_guard lock(m_mutex);
+    auto it = m_entries.find(id);
+    if (it == m_entries.end() || it->second.claimant.phase() != Claimant::Phase::Won)
+        return false;
+    it->second.callback = std::move(callback);
+    perform(it, it->second.claimant.abandon(deadline, m_clock.now()), answers);
+    return true;
+}
+
+void ClaimPartition::tick()
+{
+    Answers answers;
+    {
+        std::lock_guard lock(m_mutex);
+        TimePoint now = m_clock.now();
+        admitWaiting(answers);
+        std::vector<Submission> refused;
+        refused.swap(m_refused);
+        for (const Submission& it : refused)
+            settledLocked(it, AppendStatus::Refused, answers);
+        for (auto it = m_entries.begin(); it != m_entries.end();) {
+            auto current = it++;
+            perform(current, current->second.claimant.timePassed(now), answers);
+        }
+        remind(now);
+    }
+    deliver(answers);
+}
+
+std::size_t ClaimPartition::open() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_entries.size() + m_waiting.size();
+}
+
+std::size_t ClaimPartition::keys() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_reducer.size();
+}
+
+TimePoint ClaimPartition::lastUsed() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_lastUsed;
+}
+
+void ClaimPartition::run()
+{
+    bool hasStart = false;
+    while (!m_isStopping) {
+        hasStart = hasStart || findStart();
+        StreamChunk chunk;
+        if (hasStart)
+            chunk = m_cursor.next(m_options.longPoll);
+        if (chunk.succeeded) {
+            take(chunk);
+            continue;
+        }
+        m_isUp = false;
+        std::this_thread::sleep_for(s_readRetry);
+    }
+}
+
+// Everything up to the newest Forgotten record need not be read: looks for one
+// backwards from the end, in growing windows.
+bool ClaimPartition::findStart()
+{
+    StreamCursor probe(m_log, m_cursor.stream(), std::numeric_limits<std::int64_t>::max());
+    StreamChunk end = probe.next(Milliseconds(0));
+    if (!end.succeeded)
+        return false;
+    std::uint64_t start = end.firstOffset;
+    for (std::uint64_t window = s_lookBackRecords; start < end.nextOffset; window *= 2) {
+        std::uint64_t from = end.nextOffset > window ? std::max(end.nextOffset - window, end.firstOffset) : end.firstOffset;
+        StreamCursor cursor(m_log, m_cursor.stream(), from);
+        std::optional<std::uint64_t> forgotten;
+        while (!m_isStopping && cursor.position() < end.nextOffset) {
+            StreamChunk chunk = cursor.next(Milliseconds(0));
+            if (!chunk.succeeded)
+                return false;
+            for (const StreamRecord& it : chunk.records) {
+                auto record = decodeClaimRecord(it.payload);
+                if (record && record->kind == ClaimRecordKind::Forgotten)
+                    forgotten = std::max(forgotten.value_or(0), record->offset);
+            }
+        }
+        if (forgotten)
+            start = std::max(start, *forgotten + 1);
+        if (forgotten || from <= end.firstOffset)
+            break;
+    }
+    m_cursor.seek(start);
+    return true;
+}
+
+void ClaimPartition::take(const StreamChunk& chunk)
+{
+    Answers answers;
+    {
+        std::lock_guard lock(m_mutex);
+        TimePoint now = m_clock.now();
+        if (chunk.hasGap && m_isCaughtUp) {
+            LogEvent(EventId::ClaimReaderRestarted).field("stream", m_cursor.stream());
+            m_reducer = {};
+            m_samples.clear();
+        }
+        for (const StreamRecord& it : chunk.records)
+            takeRecord(it, now, answers);
+        m_isUp = true;
+        m_isCaughtUp |= chunk.isAtEnd;
+        if (m_isCaughtUp) {
+            admitWaiting(answers);
+            forget(chunk, now);
+            retain(chunk);
+        }
+    }
+    deliver(answers);
+}
+
+void ClaimPartition::takeRecord(const StreamRecord& record, TimePoint now, Answers& answers)
+{
+    std::optional<ClaimRecord> claim = decodeClaimRecord(record.payload);
+    if (!claim)
+        return;
+    ClaimEffect effect = m_reducer.apply(*claim, record.offset, now);
+    route(*claim, effect, now, answers);
+}
+
+void ClaimPartition::route(const ClaimRecord& record, ClaimEffect effect, TimePoint now, Answers& answers)
+{
+    auto it = m_entries.find(record.id);
+    if (it == m_entries.end())
+        return;
+    if (record.kind == ClaimRecordKind::Claim)
+        perform(it, it->second.claimant.claimRead(effect, m_reducer.find(record.key), now), answers);
+    else if (record.kind == ClaimRecordKind::Abandoned || record.kind == ClaimRecordKind::Outcome)
+        perform(it, it->second.claimant.lastWordRead(), answers);
+}
+
+void ClaimPartition::admitWaiting(Answers& answers)
+{
+    TimePoint now = m_clock.now();
+    std::vector<Waiting> waiting;
+    waiting.swap(m_waiting);
+    for (Waiting& it : waiting) {
+        if (m_isCaughtUp && m_isUp)
+            beginNow(it, answers);
+        else if (!m_isUp || now >= it.until)
+            answers.push_back({ std::move(it.callback), {} });
+        else
+            m_waiting.push_back(std::move(it));
+    }
+}
+
+void ClaimPartition::beginNow(const Waiting& request, Answers& answers)
+{
+    TimePoint now = m_clock.now();
+    ClaimKeyState state = m_reducer.find(request.key);
+    if (state.phase != ClaimPhase::Free) {
+        answers.push_back({ request.callback, verdictOnStandingClaim(state, request.bodyHash, now) });
+        return;
+    }
+    if (m_undecided.contains(request.key)) {
+        answers.push_back({ request.callback, ClaimVerdict { .state = ClaimState::InProgress } });
+        return;
+    }
+    if (m_reducer.size() + m_entries.size() >= m_options.keyLimit || now >= request.deadline) {
+        if (now < request.deadline)
+            LogEvent(EventId::ClaimKeysFull).field("stream", m_cursor.stream()).field("keys", m_reducer.size());
+        answers.push_back({ request.callback, {} });
+        return;
+    }
+    ClaimRecord claim;
+    claim.id = makeClaimId();
+    claim.key = request.key;
+    claim.holder = m_options.holder;
+    claim.bodyHash = request.bodyHash;
+    claim.validity = m_options.validity;
+    claim.runLimit = std::chrono::duration_cast<Milliseconds>(request.deadline - now);
+    ClaimTimes times;
+    times.sentAt = now;
+    times.validUntil = std::min(now + m_options.validity, request.deadline);
+    // The last quarter of the caller's time is for the tombstone.
+    times.giveUpAt = std::min(times.validUntil, request.deadline - (request.deadline - now) / 4);
+    times.deadline = request.deadline;
+    times.retryFor = m_options.retention / s_lastWordPart;
+    m_entries.emplace(claim.id, Entry { Claimant(claim, times, m_options.rules), request.callback, now + m_options.retention / s_renewalsPerRetention });
+    m_undecided.insert(claim.key);
+    submitClaim(claim);
+}
+
+void ClaimPartition::perform(Entries::iterator it, const ClaimStep& step, Answers& answers)
+{
+    Entry& entry = it->second;
+    const ClaimRecord& record = entry.claimant.record();
+    if (entry.claimant.phase() == Claimant::Phase::Withdrawing && step.appendsAbandoned && !entry.isWithdrawn) {
+        entry.isWithdrawn = true;
+        LogEvent(EventId::ClaimWithdrawn).field("stream", m_cursor.stream()).field("claim", hexOf(record.id));
+    }
+    if (step.answer) {
+        m_undecided.erase(record.key);
+        answers.push_back({ std::move(entry.callback), *step.answer });
+    }
+    if (step.appendsAbandoned)
+        submitLastWord(record, ClaimRecordKind::Abandoned);
+    if (step.appendsOutcome)
+        submitLastWord(record, ClaimRecordKind::Outcome);
+    if (!entry.claimant.isClosed())
+        return;
+    if (entry.claimant.gaveUp())
+        LogEvent(EventId::ClaimLastWordLost).field("stream", m_cursor.stream()).field("claim", hexOf(record.id));
+    m_entries.erase(it);
+}
+
+void ClaimPartition::submitClaim(const ClaimRecord& record)
+{
+    bool isTaken = m_writer.submit(encodeClaimRecord(record), [this, id = record.id](const AppendOutcome& outcome) { settled(id, true, outcome.status); });
+    if (!isTaken)
+        m_refused.push_back({ record.id, true });
+}
+
+void ClaimPartition::submitLastWord(const ClaimRecord& record, ClaimRecordKind kind)
+{
+    ClaimRecord word = record;
+    word.kind = kind;
+    bool isTaken = m_writer.submit(encodeClaimRecord(word), [this, id = record.id](const AppendOutcome& outcome) { settled(id, false, outcome.status); });
+    if (!isTaken)
+        m_refused.push_back({ record.id, false });
+}
+
+void ClaimPartition::settled(const ClaimId& id, bool isClaim, AppendStatus status)
+{
+    Answers answers;
+    {
+        std::lock_guard lock(m_mutex);
+        settledLocked({ id, isClaim }, status, answers);
+    }
+    deliver(answers);
+}
+
+void ClaimPartition::settledLocked(const Submission& submission, AppendStatus status, Answers& answers)
+{
+    auto it = m_entries.find(submission.id);
+    if (it == m_entries.end())
+        return;
+    Claimant& claimant = it->second.claimant;
+    TimePoint now = m_clock.now();
+    perform(it, submission.isClaim ? claimant.claimSettled(status, now) : claimant.lastWordSettled(status, now), answers);
+}
+
+// A claim whose request runs for long is appended again, so that its key is not forgotten under it.
+void ClaimPartition::remind(TimePoint now)
+{
+    for (auto& [id, entry] : m_entries) {
+        if (entry.claimant.phase() != Claimant::Phase::Won || now < entry.renewAt)
+            continue;
+        entry.renewAt = now + m_options.retention / s_renewalsPerRetention;
+        ClaimRecord claim = entry.claimant.record();
+        m_writer.submit(encodeClaimRecord(claim));
+    }
+}
+
+void ClaimPartition::forget(const StreamChunk& chunk, TimePoint now)
+{
+    Milliseconds step = m_options.retention / s_samplesPerRetention;
+    if (chunk.isAtEnd && (m_samples.empty() || now >= m_samples.back().readAt + step))
+        m_samples.push_back({ chunk.nextOffset, now });
+    std::uint64_t through = 0;
+    // What stood in the log when a sample was taken is at least as old as the sample.
+    while (!m_samples.empty() && now >= m_samples.front().readAt + m_options.retention) {
+        through = m_samples.front().offset;
+        m_samples.pop_front();
+    }
+    if (through <= m_reducer.forgottenThrough() || m_reducer.size() == 0 || now < m_nextForget)
+        return;
+    m_nextForget = now + scaled(step, m_spread);
+    ClaimRecord record;
+    record.kind = ClaimRecordKind::Forgotten;
+    record.offset = through - 1;
+    m_writer.submit(encodeClaimRecord(record));
+}
+
+// Appends again what the log is about to forget and is still promised. Racing
+// instances do no harm, and the spread lets the first one's records spare the others.
+void ClaimPartition::retain(const StreamChunk& chunk)
+{
+    m_longestExpiry = std::max(m_longestExpiry, chunk.firstExpiresIn);
+    Milliseconds margin = std::min(s_longestRetainMargin, m_longestExpiry / 2);
+    bool isNear = chunk.firstExpiresIn.count() > 0 && chunk.firstExpiresIn < scaled(margin, m_spread);
+    TimePoint now = m_clock.now();
+    if (!isNear || now < m_nextRetain)
+        return;
+    // Long enough for the records to come back and count as kept.
+    m_nextRetain = now + m_options.appendTimeout;
+    std::uint64_t window = std::max<std::uint64_t>(s_lookBackRecords, (chunk.nextOffset - chunk.firstOffset) / 4);
+    std::vector<ClaimRecord> records = m_reducer.retainedBefore(chunk.firstOffset + window);
+    for (const ClaimRecord& it : records)
+        m_writer.submit(encodeClaimRecord(it));
+    if (!records.empty())
+        LogEvent(EventId::ClaimsRetained).field("stream", m_cursor.stream()).field("keys", records.size());
+}
+
+void ClaimPartition::deliver(Answers& answers)
+{
+    for (Answer& it : answers) {
+        if (it.callback)
+            it.callback(it.verdict);
+    }
+}
+
+} // namespace plantainhold
--- a/plantainhold/config/Settings.cpp
+++ b/plantainhold/config/Settings.cpp
@@ -46,7 +46,10 @@
             FieldBinding { .key = "request_body_limit_bytes", .target = &settings.requestBodyLimitBytes, .minimum = 1, .maximum = s_gibibyte },
             FieldBinding { .key = "response_body_limit_bytes", .target = &settings.responseBodyLimitBytes, .minimum = 1, .maximum = s_gibibyte },
             FieldBinding { .key = "connection_limit", .target = &settings.connectionLimit, .minimum = 1, .maximum = 65536 },
-            FieldBinding { .key = "claim_partitions", .target = &settings.claimPartitions, .minimum = 1, .maximum = 256 },
+            FieldBinding { .key = "claim_partitions", .target = &settings.claimPartitions, .minimum = 1, .maximum = 64 },
+            FieldBinding { .key = "claim_validity_ms", .target = &settings.claimValidity, .minimum = 100, .maximum = s_minuteMs },
+            FieldBinding { .key = "claim_retention_ms", .target = &settings.claimRetention, .minimum = 1000, .maximum = s_dayMs },
+            FieldBinding { .key = "claim_key_limit", .target = &settings.claimKeyLimit, .minimum = 64, .maximum = 10'000'000 },
         };
         document.readTable("requests", "", fields);
     }
@@ -86,6 +89,9 @@
         // A renewal must fit several times into a lease, or one slow append loses it.
         if (settings.leaseMargin * 2 > settings.shardLease)
             document.addFault(ResultCode::OutOfRange, "tasks", "", "lease_margin_ms must be at most half of shard_lease_ms");
+        // A claim that could still be dispatched after its key is forgotten could run twice.
+        if (settings.claimValidity * 4 > settings.claimRetention)
+            document.addFault(ResultCode::OutOfRange, "requests", "", "claim_validity_ms must be at most a quarter of claim_retention_ms");
     }
 
 } // namespace
--- a/plantainhold/config/Settings.h
+++ b/plantainhold/config/Settings.h
@@ -45,7 +45,12 @@
     Milliseconds workerPoll { 500 };
     // How long an owner without the log goes on renewing what already runs.
     Milliseconds renewWithoutLog { 900000 };
-    std::int64_t claimPartitions = 8;
+    std::int64_t claimPartitions = 4;
+    // How long after it was sent a claim may still be dispatched.
+    Milliseconds claimValidity { 5000 };
+    // How long a key is remembered after its last record.
+    Milliseconds claimRetention { 3'600'000 };
+    std::int64_t claimKeyLimit = 200'000;
 
     Milliseconds drainLinger { 2000 };
     Milliseconds drainLimit { 30000 };
--- a/plantainhold/log/StreamCursor.h
+++ b/plantainhold/log/StreamCursor.h
@@ -35,6 +35,9 @@
     // Reads what follows; waits up to `wait` when there is nothing. Blocks. Not thread-safe.
     StreamChunk next(Milliseconds wait);
 
+    // Reads on from another offset.
+    void seek(std::uint64_t position) { m_position = position; }
+
     // The offset that is read next.
     std::uint64_t position() const { return m_position; }
     const std::string& stream() const { return m_stream; }
--- a/plantainhold/log/StreamWriter.cpp
+++ b/plantainhold/log/StreamWriter.cpp
@@ -4,6 +4,7 @@
 
 #include "plantainhold/proto/log.pb.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace plantainhold {
@@ -12,6 +13,7 @@
 
     constexpr std::size_t s_pendingLimitBytes = 16 << 20;
     constexpr std::size_t s_batchLimitBytes = 512 << 10;
+    constexpr Milliseconds s_longestPause { 500 };
 
 } // namespace
 
@@ -20,6 +22,7 @@
     , m_stream(std::move(stream))
     , m_interval(interval)
     , m_timeout(timeout)
+    , m_pause(interval)
     , m_thread([this] { run(); })
 {
 }
@@ -50,19 +53,29 @@
 void StreamWriter::run()
 {
     std::unique_lock lock(m_mutex);
+    auto nextAppend = std::chrono::steady_clock::now();
     while (true) {
         m_wakeUp.wait(lock, [this] { return m_isStopping || !m_pending.empty(); });
         if (m_pending.empty())
             return;
-        if (!m_isStopping)
-            m_wakeUp.wait_for(lock, m_interval, [this] { return m_isStopping; });
+        m_wakeUp.wait_until(lock, nextAppend, [this] { return m_isStopping; });
         std::vector<Pending> batch = takeBatch();
         lock.unlock();
-        commit(batch);
+        nextAppend = std::chrono::steady_clock::now() + m_pause;
+        adjustPause(commit(batch));
         lock.lock();
     }
 }
 
+// The log's limit is shared by all instances; whoever is refused slows down.
+void StreamWriter::adjustPause(AppendStatus status)
+{
+    if (status == AppendStatus::Refused)
+        m_pause = std::min(m_pause * 2, std::max(s_longestPause, m_interval));
+    else
+        m_pause = std::max(m_pause / 2, m_interval);
+}
+
 std::vector<StreamWriter::Pending> StreamWriter::takeBatch()
 {
     std::size_t bytes = 0;
@@ -77,7 +90,7 @@
     return batch;
 }
 
-void StreamWriter::commit(std::vector<Pending>& batch)
+AppendStatus StreamWriter::commit(std::vector<Pending>& batch)
 {
     log::RecordBatch message;
     for (Pending& it : batch)
@@ -87,6 +100,7 @@
         if (it.callback)
             it.callback(outcome);
     }
+    return outcome.status;
 }
 
 } // namespace plantainhold
--- a/plantainhold/log/StreamWriter.h
+++ b/plantainhold/log/StreamWriter.h
@@ -1,5 +1,7 @@
-// Group commit: records that arrive within one interval share one append, so
-// that a log of a few hundred appends a second carries thousands of records.
+// Group commit: appends follow each other at an interval at the least, and records
+// that arrive in between share the next one, so that a log of a few hundred
+// appends a second carries thousands of records. A record that finds the writer
+// idle goes at once. When the log refuses, the interval grows until it takes again.
 // A writer never retries by itself: only the submitter knows whether a second
 // append of the same record is harmless.
 #pragma once
@@ -38,7 +40,8 @@
 
     void run();
     std::vector<Pending> takeBatch();
-    void commit(std::vector<Pending>& batch);
+    AppendStatus commit(std::vector<Pending>& batch);
+    void adjustPause(AppendStatus status);
 
     LogPort& m_log;
     const std::string m_stream;
@@ -49,6 +52,8 @@
     std::vector<Pending> m_pending;
     std::size_t m_pendingBytes = 0;
     bool m_isStopping = false;
+    // Used by the thread alone.
+    Milliseconds m_pause;
     std::thread m_thread;
 };
 
--- a/plantainhold/routing/ClaimPort.h
+++ b/plantainhold/routing/ClaimPort.h
@@ -38,6 +38,15 @@
     // Frees the key. Precondition: as finish(), and the request provably did not
     // run and never will. Does not block. Thread-safe.
     virtual void abandon(const std::string& claimId) = 0;
+
+    // As abandon(), and `settled` runs once, on any thread: true when the log holds
+    // the release, so that an honest repeat can run; false when that is not known
+    // by the deadline. Say "not run" to the caller only after true.
+    virtual void abandon(const std::string& claimId, TimePoint, std::function<void(bool isFree)> settled)
+    {
+        abandon(claimId);
+        settled(true);
+    }
 };
 
 } // namespace plantainhold
