Serve requests through the decisions: front end, upstream pools, honest outcomes

The thin request module opened a connection a request, knew no queue and said 'no executor' or 'outcome unknown'. It is split into a front end (callers' connections with limits of size and time), upstream pools (an answer counts only whole, with its own length and the attempt's id), one run a request that performs what RequestMachine decides, and the module with its threads. Admission from the profile is a pure function.

A request thread owns its connections, so request code needs no lock; only the dispatcher is shared, with one short critical section an event. A message from another thread hands its reference over, so that a request always ends on its own thread.

The executors stand-in journals the caller's part of the request id, and has a mode in which open connections go silent while new ones work. A planned stop takes the kernel's backlog before it closes the listener, waits until callers are quiet, and at its limit tells everyone what is certain. Ruled out: one connection pool for all threads, which needs a lock on each use. Conclusion: claims are still absent (NoClaims: a true 'not run').

--- a/plantainhold/adapters/Daemon.cpp
+++ b/plantainhold/adapters/Daemon.cpp
@@ -7,6 +7,7 @@
 #include "plantainhold/adapters/GrpcLog.h"
 #include "plantainhold/adapters/GrpcWorkers.h"
 #include "plantainhold/adapters/HealthServer.h"
+#include "plantainhold/adapters/HttpRequestModule.h"
 #include "plantainhold/adapters/ProcessMetrics.h"
 #include "plantainhold/base/DecisionLog.h"
 #include "plantainhold/base/InstanceContext.h"
@@ -19,7 +20,7 @@
 #include "plantainhold/ports/SteadyClock.h"
 #include "plantainhold/report/ReportModule.h"
 #include "plantainhold/routing/BurnCounters.h"
-#include "plantainhold/routing/RequestModule.h"
+#include "plantainhold/routing/NoClaims.h"
 #include "plantainhold/scheduling/TaskModule.h"
 #include "plantainhold/util/RcuCell.h"
 #include "plantainhold/util/UniqueId.h"
@@ -60,7 +61,7 @@
         modules.push_back(std::make_unique<MembershipModule>(context));
         modules.push_back(std::make_unique<ConfigModule>(context));
         modules.push_back(std::make_unique<TaskModule>(context));
-        modules.push_back(std::make_unique<RequestModule>(context, burn));
+        modules.push_back(std::make_unique<HttpRequestModule>(context, burn, claims));
         reports = std::make_unique<ReportModule>(context, burn, modules);
     }
 
@@ -110,6 +111,7 @@
     DecisionLog decisions;
     std::shared_ptr<prometheus::Registry> metrics;
     BurnCounters burn;
+    NoClaims claims;
     InstanceContext context;
     std::vector<std::unique_ptr<Module>> modules;
     std::unique_ptr<ReportModule> reports;
@@ -166,7 +168,10 @@
     lock.unlock();
     // Leaves the last counts in the log.
     m_impl->reports->stop();
-    LogEvent(EventId::DrainEnded).field("clean", m_impl->isDrained() ? "yes" : "no");
+    bool isClean = m_impl->isDrained();
+    for (const auto& it : m_impl->modules)
+        it->endInFlight();
+    LogEvent(EventId::DrainEnded).field("clean", isClean ? "yes" : "no");
 }
 
 void Daemon::hurry()
--- a/plantainhold/routing/RequestModule.h
+++ b/plantainhold/adapters/HttpRequestModule.h
@@ -8,22 +8,26 @@
 namespace plantainhold {
 
 class BurnCounters;
+class ClaimPort;
 struct InstanceContext;
 
-class RequestModule final : public Module {
+class HttpRequestModule final : public Module {
 public:
-    RequestModule(InstanceContext& context, BurnCounters& burn);
-    ~RequestModule() override;
+    // All arguments outlive the module.
+    HttpRequestModule(InstanceContext& context, BurnCounters& burn, ClaimPort& claims);
+    ~HttpRequestModule() override;
 
     void start() override;
     void beginDrain() override;
     bool isDrained() const override;
+    void endInFlight() override;
     void stop() override;
+    bool isReady() const override;
     std::vector<StatusLine> status() const override;
 
 private:
-    class Server;
-    std::unique_ptr<Server> m_server;
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
 };
 
 } // namespace plantainhold
--- /dev/null
+++ b/plantainhold/adapters/HttpUpstream.h
@@ -0,0 +1,93 @@
+// Connections to executors: one pool a request thread, one exchange at a time on
+// a connection, so that an answer can only belong to the request sent on it.
+#pragma once
+
+#include "plantainhold/adapters/HttpTypes.h"
+#include "plantainhold/routing/AttemptResult.h"
+#include "plantainhold/routing/ConnectionSuspicions.h"
+#include "plantainhold/routing/IdleConnections.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace plantainhold {
+
+enum class ConnectionNeed : std::uint8_t {
+    // Any idle connection that is not suspect.
+    Any,
+    // One that has just proved itself, or a new one.
+    Proved,
+    // A new one.
+    Fresh,
+};
+
+// One request for one executor, and the handle by which it is cut short.
+struct UpstreamCall {
+    std::string address;
+    // Shared with other attempts; the head is copied, the body is not.
+    std::shared_ptr<const HttpRequest> request;
+    // Unique a request and an attempt; the executor repeats it.
+    std::string attemptId;
+    ConnectionNeed need = ConnectionNeed::Any;
+    // Time that the executor is told it has.
+    Milliseconds timeLeft { 0 };
+    TimePoint answerBy;
+    // Asked just before the first byte leaves; false sends nothing.
+    std::function<bool()> maySend;
+
+    // Set by cancel(); read by the exchange.
+    bool isCancelled = false;
+    HttpStream* stream = nullptr;
+
+    // Ends the exchange; it is reported as timed out if bytes have left. Same thread only.
+    void cancel();
+};
+
+struct UpstreamAnswer {
+    AttemptResult result;
+    // Set when the result is Answered.
+    std::optional<HttpResponse> response;
+    std::optional<BodyLease> lease;
+};
+
+class HttpUpstream {
+public:
+    struct Limits {
+        std::int64_t responseBodyBytes = 0;
+        // Each off only in a negative control.
+        bool checksAnswers = true;
+        bool suspectsConnections = true;
+    };
+
+    // All are shared by the request threads and outlive this one.
+    HttpUpstream(asio::io_context& io, ByteBudget& bytes, ConnectionSuspicions& suspicions, const Clock& clock, Limits limits);
+
+    // Sends the request and reads the whole answer. Never throws. Runs on the
+    // thread of the io_context alone, as all that follows.
+    asio::awaitable<UpstreamAnswer> exchange(std::shared_ptr<UpstreamCall> call);
+
+    // Closes idle connections that may not be used again.
+    void prune();
+
+private:
+    using Connection = std::unique_ptr<HttpStream>;
+
+    Connection takeIdle(const UpstreamCall& call);
+    asio::awaitable<Connection> connect(const UpstreamCall& call);
+    asio::awaitable<bool> send(UpstreamCall& call, HttpStream& stream, UpstreamAnswer& answer);
+    asio::awaitable<void> receive(UpstreamCall& call, Connection stream, UpstreamAnswer& answer);
+    AttemptEnd endOfReading(const ErrorCode& ec, bool hasBegun) const;
+    void judge(const UpstreamCall& call, UpstreamAnswer& answer) const;
+    void noteSilence(const UpstreamCall& call, AttemptEnd end);
+
+    asio::io_context& m_io;
+    ByteBudget& m_bytes;
+    ConnectionSuspicions& m_suspicions;
+    const Clock& m_clock;
+    const Limits m_limits;
+    std::unordered_map<std::string, IdleConnections<Connection>> m_idle;
+};
+
+} // namespace plantainhold
--- a/plantainhold/base/Module.h
+++ b/plantainhold/base/Module.h
@@ -29,6 +29,10 @@
     // Whether nothing is in flight any more. Thread-safe.
     virtual bool isDrained() const { return true; }
 
+    // The planned stop has reached its limit: tells whoever still waits what is
+    // certain. May block for a fraction of a second. Called once, after beginDrain().
+    virtual void endInFlight() { }
+
     // Ends all threads. Called once, after start().
     virtual void stop() = 0;
 
--- a/plantainhold/routing/AttemptResult.h
+++ b/plantainhold/routing/AttemptResult.h
@@ -36,6 +36,8 @@
     bool startedSending = false;
     // The executor ends a connection that was meant to be kept.
     bool saysClosing = false;
+    // The executor keeps the connection open for another request.
+    bool keepsOpen = false;
     // From the first byte sent to the last byte of the answer.
     Duration latency {};
 };
--- a/plantainhold/routing/ExecutorHealth.h
+++ b/plantainhold/routing/ExecutorHealth.h
@@ -47,8 +47,11 @@
     // The executor refused a request; `running` were in flight besides it.
     void refused(std::uint32_t running, TimePoint now);
 
-    // The executor closed a kept-alive connection of its own accord, or announced
-    // it. True when this was the sign that it leaves.
+    // An answer left its connection open.
+    void keptOpen() { m_hasKeptOpen = true; }
+
+    // An answer announced the end of its connection. True when this was the sign
+    // that the executor leaves; one that never kept any open gives no such sign.
     bool closing(TimePoint now);
 
     // The list has it again after it was gone, or under another address.
@@ -69,6 +72,7 @@
     std::uint32_t m_ejections = 0;
     TimePoint m_ejectedUntil {};
     bool m_isOnProbation = false;
+    bool m_hasKeptOpen = false;
     TimePoint m_closingAt {};
     TimePoint m_leavingUntil {};
     std::uint32_t m_refusalCap = s_noCap;
--- a/plantainhold/routing/ExecutorTable.cpp
+++ b/plantainhold/routing/ExecutorTable.cpp
@@ -119,6 +119,8 @@
 
 HealthChange ExecutorTable::learn(ExecutorState& executor, const AttemptResult& result, double slowness, TimePoint now)
 {
+    if (result.keepsOpen)
+        executor.health.keptOpen();
     if (result.saysClosing && m_options.heedsClosing && executor.health.closing(now))
         return HealthChange::Leaving;
     if (result.end == AttemptEnd::Answered)
--- a/plantainhold/routing/RequestMachine.h
+++ b/plantainhold/routing/RequestMachine.h
@@ -18,6 +18,9 @@
     Retry,
     // Ask the budgets, then for a slot beside the running attempt.
     Hedge,
+    // The running attempt is silent: ask the budgets and, if they allow it, cancel
+    // it; its end then asks for the Retry that is already paid.
+    Replace,
     // Tell the caller result().
     Finish,
 };
@@ -28,6 +31,8 @@
         bool isIdempotent = false;
         // Zero: no hedges.
         Milliseconds hedgeAfter { 0 };
+        // An attempt unanswered for this long is silent. Zero: no attempt is.
+        Duration silentAfter {};
         TimePoint deadline;
         // Each off only in a negative control.
         bool retriesOnlyWhenSafe = true;
@@ -67,6 +72,8 @@
     bool isWaitingForSlot() const { return m_isWaiting; }
 
 private:
+    bool mayHedge() const;
+    bool mayReplace() const;
     RequestStep finish(ResultCode whenNotRun);
     RequestStep afterFailure(const AttemptResult& result, TimePoint now);
 
@@ -76,8 +83,10 @@
     int m_running = 0;
     // Running attempts that have sent something.
     int m_sent = 0;
-    TimePoint m_firstSentAt {};
+    TimePoint m_sentAt {};
     bool m_hasHedged = false;
+    // Silence is told once an attempt.
+    bool m_hasToldSilence = false;
     bool m_isFinished = false;
     bool m_mayHaveRun = false;
     ResultCode m_unknown = ResultCode::AnswerTimedOut;
--- /dev/null
+++ b/plantainhold/routing/SharedDispatcher.h
@@ -0,0 +1,68 @@
+// The dispatcher as the request threads share it. One short critical section an
+// event; what it decides is delivered after the lock is released.
+#pragma once
+
+#include "plantainhold/routing/Dispatcher.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <variant>
+
+namespace plantainhold {
+
+// Whoever waits for a slot. Called on any thread, without locks held.
+class GrantReceiver {
+public:
+    virtual ~GrantReceiver() = default;
+    virtual void granted(const SlotGrant& grant) = 0;
+    virtual void refused(ResultCode code) = 0;
+};
+
+class SharedDispatcher {
+public:
+    using NoteHandler = std::function<void(const HealthNote& note)>;
+
+    // The handler runs on any thread and must not block.
+    SharedDispatcher(Dispatcher::Options options, const Clock& clock, NoteHandler onNote);
+
+    // A grant or a refusal that is known at once; otherwise the receiver gets one
+    // of them later, unless cancel() succeeds first. Thread-safe, as all that follows.
+    using Immediate = std::variant<std::monostate, SlotGrant, ResultCode>;
+    Immediate submit(const RequestDemand& demand, std::shared_ptr<GrantReceiver> receiver);
+
+    // False when a grant or a refusal is already on its way.
+    bool cancel(const RequestDemand& demand);
+
+    std::optional<SlotGrant> acquireHedge(const RequestDemand& demand);
+    void finished(const RequestDemand& demand, const std::string& executor, const AttemptResult& result);
+    bool spendExtraAttempt(const RequestDemand& demand);
+    void depositAttempt(const RequestDemand& demand, std::int64_t retryPercent);
+    std::optional<Duration> silenceLimit(const std::string& service) const;
+
+    void updateInstances(std::span<const Instance> instances);
+    void tick();
+
+    struct Summary {
+        std::size_t waiting = 0;
+        std::uint32_t ownSlots = 0;
+        std::uint32_t ejected = 0;
+        std::uint32_t leaving = 0;
+        std::size_t entryCount = 0;
+        bool hasSettled = false;
+    };
+    Summary summary() const;
+
+private:
+    // Takes the answer for `own` out of the actions and delivers the others.
+    Immediate deliver(const DispatchActions& actions, std::uint64_t own, std::unique_lock<std::mutex>& lock);
+
+    const Clock& m_clock;
+    const NoteHandler m_onNote;
+    mutable std::mutex m_mutex;
+    Dispatcher m_dispatcher;
+    std::unordered_map<std::uint64_t, std::shared_ptr<GrantReceiver>> m_receivers;
+};
+
+} // namespace plantainhold
--- a/plantainhold/testing/routing/DispatcherTest.cpp
+++ b/plantainhold/testing/routing/DispatcherTest.cpp
@@ -181,6 +181,12 @@
         REQUIRE(dispatcher.submit(demandOf(id), at(20)).grants.at(0).executor == "y");
     AttemptResult closing = ended(AttemptEnd::Answered);
     closing.saysClosing = true;
+    // An executor that never kept a connection open gives no sign by closing one.
+    for (std::uint64_t id = 5; id <= s_slots; ++id)
+        REQUIRE(dispatcher.finished(demandOf(id), "y", closing, at(21)).notes.empty());
+    AttemptResult kept = ended(AttemptEnd::Answered);
+    kept.keepsOpen = true;
+    dispatcher.finished(demandOf(4), "y", kept, at(25));
     DispatchActions first = dispatcher.finished(demandOf(1), "y", closing, at(30));
     REQUIRE(first.notes.empty());
     DispatchActions second = dispatcher.finished(demandOf(2), "y", closing, at(31));
--- a/standin/ExecutorService.h
+++ b/standin/ExecutorService.h
@@ -25,8 +25,9 @@
     // Listens on IP:port. Throws boost::system::system_error. Precondition: called before start().
     void addExecutor(const std::string& id, const std::string& address);
 
-    // Switches: behave ID MODE [MS], with MODE one of normal, slow, silent,
-    // crossed, truncated, refuse, close, leaving.
+    // Switches: behave ID MODE [MS], with MODE one of normal, slow, silent, forget
+    // (connections that are open now go silent, new ones work), crossed,
+    // truncated, refuse, close, leaving.
     void addSwitches(SwitchBoard& board);
 
     void start(int threads);
