--- a/bench/ClosedWorld.h
+++ b/bench/ClosedWorld.h
@@ -110,6 +110,7 @@
     void end(ClosedTask& task, AttemptState state, ClosedPolicy& policy);
     void makeDurable(ClosedTask& task);
     AttemptReport reportOf(ClosedTask& task);
+    static void fillProgress(const ClosedTask& task, AttemptReport& report);
     double coresOf(const ClosedTask& task) const;
     bool isOnWorker(const ClosedTask& task) const;
     double noise(double sigma);
--- /dev/null
+++ b/plantainhold/policy/EvictionCost.cpp
@@ -0,0 +1,60 @@
+// Expected loss of an eviction.
+
+#include "plantainhold/policy/EvictionCost.h"
+
+#include "plantainhold/policy/KindStatistics.h"
+#include "plantainhold/policy/PolicyTask.h"
+
+#include <algorithm>
+#include <array>
+
+namespace plantainhold {
+
+namespace {
+
+    constexpr double s_restartSeconds = 15;
+    constexpr double s_priorSaved = 1;
+    constexpr double s_priorLost = 0.5;
+    // A delay of urgent or high work weighs more: somebody waits for the booklet.
+    constexpr std::array<double, 4> s_priorityWeights { 8, 4, 1.5, 1 };
+    constexpr double s_percent = 100;
+
+} // namespace
+
+EvictionCost::EvictionCost(const KindStatistics& statistics)
+    : m_statistics(statistics)
+{
+}
+
+void EvictionCost::observe(NameId kind, bool wasSaved)
+{
+    if (kind >= m_saves.size())
+        m_saves.resize(kind + std::size_t(1));
+    (wasSaved ? m_saves[kind].saved : m_saves[kind].lost) += 1;
+}
+
+double EvictionCost::saveChance(NameId kind) const
+{
+    Saves saves = kind < m_saves.size() ? m_saves[kind] : Saves {};
+    return (saves.saved + s_priorSaved) / (saves.saved + saves.lost + s_priorSaved + s_priorLost);
+}
+
+double EvictionCost::expectedLostWork(const PolicyTask& task, TimePoint now) const
+{
+    double ranSeconds = std::chrono::duration<double>(now - task.startedAt).count();
+    // Work since the newest checkpoint: by progress where the task reports it, else by time.
+    double atStake = ranSeconds;
+    if (task.progress > task.checkpoint && task.expected.count() > 0) {
+        double whole = std::chrono::duration<double>(m_statistics.runTimeOf(task.kind, task.expected)).count();
+        atStake = std::min(ranSeconds, whole * (task.progress - task.checkpoint) / s_percent);
+    }
+    return atStake * task.busyCores * (1 - saveChance(task.kind));
+}
+
+double EvictionCost::of(const PolicyTask& task, TimePoint now) const
+{
+    double weight = s_priorityWeights[static_cast<std::size_t>(task.priority)];
+    return weight * (expectedLostWork(task, now) + s_restartSeconds * task.busyCores);
+}
+
+} // namespace plantainhold
--- a/plantainhold/policy/PolicyTask.h
+++ b/plantainhold/policy/PolicyTask.h
@@ -50,6 +50,18 @@
     std::uint32_t useSamples = 0;
     std::int64_t mostMemoryMib = 0;
 
+    // Runs on a quarantined worker to find out whether that is sound again.
+    bool isProbe = false;
+    // An eviction was asked for and has not taken effect.
+    bool isEvicting = false;
+    TimePoint evictionAskedAt;
+    TimePoint checkpointAskedAt;
+
+    // Set while the task waits for those that it preempts, with the room kept for it.
+    WorkerSlot nominatedOn = s_noWorker;
+    Resources nominated;
+    TimePoint nominatedAt;
+
     // Newest report.
     Resources used;
     std::uint32_t progress = 0;
--- /dev/null
+++ b/plantainhold/policy/Preemption.cpp
@@ -0,0 +1,63 @@
+// The choice of victims.
+
+#include "plantainhold/policy/Preemption.h"
+
+#include "plantainhold/policy/EvictionCost.h"
+#include "plantainhold/policy/Fleet.h"
+#include "plantainhold/policy/PolicyTask.h"
+
+#include <algorithm>
+
+namespace plantainhold {
+
+namespace {
+
+    struct Candidate {
+        PolicyTask* task;
+        double cost;
+    };
+
+} // namespace
+
+bool outranks(const PolicyTask& task, const PolicyTask& other)
+{
+    if (other.isService || other.isUrgent)
+        return false;
+    return task.isUrgent || (task.isService && task.priority < other.priority);
+}
+
+VictimChoice chooseVictims(const FleetWorker& worker, const PolicyTask& task, const Resources& demand, const EvictionCost& cost, TimePoint now)
+{
+    VictimChoice choice;
+    std::vector<Candidate> candidates;
+    // What is stopping already will be free, but belongs to whoever it was stopped for.
+    Resources room = worker.room() - worker.nominated;
+    for (PolicyTask* it : worker.tasks) {
+        if (it->isEvicting)
+            room += it->reserved;
+        else if (outranks(task, *it) && it->attempt)
+            candidates.push_back({ it, cost.of(*it, now) });
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
+    std::vector<Candidate> taken;
+    for (const Candidate& it : candidates) {
+        if (demand.fitsIn(room))
+            break;
+        room += it.task->reserved;
+        taken.push_back(it);
+    }
+    if (!demand.fitsIn(room))
+        return choice;
+    choice.isPossible = true;
+    for (auto it = taken.rbegin(); it != taken.rend(); ++it) {
+        if (demand.fitsIn(room - it->task->reserved)) {
+            room -= it->task->reserved;
+            continue;
+        }
+        choice.victims.push_back(it->task);
+        choice.cost += it->cost;
+    }
+    return choice;
+}
+
+} // namespace plantainhold
--- a/plantainhold/policy/ServiceGuard.cpp
+++ b/plantainhold/policy/ServiceGuard.cpp
@@ -30,6 +30,9 @@
     constexpr Milliseconds s_settle { 25'000 };
     constexpr double s_lowerHysteresis = 0.03;
     constexpr double s_raiseHysteresis = 0.08;
+    constexpr std::uint32_t s_idlePercent = 12;
+    // An objective must have been out of reach for so long before a task is evicted for it.
+    constexpr Milliseconds s_overloadPatience { 45'000 };
     constexpr double s_milli = 1000;
     constexpr double s_percent = 100;
 
@@ -62,7 +65,7 @@
         return;
     }
     m_history.begin(task.worker, task.serial, task.kind, task.busyCores, now);
-    m_batch[task.serial] = { 100, now };
+    m_batch[task.serial] = { 100, now, TimePoint::max() };
 }
 
 void ServiceGuard::taskEnded(const PolicyTask& task, TimePoint now)
@@ -233,9 +236,15 @@
 {
     std::vector<SpeedDecision> decisions;
     Mix mix = mixOf(slot, now);
-    if (mix.services.empty())
+    if (mix.services.empty()) {
+        m_overloadedSince.erase(slot);
         return decisions;
+    }
     mix.problem.solve();
+    if (!mix.problem.isInfeasible())
+        m_overloadedSince.erase(slot);
+    else
+        m_overloadedSince.try_emplace(slot, now);
     std::size_t tightest = 0;
     for (std::size_t i = 1; i < mix.services.size(); ++i) {
         if (mix.fullPressure[i] > mix.fullPressure[tightest])
@@ -249,7 +258,13 @@
         std::uint32_t percent = limitStep(it->second, mix.problem.share(i), now);
         if (percent == it->second.percent)
             continue;
-        it->second = { percent, now };
+        BatchState& state = it->second;
+        state.percent = percent;
+        state.changedAt = now;
+        if (percent > s_idlePercent)
+            state.idleSince = TimePoint::max();
+        else if (state.idleSince == TimePoint::max())
+            state.idleSince = now;
         m_history.setSpeed(slot, task.serial, percent, now);
         const Mix::Service& service = mix.services[tightest];
         decisions.push_back({ &task, percent, service.task, service.own * (1 + mix.fullPressure[tightest]) });
@@ -257,4 +272,39 @@
     return decisions;
 }
 
+std::uint32_t ServiceGuard::speedOf(const PolicyTask& task) const
+{
+    auto it = m_batch.find(task.serial);
+    return it == m_batch.end() ? 100 : it->second.percent;
+}
+
+Milliseconds ServiceGuard::idleFor(const PolicyTask& task, TimePoint now) const
+{
+    auto it = m_batch.find(task.serial);
+    if (it == m_batch.end() || it->second.idleSince == TimePoint::max())
+        return Milliseconds(0);
+    return std::chrono::duration_cast<Milliseconds>(now - it->second.idleSince);
+}
+
+PolicyTask* ServiceGuard::worstOffender(WorkerSlot slot, TimePoint now)
+{
+    auto since = m_overloadedSince.find(slot);
+    if (since == m_overloadedSince.end() || now - since->second < s_overloadPatience)
+        return nullptr;
+    since->second = now;
+    Mix mix = mixOf(slot, now);
+    PolicyTask* worst = nullptr;
+    double worstPressure = 0;
+    for (std::size_t i = 0; i < mix.batch.size(); ++i) {
+        for (std::size_t service = 0; service < mix.services.size(); ++service) {
+            double pressure = mix.problem.pressure(i, service);
+            if (mix.batch[i]->isEvicting || pressure <= worstPressure)
+                continue;
+            worst = mix.batch[i];
+            worstPressure = pressure;
+        }
+    }
+    return worst;
+}
+
 } // namespace plantainhold
--- a/plantainhold/policy/ServiceGuard.h
+++ b/plantainhold/policy/ServiceGuard.h
@@ -48,6 +48,14 @@
     // Decides speeds on one worker, and notes them as being in force.
     std::vector<SpeedDecision> steer(WorkerSlot slot, TimePoint now);
 
+    // Speed that was last decided, in percent.
+    std::uint32_t speedOf(const PolicyTask& task) const;
+    // How long the task has been so slow that it mostly takes room from others.
+    Milliseconds idleFor(const PolicyTask& task, TimePoint now) const;
+    // The batch task that presses most on a service whose objective is out of
+    // reach even with all neighbours at their least speed; null when there is none.
+    PolicyTask* worstOffender(WorkerSlot slot, TimePoint now);
+
 private:
     struct Deviation {
         std::uint64_t serial;
@@ -65,6 +73,8 @@
     struct BatchState {
         std::uint32_t percent = 100;
         TimePoint changedAt;
+        // Since when it is at an idle speed.
+        TimePoint idleSince = TimePoint::max();
     };
     // What the worker runs, as a problem to solve.
     struct Mix;
@@ -84,6 +94,8 @@
     // By the serial of the placement.
     std::unordered_map<std::uint64_t, ServiceState> m_services;
     std::unordered_map<std::uint64_t, BatchState> m_batch;
+    // Since when each worker's services cannot be helped by speeds.
+    std::unordered_map<WorkerSlot, TimePoint> m_overloadedSince;
 };
 
 } // namespace plantainhold
--- a/plantainhold/policy/SpeedProblem.h
+++ b/plantainhold/policy/SpeedProblem.h
@@ -22,6 +22,7 @@
     // Solves service by service, each as a fractional knapsack (Dantzig 1957),
     // which is optimal for one service. Returns the worth at work.
     double solve();
+    double pressure(std::size_t task, std::size_t service) const { return m_tasks[task].pressures[service]; }
     double share(std::size_t task) const { return m_tasks[task].share; }
     // Whether even the least shares exceed a budget, by the last solve().
     bool isInfeasible() const { return m_isInfeasible; }
