--- a/cmd/plantainhold/ReportCommands.cpp
+++ b/cmd/plantainhold/ReportCommands.cpp
@@ -1,7 +1,7 @@
 // status | explain | report burn
 
 #include "cmd/plantainhold/Command.h"
-#include "cmd/plantainhold/CommonOptions.h"
+#include "cmd/plantainhold/DaemonCall.h"
 #include "plantainhold/base/ResultError.h"
 #include "plantainhold/proto/report.grpc.pb.h"
 #include "plantainhold/report/BurnPage.h"
@@ -10,8 +10,6 @@
 #include <algorithm>
 #include <array>
 #include <fstream>
-#include <grpcpp/channel.h>
-#include <grpcpp/client_context.h>
 #include <iostream>
 
 namespace plantainhold {
@@ -22,10 +20,7 @@
     {
         CommonOptions options("status", "Shows the state of one daemon.");
         options.parse(std::move(arguments));
-        report::StatusReply reply;
-        grpc::ClientContext context;
-        options.prepare(context);
-        requireOk(report::Report::NewStub(options.channel())->Status(&context, {}, &reply));
+        report::StatusReply reply = callDaemon<report::Report>(options, &report::Report::Stub::Status, report::StatusRequest());
         if (options.isJson()) {
             printJson(reply);
             return 0;
@@ -43,10 +38,7 @@
         options.parse(std::move(arguments));
         report::ExplainRequest request;
         request.set_id(id.getValue());
-        report::ExplainReply reply;
-        grpc::ClientContext context;
-        options.prepare(context);
-        requireOk(report::Report::NewStub(options.channel())->Explain(&context, request, &reply));
+        report::ExplainReply reply = callDaemon<report::Report>(options, &report::Report::Stub::Explain, request);
         if (options.isJson()) {
             printJson(reply);
             return 0;
@@ -93,10 +85,7 @@
         CommonOptions options("report burn", "Reports how fast services use up their error budgets, over all instances.");
         TCLAP::ValueArg<std::string> page("", "html", "also write a page with plots", false, "", "FILE.html", options.line());
         options.parse(std::move(arguments));
-        report::BurnReply reply;
-        grpc::ClientContext context;
-        options.prepare(context);
-        requireOk(report::Report::NewStub(options.channel())->Burn(&context, {}, &reply));
+        report::BurnReply reply = callDaemon<report::Report>(options, &report::Report::Stub::Burn, report::BurnRequest());
         BurnReport burnReport = reportFrom(reply);
         std::cout << (options.isJson() ? burnReport.json() : burnReport.text());
         if (!page.getValue().empty())
--- a/cmd/plantainhold/TaskCommands.cpp
+++ b/cmd/plantainhold/TaskCommands.cpp
@@ -1,12 +1,10 @@
 // task submit | list | show | cancel
 
 #include "cmd/plantainhold/Command.h"
-#include "cmd/plantainhold/CommonOptions.h"
+#include "cmd/plantainhold/DaemonCall.h"
 #include "plantainhold/proto/task.grpc.pb.h"
 
 #include <array>
-#include <grpcpp/channel.h>
-#include <grpcpp/client_context.h>
 #include <iostream>
 
 namespace plantainhold {
@@ -52,10 +50,7 @@
         spec->set_expected_ms(expected.getValue());
         spec->set_urgent(urgent.getValue());
         spec->set_is_service(service.getValue());
-        task::SubmitReply reply;
-        grpc::ClientContext context;
-        options.prepare(context);
-        requireOk(task::Tasks::NewStub(options.channel())->Submit(&context, request, &reply));
+        task::SubmitReply reply = callDaemon<task::Tasks>(options, &task::Tasks::Stub::Submit, request);
         if (options.isJson())
             printJson(reply);
         else
@@ -72,10 +67,7 @@
         task::ListRequest request;
         request.set_team(team.getValue());
         request.set_limit(limit.getValue());
-        task::ListReply reply;
-        grpc::ClientContext context;
-        options.prepare(context);
-        requireOk(task::Tasks::NewStub(options.channel())->List(&context, request, &reply));
+        task::ListReply reply = callDaemon<task::Tasks>(options, &task::Tasks::Stub::List, request);
         if (options.isJson()) {
             printJson(reply);
             return 0;
@@ -92,10 +84,7 @@
         options.parse(std::move(arguments));
         task::ShowRequest request;
         request.set_task(id.getValue());
-        task::ShowReply reply;
-        grpc::ClientContext context;
-        options.prepare(context);
-        requireOk(task::Tasks::NewStub(options.channel())->Show(&context, request, &reply));
+        task::ShowReply reply = callDaemon<task::Tasks>(options, &task::Tasks::Stub::Show, request);
         if (options.isJson())
             printJson(reply);
         else if (reply.has_task())
@@ -112,10 +101,7 @@
         request.set_timeout_ms(options.timeoutMs());
         for (const std::string& it : ids.getValue())
             request.add_tasks(it);
-        task::CancelReply reply;
-        grpc::ClientContext context;
-        options.prepare(context);
-        requireOk(task::Tasks::NewStub(options.channel())->Cancel(&context, request, &reply));
+        task::CancelReply reply = callDaemon<task::Tasks>(options, &task::Tasks::Stub::Cancel, request);
         if (options.isJson())
             printJson(reply);
         return finish(reply.result(), reply.detail());
