--- a/plantainhold/policy/ServiceGuard.cpp
+++ b/plantainhold/policy/ServiceGuard.cpp
@@ -23,7 +23,7 @@
     constexpr double s_unknownLoad = 0.8;
     constexpr double s_burstMargin = 1.05;
     // Share of the objective that is kept free.
-    constexpr double s_objectiveMargin = 0.08;
+    constexpr double s_objectiveMargin = 0.05;
     // Standard deviations of caution on each pair.
     constexpr double s_caution = 0.5;
     // A speed is raised only once the last change could be seen in samples.
