--- /dev/null
+++ b/plantainhold/testing/policy/FailureLedgerTest.cpp
@@ -0,0 +1,113 @@
+// Bad workers are told from bad jobs, and quarantine keeps to its ceiling.
+
+#include "plantainhold/policy/FailureLedger.h"
+#include "plantainhold/policy/WorkerQuarantine.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+namespace plantainhold {
+
+namespace {
+
+    constexpr std::uint32_t s_seed = 3;
+    constexpr TimePoint s_start { std::chrono::hours(1) };
+
+} // namespace
+
+TEST_CASE("crossing jobs and workers blames whichever fails with all others")
+{
+    INFO("seed " << s_seed);
+    std::mt19937 random(s_seed);
+    constexpr unsigned s_workers = 20;
+    constexpr unsigned s_kinds = 10;
+    constexpr unsigned s_badWorker = 4;
+    constexpr unsigned s_badKind = 7;
+    FailureLedger ledger;
+    for (int i = 0; i < 1500; ++i) {
+        WorkerSlot worker = random() % s_workers;
+        NameId kind = random() % s_kinds;
+        std::string task = "task-" + std::to_string(i);
+        bool fails = worker == s_badWorker || kind == s_badKind || random() % 50 == 0;
+        if (fails)
+            ledger.failed(task, kind, worker);
+        else
+            ledger.completed(task, kind, worker);
+    }
+    for (WorkerSlot it = 0; it < s_workers; ++it)
+        CHECK(ledger.isWorkerSuspect(it) == (it == s_badWorker));
+    for (NameId it = 0; it < s_kinds; ++it)
+        CHECK(ledger.isKindBad(it) == (it == s_badKind));
+}
+
+TEST_CASE("a flood of one bad job makes no worker suspect")
+{
+    FailureLedger ledger;
+    for (int i = 0; i < 200; ++i)
+        ledger.failed("task-" + std::to_string(i), 1, static_cast<WorkerSlot>(i % 5));
+    for (WorkerSlot it = 0; it < 5; ++it)
+        CHECK_FALSE(ledger.isWorkerSuspect(it));
+    CHECK(ledger.isKindBad(1));
+    ledger.completed("good", 1, 0);
+    CHECK_FALSE(ledger.isKindBad(1));
+}
+
+TEST_CASE("a task remembers where it failed until it ends")
+{
+    FailureLedger ledger;
+    ledger.failed("task", 1, 2);
+    ledger.failed("task", 1, 2);
+    ledger.failed("task", 1, 3);
+    CHECK(ledger.hasFailedOn("task", 2));
+    CHECK_FALSE(ledger.hasFailedOn("task", 4));
+    CHECK(ledger.ownFailures("task") == 2);
+    ledger.completed("task", 1, 4);
+    CHECK(ledger.ownFailures("task") == 0);
+}
+
+TEST_CASE("whatever fails, the quarantined share stays below its ceiling")
+{
+    INFO("seed " << s_seed);
+    std::mt19937 random(s_seed);
+    WorkerQuarantine quarantine;
+    constexpr std::size_t s_live = 45;
+    TimePoint now = s_start;
+    for (int i = 0; i < 5000; ++i) {
+        now += Milliseconds(random() % 30'000);
+        WorkerSlot worker = random() % s_live;
+        bool isIn = quarantine.quarantine(worker, s_live, now);
+        REQUIRE(isIn == quarantine.isQuarantined(worker));
+        REQUIRE(quarantine.size() <= WorkerQuarantine::ceiling(s_live));
+        for (WorkerSlot it : quarantine.dueForProbe(now)) {
+            quarantine.probeStarted(it);
+            if (random() % 2)
+                quarantine.probeFailed(it, now);
+            else
+                quarantine.probeSucceeded(it, now);
+        }
+    }
+    CHECK(WorkerQuarantine::ceiling(3) == 1);
+    CHECK(WorkerQuarantine::ceiling(3100) == 310);
+}
+
+TEST_CASE("probes grow rarer while they fail, and two in a row release")
+{
+    WorkerQuarantine quarantine;
+    REQUIRE(quarantine.quarantine(0, 10, s_start));
+    CHECK(quarantine.dueForProbe(s_start).empty());
+    TimePoint now = s_start + WorkerQuarantine::s_firstBackoff;
+    REQUIRE(quarantine.dueForProbe(now).size() == 1);
+    quarantine.probeStarted(0);
+    CHECK(quarantine.dueForProbe(now).empty());
+    quarantine.probeFailed(0, now);
+    CHECK(quarantine.dueForProbe(now + WorkerQuarantine::s_firstBackoff).empty());
+    now += 2 * WorkerQuarantine::s_firstBackoff;
+    REQUIRE(quarantine.dueForProbe(now).size() == 1);
+    quarantine.probeStarted(0);
+    CHECK_FALSE(quarantine.probeSucceeded(0, now));
+    quarantine.probeStarted(0);
+    CHECK(quarantine.probeSucceeded(0, now));
+    CHECK_FALSE(quarantine.isQuarantined(0));
+}
+
+} // namespace plantainhold
--- a/plantainhold/testing/policy/PlannerTest.cpp
+++ b/plantainhold/testing/policy/PlannerTest.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <random>
+#include <set>
 
 namespace plantainhold {
 
@@ -94,6 +95,174 @@
     }
 }
 
+namespace {
+
+    // A worker with one guarded service and batch beside it, whose samples tell of a slowdown.
+    class SharedWorker {
+    public:
+        explicit SharedWorker(bool hasGuards)
+        {
+            m_planner.workerSeen({ "worker-0", "rack", { 32000, 128000, 0 }, false }, s_start);
+            TaskRequest service = batchTask("executor", { 8000, 16000, 0 });
+            service.kind = "quote";
+            service.isService = true;
+            service.hasGuards = hasGuards;
+            m_planner.attemptStarted({ "executor", 1 }, service, "worker-0", service.declared, s_start);
+            for (const char* it : { "noisy-1", "noisy-2" })
+                m_planner.attemptStarted({ it, 1 }, batchTask(it, { 8000, 8000, 0 }), "worker-0", { 8000, 8000, 0 }, s_start);
+        }
+
+        // Lets the time pass with a report of the service every five seconds.
+        void pass(std::int64_t seconds, std::uint32_t slowdownMilli, Milliseconds age = Milliseconds(10'000))
+        {
+            for (std::int64_t i = 0; i < seconds; ++i) {
+                now += Milliseconds(1000);
+                if (i % 5 == 0) {
+                    AttemptReport report;
+                    report.id = { "executor", 1 };
+                    report.used = { 6000, 8000, 0 };
+                    report.slowdownMilli = slowdownMilli;
+                    report.sampleAge = age;
+                    m_planner.sample(report, now);
+                }
+                Plan plan = m_planner.plan(now);
+                for (const PolicyAction& it : plan.actions)
+                    actions.push_back(it);
+            }
+        }
+
+        std::uint32_t lastSpeed() const
+        {
+            for (auto it = actions.rbegin(); it != actions.rend(); ++it) {
+                if (it->kind == PolicyActionKind::Throttle)
+                    return it->throttlePercent;
+            }
+            return 100;
+        }
+
+        TimePoint now = s_start;
+        std::vector<PolicyAction> actions;
+
+    private:
+        Planner m_planner { {} };
+    };
+
+} // namespace
+
+TEST_CASE("neighbours of a service over its objective are slowed down, with the reason")
+{
+    SharedWorker worker(true);
+    worker.pass(60, 2200);
+    REQUIRE(worker.lastSpeed() < 50);
+    CHECK(worker.actions.front().event == EventId::TaskThrottled);
+    CHECK(worker.actions.front().reason.find("executor") == 0);
+}
+
+TEST_CASE("neighbours that do no harm run at full speed in the end")
+{
+    SharedWorker worker(true);
+    worker.pass(600, 1050);
+    CHECK(worker.lastSpeed() == 100);
+}
+
+TEST_CASE("without guards nothing is slowed down")
+{
+    SharedWorker worker(false);
+    worker.pass(60, 2200);
+    CHECK(worker.actions.empty());
+}
+
+TEST_CASE("speeds do not oscillate under a steady slowdown")
+{
+    SharedWorker worker(true);
+    worker.pass(300, 1400);
+    std::size_t settled = worker.actions.size();
+    worker.pass(300, 1400);
+    // At most one change of each task a settling time.
+    CHECK(worker.actions.size() - settled <= 2 * 300 / 25);
+}
+
+TEST_CASE("urgent work preempts the cheapest, and gets the room that it was stopped for")
+{
+    Planner planner({});
+    withWorkers(planner, 4, { 8000, 64000, 0 });
+    for (int i = 0; i < 4; ++i) {
+        TaskRequest request = batchTask("batch-" + std::to_string(i), { 8000, 1000, 0 });
+        request.priority = i == 2 ? Priority::Low : Priority::High;
+        planner.attemptStarted({ request.task, 1 }, request, "worker-" + std::to_string(i), request.declared, s_start);
+    }
+    TaskRequest urgent = batchTask("urgent", { 4000, 1000, 0 });
+    urgent.kind = "quote/one";
+    urgent.isUrgent = true;
+    planner.taskWaiting(urgent, s_start);
+    planner.taskWaiting(batchTask("other", { 4000, 1000, 0 }), s_start);
+    Plan plan = planner.plan(s_start + Milliseconds(100));
+    REQUIRE(plan.actions.size() == 1);
+    CHECK(plan.actions[0].kind == PolicyActionKind::Evict);
+    CHECK(plan.actions[0].event == EventId::TaskPreempted);
+    CHECK(plan.actions[0].attempt.task == "batch-2");
+    CHECK(plan.placements.empty());
+    planner.attemptEnded({ "batch-2", 1 }, AttemptState::Stopped, s_start + Milliseconds(5000));
+    plan = planner.plan(s_start + Milliseconds(5000));
+    REQUIRE_FALSE(plan.placements.empty());
+    CHECK(plan.placements[0].task == "urgent");
+    CHECK(plan.placements[0].worker == "worker-2");
+}
+
+TEST_CASE("a worker that fails everything is quarantined, probed and released")
+{
+    Planner planner({});
+    withWorkers(planner, 10, { 8000, 64000, 0 });
+    TimePoint now = s_start;
+    int next = 0;
+    int onBad = 0;
+    bool isBad = true;
+    std::vector<EventId> notices;
+    for (int second = 0; second < 900; ++second) {
+        now += Milliseconds(1000);
+        isBad = second < 300;
+        for (int i = 0; i < 3; ++i) {
+            TaskRequest request = batchTask("task-" + std::to_string(next), { 2000, 1000, 0 });
+            request.kind = "kind-" + std::to_string(next++ % 4);
+            request.priority = Priority::Low;
+            planner.taskWaiting(request, now);
+        }
+        Plan plan = planner.plan(now);
+        for (const PolicyNotice& it : plan.notices)
+            notices.push_back(it.event);
+        for (const Placement& it : plan.placements) {
+            onBad += isBad && it.worker == "worker-3";
+            bool fails = isBad && it.worker == "worker-3";
+            planner.attemptEnded({ it.task, 1 }, fails ? AttemptState::Failed : AttemptState::Completed, now);
+        }
+    }
+    REQUIRE(notices == std::vector<EventId> { EventId::WorkerQuarantined, EventId::WorkerReleased });
+    // Without the quarantine it would have been given about one task in ten, or 90.
+    CHECK(onBad < 20);
+}
+
+TEST_CASE("a job that fails on sound workers is impossible, wherever else it might go")
+{
+    Planner planner({});
+    withWorkers(planner, 6, { 8000, 64000, 0 });
+    TimePoint now = s_start;
+    std::string reason;
+    std::set<std::string> tried;
+    for (int i = 0; i < 6 && reason.empty(); ++i) {
+        now += Milliseconds(1000);
+        planner.taskWaiting(batchTask("broken", { 1000, 1000, 0 }), now);
+        Plan plan = planner.plan(now);
+        if (!plan.impossible.empty())
+            reason = plan.impossible[0].reason;
+        for (const Placement& it : plan.placements) {
+            CHECK(tried.insert(it.worker).second);
+            planner.attemptEnded({ it.task, static_cast<std::uint32_t>(i + 1) }, AttemptState::Failed, now);
+        }
+    }
+    CHECK(tried.size() == 3);
+    CHECK_FALSE(reason.empty());
+}
+
 TEST_CASE("services of one kind spread over racks")
 {
     Planner planner({});
--- /dev/null
+++ b/plantainhold/testing/policy/PreemptionTest.cpp
@@ -0,0 +1,108 @@
+// Urgent work takes no more room than it needs, and only from what it outranks.
+
+#include "plantainhold/policy/Preemption.h"
+#include "plantainhold/policy/EvictionCost.h"
+#include "plantainhold/policy/Fleet.h"
+#include "plantainhold/policy/KindStatistics.h"
+#include "plantainhold/policy/PolicyTask.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <limits>
+#include <random>
+
+namespace plantainhold {
+
+namespace {
+
+    constexpr std::uint32_t s_seed = 23;
+    constexpr TimePoint s_start { std::chrono::hours(1) };
+
+    // The slow oracle: the cheapest of all subsets.
+    double cheapest(const std::vector<PolicyTask*>& candidates, const Resources& room, const Resources& demand, const EvictionCost& cost)
+    {
+        double best = std::numeric_limits<double>::infinity();
+        for (unsigned subset = 0; subset < (1U << candidates.size()); ++subset) {
+            Resources freed = room;
+            double sum = 0;
+            for (std::size_t i = 0; i < candidates.size(); ++i) {
+                if (!(subset >> i & 1U))
+                    continue;
+                freed += candidates[i]->reserved;
+                sum += cost.of(*candidates[i], s_start + Milliseconds(60'000));
+            }
+            if (demand.fitsIn(freed))
+                best = std::min(best, sum);
+        }
+        return best;
+    }
+
+} // namespace
+
+TEST_CASE("victims suffice, none is needless, and a choice exists exactly when one is possible")
+{
+    INFO("seed " << s_seed);
+    std::mt19937 random(s_seed);
+    KindStatistics statistics;
+    EvictionCost cost(statistics);
+    double ours = 0;
+    double best = 0;
+    for (int round = 0; round < 300; ++round) {
+        Fleet fleet;
+        WorkerSlot slot = fleet.observe({ "worker", "rack", { 16000, 16000, 2 }, false });
+        std::deque<PolicyTask> tasks;
+        std::vector<PolicyTask*> candidates;
+        while (tasks.size() < 7) {
+            PolicyTask& task = tasks.emplace_back();
+            task.attempt = 1;
+            task.isService = random() % 5 == 0;
+            task.isUrgent = random() % 5 == 0;
+            task.priority = static_cast<Priority>(random() % 4);
+            task.startedAt = s_start;
+            Resources size { static_cast<std::int64_t>(500 * (1 + random() % 6)), static_cast<std::int64_t>(500 * (1 + random() % 6)), random() % 4 == 0 };
+            if (!size.fitsIn(fleet.worker(slot).room()))
+                continue;
+            task.busyCores = static_cast<double>(size.millicores) / 1000;
+            fleet.reserve(task, slot, size);
+            if (!task.isService && !task.isUrgent)
+                candidates.push_back(&task);
+        }
+        PolicyTask urgent;
+        urgent.isUrgent = true;
+        Resources demand { static_cast<std::int64_t>(500 * (1 + random() % 24)), static_cast<std::int64_t>(500 * (1 + random() % 24)), random() % 3 == 0 };
+        VictimChoice choice = chooseVictims(fleet.worker(slot), urgent, demand, cost, s_start + Milliseconds(60'000));
+        double oracle = cheapest(candidates, fleet.worker(slot).room(), demand, cost);
+        REQUIRE(choice.isPossible == (oracle < std::numeric_limits<double>::infinity()));
+        if (!choice.isPossible)
+            continue;
+        Resources room = fleet.worker(slot).room();
+        for (const PolicyTask* it : choice.victims) {
+            REQUIRE(outranks(urgent, *it));
+            room += it->reserved;
+        }
+        REQUIRE(demand.fitsIn(room));
+        for (const PolicyTask* it : choice.victims)
+            REQUIRE_FALSE(demand.fitsIn(room - it->reserved));
+        REQUIRE(choice.cost >= oracle - 1e-9);
+        ours += choice.cost;
+        best += oracle;
+    }
+    // Greedy is not optimal, but near it over many choices.
+    CHECK(ours <= 1.5 * best);
+}
+
+TEST_CASE("a guarded service outranks batch of lower priority only")
+{
+    PolicyTask service;
+    service.isService = true;
+    service.priority = Priority::High;
+    PolicyTask batch;
+    batch.priority = Priority::Low;
+    CHECK(outranks(service, batch));
+    batch.priority = Priority::High;
+    CHECK_FALSE(outranks(service, batch));
+    CHECK_FALSE(outranks(batch, service));
+}
+
+} // namespace plantainhold
