--- a/plantainhold/policy/PlannerProtection.cpp
+++ b/plantainhold/policy/PlannerProtection.cpp
@@ -19,6 +19,15 @@
     constexpr std::uint32_t s_checkpointBelowPercent = 30;
     constexpr Milliseconds s_checkpointInterval { 300'000 };
 
+    std::string reasonOf(const SpeedDecision& decision)
+    {
+        if (!decision.service)
+            return "no service is protected beside it any more";
+        char text[96];
+        std::snprintf(text, sizeof text, ": slowdown at full speed would be %.2f of %.2f", decision.predictedSlowdown, decision.service->slowdownLimitMilli / 1000.0);
+        return decision.service->id + text;
+    }
+
 } // namespace
 
 void Planner::State::markDirty(WorkerSlot slot)
@@ -46,9 +55,7 @@
     if (std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const PolicyTask* it) { return !it->attempt; }))
         return markDirty(slot);
     for (const SpeedDecision& it : m_guard.steer(slot, now)) {
-        char text[96];
-        std::snprintf(text, sizeof text, ": slowdown at full speed would be %.2f of %.2f", it.predictedSlowdown, it.service->slowdownLimitMilli / 1000.0);
-        plan.actions.push_back({ PolicyActionKind::Throttle, { it.task->id, it.task->attempt }, worker.name, it.percent, EventId::TaskThrottled, it.service->id + text });
+        plan.actions.push_back({ PolicyActionKind::Throttle, { it.task->id, it.task->attempt }, worker.name, it.percent, EventId::TaskThrottled, reasonOf(it) });
         if (it.percent < s_checkpointBelowPercent)
             askCheckpoint(*it.task, plan, now);
     }
--- a/plantainhold/policy/ServiceGuard.cpp
+++ b/plantainhold/policy/ServiceGuard.cpp
@@ -21,6 +21,7 @@
     constexpr double s_loadSmoothing = 0.5;
     // Before the first sample the load is taken to be high.
     constexpr double s_unknownLoad = 0.8;
+    constexpr Milliseconds s_firstSamplePatience { 60'000 };
     constexpr double s_burstMargin = 1.05;
     // Share of the objective that is kept free.
     constexpr double s_objectiveMargin = 0.05;
@@ -60,8 +61,11 @@
 void ServiceGuard::taskStarted(const PolicyTask& task, TimePoint now)
 {
     if (task.isService) {
-        if (task.isGuarded())
-            m_services[task.serial].bias = InterferenceModel::freshBias();
+        if (!task.isGuarded())
+            return;
+        ServiceState& state = m_services[task.serial];
+        state.bias = InterferenceModel::freshBias();
+        state.startedAt = now;
         return;
     }
     m_history.begin(task.worker, task.serial, task.kind, task.busyCores, now);
@@ -164,14 +168,18 @@
 
 ServiceGuard::Mix ServiceGuard::mixOf(WorkerSlot slot, TimePoint now) const
 {
-    static const ServiceState s_unknown { InterferenceModel::freshBias(), 0, 0, {}, false, {} };
     Mix mix;
     const auto& tasks = m_fleet.worker(slot).tasks;
     for (const PolicyTask* it : tasks) {
         if (!it->isGuarded())
             continue;
         auto found = m_services.find(it->serial);
-        const ServiceState& state = found == m_services.end() ? s_unknown : found->second;
+        if (found == m_services.end())
+            continue;
+        const ServiceState& state = found->second;
+        // A service that is never measured can't be protected, and must not idle its neighbours.
+        if (!state.hasSample && now - state.startedAt >= s_firstSamplePatience)
+            continue;
         double load = plannedLoad(state, now);
         double own = m_model.own(it->kind, load) * state.bias.mean;
         double gain = m_model.gain(it->kind, load);
@@ -180,8 +188,6 @@
         mix.problem.addService(limit / own - 1);
         mix.fullPressure.push_back(0);
     }
-    if (mix.services.empty())
-        return mix;
     for (PolicyTask* it : tasks) {
         if (it->isService)
             continue;
@@ -236,10 +242,6 @@
 {
     std::vector<SpeedDecision> decisions;
     Mix mix = mixOf(slot, now);
-    if (mix.services.empty()) {
-        m_overloadedSince.erase(slot);
-        return decisions;
-    }
     mix.problem.solve();
     if (!mix.problem.isInfeasible())
         m_overloadedSince.erase(slot);
@@ -266,8 +268,14 @@
         else if (state.idleSince == TimePoint::max())
             state.idleSince = now;
         m_history.setSpeed(slot, task.serial, percent, now);
+        SpeedDecision& decision = decisions.emplace_back();
+        decision.task = &task;
+        decision.percent = percent;
+        if (mix.services.empty())
+            continue;
         const Mix::Service& service = mix.services[tightest];
-        decisions.push_back({ &task, percent, service.task, service.own * (1 + mix.fullPressure[tightest]) });
+        decision.service = service.task;
+        decision.predictedSlowdown = service.own * (1 + mix.fullPressure[tightest]);
     }
     return decisions;
 }
--- a/plantainhold/policy/ServiceGuard.h
+++ b/plantainhold/policy/ServiceGuard.h
@@ -24,7 +24,7 @@
 struct SpeedDecision {
     PolicyTask* task = nullptr;
     std::uint32_t percent = 100;
-    // The service that bounds it, and the slowdown that was predicted for it at full speed.
+    // The service that bounds it, null when none is protected there any more, and the slowdown that was predicted for it at full speed.
     const PolicyTask* service = nullptr;
     double predictedSlowdown = 0;
 };
@@ -66,6 +66,7 @@
         double load = 0;
         // Change of the load a second, smoothed.
         double trend = 0;
+        TimePoint startedAt;
         TimePoint sampledAt;
         bool hasSample = false;
         std::vector<Deviation> deviations;
--- a/plantainhold/testing/policy/PlannerTest.cpp
+++ b/plantainhold/testing/policy/PlannerTest.cpp
@@ -140,6 +140,23 @@
             return 100;
         }
 
+        void endService() { m_planner.attemptEnded({ "executor", 1 }, AttemptState::Stopped, now); }
+
+        // Time with reports of one batch task only.
+        void passWithoutService(std::int64_t seconds)
+        {
+            for (std::int64_t i = 0; i < seconds; ++i) {
+                now += Milliseconds(1000);
+                AttemptReport report;
+                report.id = { "noisy-1", 1 };
+                report.used = { 1000, 1000, 0 };
+                report.throttlePercent = lastSpeed();
+                m_planner.sample(report, now);
+                Plan plan = m_planner.plan(now);
+                actions.insert(actions.end(), plan.actions.begin(), plan.actions.end());
+            }
+        }
+
         TimePoint now = s_start;
         std::vector<PolicyAction> actions;
 
@@ -165,6 +182,16 @@
     CHECK(worker.lastSpeed() == 100);
 }
 
+TEST_CASE("neighbours of a service that has gone run at full speed again")
+{
+    SharedWorker worker(true);
+    worker.pass(60, 2200);
+    REQUIRE(worker.lastSpeed() < 50);
+    worker.endService();
+    worker.passWithoutService(40);
+    CHECK(worker.lastSpeed() == 100);
+}
+
 TEST_CASE("without guards nothing is slowed down")
 {
     SharedWorker worker(false);
@@ -172,6 +199,14 @@
     CHECK(worker.actions.empty());
 }
 
+TEST_CASE("a service that is never measured holds its neighbours back for a minute at most")
+{
+    SharedWorker worker(true);
+    worker.pass(30, 0);
+    worker.pass(60, 0);
+    CHECK(worker.lastSpeed() == 100);
+}
+
 TEST_CASE("speeds do not oscillate under a steady slowdown")
 {
     SharedWorker worker(true);
