--- /dev/null
+++ b/plantainhold/scheduling/AttemptLease.cpp
@@ -0,0 +1,53 @@
+// The bound grows with each command that may still arrive, in the order of sending.
+
+#include "plantainhold/scheduling/AttemptLease.h"
+
+#include <algorithm>
+
+namespace plantainhold {
+
+namespace {
+
+    constexpr std::size_t s_unansweredLimit = 4;
+
+} // namespace
+
+AttemptLease::AttemptLease(TimePoint until)
+    : m_until(until)
+{
+}
+
+void AttemptLease::unanswered(bool isStart, const SchedulingTimes& times, TimePoint now)
+{
+    m_unanswered.push_back({ now, isStart });
+    if (m_unanswered.size() > s_unansweredLimit)
+        foldOldest(times);
+}
+
+void AttemptLease::answered(const SchedulingTimes& times, TimePoint now)
+{
+    m_until = std::max(m_until, now + times.taskLease);
+    while (!m_unanswered.empty() && m_unanswered.front().sentBy + times.commandLifetime < now)
+        foldOldest(times);
+}
+
+TimePoint AttemptLease::endsBy(const SchedulingTimes& times) const
+{
+    TimePoint until = m_until;
+    for (const Command& it : m_unanswered) {
+        TimePoint arrival = it.sentBy + times.commandLifetime;
+        // A renewal that arrives after the lease has lapsed finds nothing to renew.
+        if (!it.isStart)
+            arrival = std::min(arrival, until);
+        until = std::max(until, arrival + times.taskLease);
+    }
+    return until;
+}
+
+void AttemptLease::foldOldest(const SchedulingTimes& times)
+{
+    m_until = std::max(m_until, m_unanswered.front().sentBy + times.commandLifetime + times.taskLease);
+    m_unanswered.erase(m_unanswered.begin());
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/scheduling/EndedIds.cpp
@@ -0,0 +1,35 @@
+// A ring of hashes with a set beside it for the look-up.
+
+#include "plantainhold/scheduling/EndedIds.h"
+
+#include "plantainhold/util/Hash.h"
+
+namespace plantainhold {
+
+EndedIds::EndedIds(std::size_t capacity)
+    : m_capacity(capacity)
+{
+}
+
+void EndedIds::add(std::string_view id)
+{
+    addHash(hash64(id));
+}
+
+void EndedIds::addHash(std::uint64_t hash)
+{
+    if (!m_hashes.insert(hash).second)
+        return;
+    m_order.push_back(hash);
+    if (m_order.size() <= m_capacity)
+        return;
+    m_hashes.erase(m_order.front());
+    m_order.pop_front();
+}
+
+bool EndedIds::contains(std::string_view id) const
+{
+    return m_hashes.contains(hash64(id));
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/scheduling/LeaseKeeper.cpp
@@ -0,0 +1,143 @@
+// The rules of claiming, renewing and releasing.
+
+#include "plantainhold/scheduling/LeaseKeeper.h"
+
+#include <algorithm>
+
+namespace plantainhold {
+
+namespace {
+
+    constexpr std::size_t s_sentLimit = 8;
+    // Renewals a lease, so that two may be lost without losing the shard.
+    constexpr int s_renewalsPerLease = 3;
+
+} // namespace
+
+LeaseKeeper::LeaseKeeper(std::string incarnation, const SchedulingTimes& times)
+    : m_incarnation(std::move(incarnation))
+    , m_times(times)
+{
+}
+
+void LeaseKeeper::logRead(TimePoint startedAt)
+{
+    bool isGap = m_readableSince && startedAt - m_lastContact > m_times.contactGap;
+    if (!m_readableSince || isGap)
+        m_readableSince = startedAt;
+    m_lastContact = startedAt;
+}
+
+void LeaseKeeper::logUnread()
+{
+    m_readableSince.reset();
+}
+
+void LeaseKeeper::leaseRead(const std::string& recordId, bool tookEffect, const ShardLeaseState& state, TimePoint now)
+{
+    auto mine = std::find_if(m_sent.begin(), m_sent.end(), [&](const SentProposal& it) { return it.recordId == recordId; });
+    bool isMine = mine != m_sent.end();
+    if (tookEffect)
+        m_lastLeaseChange = now;
+    if (tookEffect && isMine && mine->kind == LeaseProposalKind::Claim) {
+        m_ownedSince = now;
+        m_hasPledged = false;
+        m_hasFormerOwners = true;
+    }
+    if (tookEffect && isMine && mine->kind != LeaseProposalKind::Release)
+        m_validUntil = mine->sentAt + m_times.shardLease - m_times.margin;
+    if (m_hasFormerOwners && state.formerOwners.empty())
+        m_formerOwnersGoneAt = now;
+    m_hasFormerOwners = !state.formerOwners.empty();
+    if (isMine)
+        m_sent.erase(mine);
+}
+
+void LeaseKeeper::memoryLost(TimePoint now)
+{
+    m_ownedSince = now;
+    m_formerOwnersGoneAt = now;
+}
+
+std::optional<LeaseProposal> LeaseKeeper::propose(const ShardLeaseState& state, const LeaseSurroundings& surroundings, TimePoint now)
+{
+    bool isPending = !m_sent.empty() && now - m_lastProposal < m_times.recordRetry;
+    if (isPending)
+        return std::nullopt;
+    if (!isOwner(state)) {
+        if (surroundings.isReleasing || !mayClaim(state, surroundings))
+            return std::nullopt;
+        return make(LeaseProposalKind::Claim, state, now);
+    }
+    if (surroundings.isReleasing && !surroundings.hasCommandsInFlight) {
+        // The pledge holds from here on, whatever becomes of the record.
+        m_hasPledged = true;
+        LeaseProposal proposal = make(LeaseProposalKind::Release, state, now);
+        proposal.successor = surroundings.successor;
+        return proposal;
+    }
+    if (m_hasPledged || now - m_lastRenewal < m_times.shardLease / s_renewalsPerLease)
+        return std::nullopt;
+    LeaseProposal proposal = make(LeaseProposalKind::Renewal, state, now);
+    Duration longest = m_times.renewWithoutLog + m_times.margin;
+    proposal.areFormerOwnersGone = !state.formerOwners.empty() && now - m_ownedSince > longest;
+    return proposal;
+}
+
+bool LeaseKeeper::isOwner(const ShardLeaseState& state) const
+{
+    return state.owner == m_incarnation && !state.isReleased;
+}
+
+bool LeaseKeeper::mayCommand(const ShardLeaseState& state, TimePoint now) const
+{
+    return isOwner(state) && !m_hasPledged && now < m_validUntil;
+}
+
+bool LeaseKeeper::mayRenew(const ShardLeaseState& state, TimePoint now) const
+{
+    return isOwner(state) && !m_hasPledged && now - m_lastContact < m_times.renewWithoutLog;
+}
+
+bool LeaseKeeper::isSilentFor(Duration patience) const
+{
+    if (!m_readableSince)
+        return false;
+    // Up to the start of the newest read it is certain that nothing was there to read.
+    return m_lastContact - std::max(*m_readableSince, m_lastLeaseChange) >= patience;
+}
+
+bool LeaseKeeper::mayClaim(const ShardLeaseState& state, const LeaseSurroundings& surroundings) const
+{
+    if (!m_readableSince)
+        return false;
+    Duration stagger = m_times.rankStagger * static_cast<int>(surroundings.rank);
+    std::string_view self = instanceOf(m_incarnation);
+    if (!state.isReleased) {
+        bool isFormerSelf = instanceOf(state.owner) == self;
+        return isFormerSelf || isSilentFor(m_times.shardLease + m_times.margin + stagger);
+    }
+    if (state.successor == self)
+        return true;
+    // Whoever was named goes first; the others only see that nobody claims.
+    Duration courtesy = state.successor.empty() ? Duration::zero() : m_times.shardLease / s_renewalsPerLease;
+    return isSilentFor(courtesy + stagger);
+}
+
+LeaseProposal LeaseKeeper::make(LeaseProposalKind kind, const ShardLeaseState& state, TimePoint now)
+{
+    LeaseProposal proposal;
+    proposal.kind = kind;
+    proposal.recordId = m_incarnation + "-lease-" + std::to_string(++m_proposals);
+    proposal.epoch = state.epoch + (kind == LeaseProposalKind::Claim ? 1 : 0);
+    proposal.baseSequence = state.sequence;
+    m_lastProposal = now;
+    if (kind != LeaseProposalKind::Release)
+        m_lastRenewal = now;
+    m_sent.push_back({ proposal.recordId, now, kind });
+    if (m_sent.size() > s_sentLimit)
+        m_sent.erase(m_sent.begin());
+    return proposal;
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/scheduling/RecordBook.cpp
@@ -0,0 +1,35 @@
+// Entries older than a retry are dropped now and then; they would be sent again anyway.
+
+#include "plantainhold/scheduling/RecordBook.h"
+
+namespace plantainhold {
+
+RecordBook::RecordBook(Duration retryAfter)
+    : m_retryAfter(retryAfter)
+{
+}
+
+bool RecordBook::shouldSend(const std::string& recordId, TimePoint now)
+{
+    prune(now);
+    auto [it, isNew] = m_sent.try_emplace(recordId, now);
+    if (!isNew && now - it->second < m_retryAfter)
+        return false;
+    it->second = now;
+    return true;
+}
+
+void RecordBook::settle(const std::string& recordId)
+{
+    m_sent.erase(recordId);
+}
+
+void RecordBook::prune(TimePoint now)
+{
+    if (now - m_lastPrune < m_retryAfter)
+        return;
+    m_lastPrune = now;
+    std::erase_if(m_sent, [&](const auto& it) { return now - it.second >= m_retryAfter; });
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/scheduling/ShardController.cpp
@@ -0,0 +1,428 @@
+// Wires the reducer, the lease, the workers and the policy together.
+
+#include "plantainhold/scheduling/ShardController.h"
+
+#include "plantainhold/proto/task.pb.h"
+#include "plantainhold/scheduling/EvictionChoice.h"
+#include "plantainhold/scheduling/TaskMessages.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace plantainhold {
+
+namespace {
+
+    // Failures after which a task is not run again.
+    constexpr std::uint32_t s_failureLimit = 3;
+
+    task::EndReason reasonOf(AttemptState state)
+    {
+        switch (state) {
+        case AttemptState::Completed:
+            return task::END_REASON_COMPLETED;
+        case AttemptState::Failed:
+            return task::END_REASON_FAILED;
+        case AttemptState::Stopped:
+            return task::END_REASON_EVICTED;
+        default:
+            return task::END_REASON_LAPSED;
+        }
+    }
+
+    AttemptState stateOf(const task::TaskRecord& record)
+    {
+        switch (record.ended().reason()) {
+        case task::END_REASON_COMPLETED:
+            return AttemptState::Completed;
+        case task::END_REASON_FAILED:
+            return AttemptState::Failed;
+        case task::END_REASON_EVICTED:
+            return AttemptState::Stopped;
+        default:
+            return AttemptState::Lapsed;
+        }
+    }
+
+    // The task that a record is about; empty when it is about none.
+    std::string subjectOf(const task::TaskRecord& record)
+    {
+        switch (record.kind_case()) {
+        case task::TaskRecord::kSubmitted:
+            return record.submitted().spec().id();
+        case task::TaskRecord::kAssigned:
+            return record.assigned().task();
+        case task::TaskRecord::kCheckpointed:
+            return record.checkpointed().task();
+        case task::TaskRecord::kEnded:
+            return record.ended().task();
+        case task::TaskRecord::kCancel:
+            return record.cancel().task();
+        default:
+            return {};
+        }
+    }
+
+    EventId eventOf(TaskPhase phase)
+    {
+        switch (phase) {
+        case TaskPhase::Waiting:
+            return EventId::TaskWaitsAgain;
+        case TaskPhase::Impossible:
+            return EventId::TaskRefused;
+        default:
+            return EventId::TaskEnded;
+        }
+    }
+
+    const char* nameOf(TaskPhase phase)
+    {
+        static constexpr std::array<const char*, 6> s_names { "waiting", "assigned", "completed", "failed", "cancelled", "impossible" };
+        return s_names[static_cast<std::size_t>(phase)];
+    }
+
+} // namespace
+
+ShardController::ShardController(std::string incarnation, const SchedulingTimes& times, const StrategySet& strategies, PlacementPolicy& policy, const ReducerLimits& limits)
+    : m_times(times)
+    , m_strategies(strategies)
+    , m_policy(&policy)
+    , m_limits(limits)
+    , m_reducer(limits, strategies)
+    , m_keeper(std::move(incarnation), times)
+    , m_driver(times, strategies)
+    , m_book(times.recordRetry)
+{
+}
+
+void ShardController::restore(ShardImage image, TimePoint now)
+{
+    std::uint64_t epochBefore = m_reducer.lease().epoch;
+    bool wasOwner = isOwner();
+    m_reducer = ShardReducer(std::move(image), m_limits, m_strategies);
+    m_keeper.leaseRead({}, true, m_reducer.lease(), now);
+    m_keeper.memoryLost(now);
+    m_driver.endEpoch();
+    m_isActive = false;
+    ownershipMayHaveChanged(epochBefore, wasOwner, now);
+}
+
+void ShardController::recordRead(std::uint64_t offset, const task::TaskRecord& record, TimePoint now)
+{
+    std::string subject = subjectOf(record);
+    const TaskEntry* before = subject.empty() ? nullptr : m_reducer.find(subject);
+    TaskPhase phaseBefore = before ? before->phase : TaskPhase::Completed;
+    std::uint32_t attemptBefore = before ? before->attempt : 0;
+    std::uint64_t epochBefore = m_reducer.lease().epoch;
+    bool wasOwner = isOwner();
+
+    bool tookEffect = m_reducer.apply(offset, record);
+    m_book.settle(record.id());
+    bool isLeaseRecord = record.has_lease() || record.has_owner_gone() || record.has_reset();
+    if (isLeaseRecord) {
+        m_keeper.leaseRead(record.id(), tookEffect, m_reducer.lease(), now);
+        ownershipMayHaveChanged(epochBefore, wasOwner, now);
+    }
+    if (!subject.empty() && m_isActive)
+        taskChanged(subject, phaseBefore, attemptBefore, stateOf(record), now);
+}
+
+void ShardController::ownershipMayHaveChanged(std::uint64_t epochBefore, bool wasOwner, TimePoint now)
+{
+    const ShardLeaseState& lease = m_reducer.lease();
+    bool isNewEpoch = lease.epoch != epochBefore;
+    if (isOwner() && (!wasOwner || isNewEpoch || !m_isActive)) {
+        m_isActive = true;
+        m_tentative.clear();
+        m_book.clear();
+        m_driver.beginEpoch(m_reducer);
+        tellPolicyAll(now);
+        m_notes.push_back({ EventId::ShardTaken, {}, { { "epoch", std::to_string(lease.epoch) }, { "live_attempts", std::to_string(m_driver.attempts().size()) }, { "former_owners", std::to_string(lease.formerOwners.size()) } } });
+    } else if (!isOwner() && m_isActive) {
+        m_isActive = false;
+        m_tentative.clear();
+        m_driver.endEpoch();
+        m_notes.push_back({ lease.owner == m_keeper.incarnation() ? EventId::ShardReleased : EventId::ShardLost, {}, { { "epoch", std::to_string(lease.epoch) }, { "owner", lease.owner } } });
+    }
+}
+
+void ShardController::tellPolicyAll(TimePoint now)
+{
+    m_policy->ownershipBegan();
+    for (const auto& [id, entry] : m_reducer.tasks()) {
+        if (entry.phase == TaskPhase::Assigned)
+            m_policy->attemptAssigned(entry, now);
+    }
+    for (const WaitingKey& it : m_reducer.waiting())
+        m_policy->taskWaiting(*m_reducer.find(it.task), now);
+}
+
+void ShardController::taskChanged(const std::string& task, TaskPhase phaseBefore, std::uint32_t attemptBefore, AttemptState endState, TimePoint now)
+{
+    m_driver.taskChanged(task, m_reducer);
+    const TaskEntry* entry = m_reducer.find(task);
+    auto tentative = m_tentative.find(task);
+    bool isSettled = tentative != m_tentative.end() && (!entry || entry->phase != TaskPhase::Waiting || entry->attempt >= tentative->second.attempt);
+    std::string reason = tentative == m_tentative.end() ? std::string() : tentative->second.reason;
+    if (isSettled)
+        m_tentative.erase(tentative);
+    TaskPhase phase = entry ? entry->phase : TaskPhase::Completed;
+    if (phase == phaseBefore && (!entry || entry->attempt == attemptBefore))
+        return;
+    if (phaseBefore == TaskPhase::Assigned)
+        m_policy->attemptEnded({ task, attemptBefore }, endState, now);
+    else if (phaseBefore == TaskPhase::Waiting && phase != TaskPhase::Assigned)
+        m_policy->taskGone(task);
+    if (!entry)
+        return;
+    if (phase == TaskPhase::Assigned) {
+        m_policy->attemptAssigned(*entry, now);
+        noteTask(EventId::TaskAssigned, *entry, reason);
+        return;
+    }
+    if (phase == TaskPhase::Waiting)
+        m_policy->taskWaiting(*entry, now);
+    if (phase != TaskPhase::Waiting || attemptBefore > 0)
+        noteTask(eventOf(phase), *entry, entry->detail);
+}
+
+void ShardController::noteTask(EventId event, const TaskEntry& entry, std::string reason)
+{
+    DecisionNote note { event, entry.description.id, { { "task", entry.description.id }, { "attempt", std::to_string(entry.attempt) } } };
+    if (!entry.worker.empty())
+        note.fields.push_back({ "worker", entry.worker });
+    note.fields.push_back({ "phase", nameOf(entry.phase) });
+    note.fields.push_back({ "checkpoint", std::to_string(entry.checkpoint) });
+    if (!reason.empty())
+        note.fields.push_back({ "reason", std::move(reason) });
+    m_notes.push_back(std::move(note));
+}
+
+void ShardController::listWorkers(std::span<const Instance> workers)
+{
+    m_driver.listWorkers(workers, m_reducer);
+}
+
+std::vector<ShardRecord> ShardController::decide(const LeaseSurroundings& surroundings, TimePoint now)
+{
+    std::vector<ShardRecord> records;
+    appendLease(surroundings, now, records);
+    if (!isOwner())
+        return records;
+    m_driver.checkLapses(m_reducer, inheritedUntil(), now);
+    appendEnds(now, records);
+    appendCheckpoints(now, records);
+    if (mayCommand(now) && !surroundings.isReleasing)
+        appendPlan(now, records);
+    return records;
+}
+
+TimePoint ShardController::inheritedUntil() const
+{
+    const ShardLeaseState& lease = m_reducer.lease();
+    TimePoint lastCommand = lease.formerOwners.empty() ? m_keeper.formerOwnersGoneAt() : m_keeper.ownedSince() + m_times.renewWithoutLog;
+    return std::max(lastCommand, m_keeper.ownedSince()) + m_times.commandLifetime + m_times.taskLease;
+}
+
+void ShardController::appendLease(const LeaseSurroundings& surroundings, TimePoint now, std::vector<ShardRecord>& records)
+{
+    LeaseSurroundings all = surroundings;
+    all.hasCommandsInFlight = m_driver.hasCommandsInFlight();
+    std::optional<LeaseProposal> proposal = m_keeper.propose(m_reducer.lease(), all, now);
+    if (!proposal)
+        return;
+    task::TaskRecord record;
+    record.set_id(proposal->recordId);
+    record.set_epoch(proposal->epoch);
+    task::ShardLease* lease = record.mutable_lease();
+    lease->set_epoch(proposal->epoch);
+    lease->set_owner(m_keeper.incarnation());
+    lease->set_base_sequence(proposal->baseSequence);
+    lease->set_duration_ms(static_cast<std::uint32_t>(m_times.shardLease.count()));
+    lease->set_is_renewal(proposal->kind == LeaseProposalKind::Renewal);
+    lease->set_is_release(proposal->kind == LeaseProposalKind::Release);
+    lease->set_successor(proposal->successor);
+    lease->set_former_owners_gone(proposal->areFormerOwnersGone);
+    records.push_back({ record.id(), record.SerializeAsString() });
+}
+
+void ShardController::appendEnds(TimePoint now, std::vector<ShardRecord>& records)
+{
+    for (const AttemptId& id : m_driver.proved()) {
+        const AttemptProof& proof = *m_driver.attempts().at(id).proof;
+        const TaskEntry* entry = m_reducer.find(id.task);
+        task::TaskRecord record;
+        record.set_id("end-" + id.task + "-" + std::to_string(id.attempt));
+        task::AttemptEnded* ended = record.mutable_ended();
+        ended->set_task(id.task);
+        ended->set_attempt(id.attempt);
+        ended->set_reason(reasonOf(proof.state));
+        ended->set_detail(proof.detail);
+        ended->set_checkpoint(proof.checkpoint);
+        ended->set_is_final(proof.state == AttemptState::Failed && entry->failures + 1 >= s_failureLimit);
+        append(record, now, records);
+    }
+}
+
+void ShardController::appendCheckpoints(TimePoint now, std::vector<ShardRecord>& records)
+{
+    for (const AttemptId& id : m_driver.checkpointed()) {
+        std::uint32_t percent = m_driver.attempts().at(id).report.checkpoint;
+        task::TaskRecord record;
+        record.set_id("checkpoint-" + id.task + "-" + std::to_string(id.attempt) + "-" + std::to_string(percent));
+        record.mutable_checkpointed()->set_task(id.task);
+        record.mutable_checkpointed()->set_attempt(id.attempt);
+        record.mutable_checkpointed()->set_checkpoint(percent);
+        append(record, now, records);
+    }
+}
+
+void ShardController::appendPlan(TimePoint now, std::vector<ShardRecord>& records)
+{
+    dropOldPlacements(now);
+    evictExcess();
+    bool isSettled = m_driver.areAllKnown() && now - m_keeper.ownedSince() >= m_times.settle;
+    ShardView view { m_reducer, m_driver.workers(), m_driver.attempts(), m_tentative, isSettled };
+    PlacementPlan plan = m_policy->plan(view, now);
+    for (const PlacementPlan::Placing& it : plan.placements)
+        appendPlacement(it, now, records);
+    for (const PlacementPlan::Throttling& it : plan.throttles) {
+        m_driver.throttle(it.attempt, it.percent);
+        if (const TaskEntry* entry = m_reducer.find(it.attempt.task))
+            noteTask(EventId::TaskSlowed, *entry, it.reason);
+    }
+    for (const AttemptId& it : plan.checkpoints)
+        m_driver.checkpoint(it);
+    for (const PlacementPlan::Stopping& it : plan.evictions)
+        evict(it.attempt, it.reason);
+    for (const PlacementPlan::Refusal& it : plan.impossible)
+        appendRefusal(it, now, records);
+}
+
+void ShardController::appendPlacement(const PlacementPlan::Placing& placing, TimePoint now, std::vector<ShardRecord>& records)
+{
+    const TaskEntry* entry = m_reducer.find(placing.task);
+    auto worker = m_driver.workers().find(placing.worker);
+    bool isPossible = entry && entry->phase == TaskPhase::Waiting && !m_tentative.contains(placing.task) && worker != m_driver.workers().end() && worker->second.isOpen();
+    if (!isPossible)
+        return m_policy->placementFailed(placing.task, now);
+    task::TaskRecord record;
+    record.set_id("assign-" + placing.task + "-" + std::to_string(entry->attempt + 1) + "-" + placing.worker);
+    task::Assigned* assigned = record.mutable_assigned();
+    assigned->set_task(placing.task);
+    assigned->set_attempt(entry->attempt + 1);
+    assigned->set_worker(placing.worker);
+    assigned->set_worker_incarnation(worker->second.incarnation());
+    fillResources(*assigned->mutable_reserved(), placing.reserved);
+    fillResources(*assigned->mutable_capacity(), worker->second.capacity());
+    assigned->set_from_checkpoint(entry->checkpoint);
+    m_tentative[placing.task] = { placing.worker, placing.reserved, entry->attempt + 1, placing.reason, now };
+    append(record, now, records);
+}
+
+void ShardController::appendRefusal(const PlacementPlan::Refusal& refusal, TimePoint now, std::vector<ShardRecord>& records)
+{
+    const TaskEntry* entry = m_reducer.find(refusal.task);
+    if (!entry || entry->phase != TaskPhase::Waiting)
+        return;
+    task::TaskRecord record;
+    record.set_id("impossible-" + refusal.task);
+    record.mutable_ended()->set_task(refusal.task);
+    record.mutable_ended()->set_attempt(entry->attempt);
+    record.mutable_ended()->set_reason(task::END_REASON_IMPOSSIBLE);
+    record.mutable_ended()->set_detail(refusal.reason);
+    append(record, now, records);
+}
+
+void ShardController::evict(const AttemptId& id, const std::string& reason)
+{
+    auto it = m_driver.attempts().find(id);
+    if (it == m_driver.attempts().end() || it->second.stopCause != StopCause::None || it->second.proof)
+        return;
+    m_driver.evict(id, reason);
+    noteTask(EventId::EvictionStarted, *m_reducer.find(id.task), reason);
+}
+
+void ShardController::evictExcess()
+{
+    ShardView view { m_reducer, m_driver.workers(), m_driver.attempts(), m_tentative, false };
+    for (const auto& [name, account] : m_reducer.ledger().accounts()) {
+        auto worker = m_driver.workers().find(name);
+        if (worker == m_driver.workers().end() || !worker->second.isAnswering())
+            continue;
+        Resources excess = account.reserved - beingFreed(view, name) - worker->second.capacity();
+        if (worker->second.isLeaving()) {
+            for (const std::string& it : account.tasks)
+                evict({ it, m_reducer.find(it)->attempt }, "its worker is leaving");
+        } else if (!excess.fitsIn({})) {
+            for (const AttemptId& it : chooseEvictions(view, name, excess, true).victims)
+                evict(it, "its worker has shrunk");
+        }
+    }
+}
+
+void ShardController::dropOldPlacements(TimePoint now)
+{
+    std::vector<std::string> dropped;
+    for (const auto& [task, placement] : m_tentative) {
+        if (now - placement.sentAt >= m_times.recordRetry)
+            dropped.push_back(task);
+    }
+    // It may still land; the log then decides between it and what is proposed instead.
+    for (const std::string& it : dropped) {
+        m_tentative.erase(it);
+        m_policy->placementFailed(it, now);
+    }
+}
+
+void ShardController::append(task::TaskRecord& record, TimePoint now, std::vector<ShardRecord>& records)
+{
+    std::uint64_t epoch = m_reducer.lease().epoch;
+    record.set_id(record.id() + "-" + std::to_string(epoch));
+    record.set_epoch(epoch);
+    if (m_book.shouldSend(record.id(), now))
+        records.push_back({ record.id(), record.SerializeAsString() });
+}
+
+CommandRights ShardController::rights(TimePoint now) const
+{
+    const ShardLeaseState& lease = m_reducer.lease();
+    bool isUnchecked = !m_strategies.uses(Strategy::LeaseCheckBeforeCommand) && isOwner();
+    return { lease.epoch, m_keeper.mayCommand(lease, now) || isUnchecked, m_keeper.mayRenew(lease, now) || isUnchecked };
+}
+
+std::optional<WorkerCommand> ShardController::nextCommand(const std::string& worker, TimePoint now)
+{
+    return m_driver.nextCommand(worker, rights(now), m_reducer, now);
+}
+
+bool ShardController::maySend(const WorkerCommand& command, TimePoint now) const
+{
+    if (!m_strategies.uses(Strategy::LeaseCheckBeforeCommand))
+        return true;
+    bool needsLease = command.kind != WorkerCommandKind::Describe && command.kind != WorkerCommandKind::Renew;
+    CommandRights current = rights(now);
+    return command.epoch == current.epoch && (needsLease ? current.mayCommand : current.mayRenew);
+}
+
+void ShardController::answered(const WorkerCommand& command, const WorkerAnswer& answer, TimePoint now)
+{
+    m_driver.answered(command, answer, rights(now), m_reducer, now);
+    if (!m_isActive)
+        return;
+    for (const AttemptReport& it : answer.reports) {
+        if (m_driver.attempts().contains(it.id))
+            m_policy->sampled(it, now);
+    }
+    auto worker = m_driver.workers().find(command.address.worker);
+    if (answer.description && worker != m_driver.workers().end())
+        m_policy->workerSeen(worker->second, now);
+}
+
+std::vector<DecisionNote> ShardController::takeNotes()
+{
+    return std::exchange(m_notes, {});
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/scheduling/ShardController.h
@@ -0,0 +1,98 @@
+// One instance's part in one shard, without threads or sockets: what was read of
+// the log, whether the lease is its own, what its workers do, and which records
+// and commands come next. Events and the time go in, records and commands come
+// out, so that a test can put them in any order.
+#pragma once
+
+#include "plantainhold/base/StrategySet.h"
+#include "plantainhold/ports/Instance.h"
+#include "plantainhold/scheduling/DecisionNote.h"
+#include "plantainhold/scheduling/LeaseKeeper.h"
+#include "plantainhold/scheduling/PlacementPolicy.h"
+#include "plantainhold/scheduling/RecordBook.h"
+#include "plantainhold/scheduling/ShardReducer.h"
+#include "plantainhold/scheduling/WorkerDriver.h"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace plantainhold {
+
+namespace task {
+    class TaskRecord;
+} // namespace task
+
+// A record to append to the shard's stream.
+struct ShardRecord {
+    std::string id;
+    std::string payload;
+};
+
+class ShardController {
+public:
+    // Precondition: the policy outlives the controller.
+    ShardController(std::string incarnation, const SchedulingTimes& times, const StrategySet& strategies, PlacementPolicy& policy, const ReducerLimits& limits = {});
+
+    // Starts anew from a snapshot. Not thread-safe, as all here.
+    void restore(ShardImage image, TimePoint now);
+    // A record was read, in log order.
+    void recordRead(std::uint64_t offset, const task::TaskRecord& record, TimePoint now);
+    // A read that began at startedAt reached the end of the stream.
+    void logRead(TimePoint startedAt) { m_keeper.logRead(startedAt); }
+    void logUnread() { m_keeper.logUnread(); }
+    // The shard's workers on the platform's list.
+    void listWorkers(std::span<const Instance> workers);
+
+    // What to append now.
+    std::vector<ShardRecord> decide(const LeaseSurroundings& surroundings, TimePoint now);
+
+    std::optional<WorkerCommand> nextCommand(const std::string& worker, TimePoint now);
+    // To be asked right before a command is sent: a pause may have lain in between.
+    bool maySend(const WorkerCommand& command, TimePoint now) const;
+    void dropped(const WorkerCommand& command) { m_driver.dropped(command); }
+    void answered(const WorkerCommand& command, const WorkerAnswer& answer, TimePoint now);
+
+    const ShardReducer& reducer() const { return m_reducer; }
+    const WorkerDriver& driver() const { return m_driver; }
+    const LeaseKeeper& keeper() const { return m_keeper; }
+    bool isOwner() const { return m_keeper.isOwner(m_reducer.lease()); }
+    bool mayCommand(TimePoint now) const { return m_keeper.mayCommand(m_reducer.lease(), now); }
+    // What to log; empties the list.
+    std::vector<DecisionNote> takeNotes();
+
+private:
+    CommandRights rights(TimePoint now) const;
+    TimePoint inheritedUntil() const;
+    void ownershipMayHaveChanged(std::uint64_t epochBefore, bool wasOwner, TimePoint now);
+    void taskChanged(const std::string& task, TaskPhase phaseBefore, std::uint32_t attemptBefore, AttemptState endState, TimePoint now);
+    void noteTask(EventId event, const TaskEntry& entry, std::string reason);
+    void tellPolicyAll(TimePoint now);
+
+    void appendLease(const LeaseSurroundings& surroundings, TimePoint now, std::vector<ShardRecord>& records);
+    void appendEnds(TimePoint now, std::vector<ShardRecord>& records);
+    void appendCheckpoints(TimePoint now, std::vector<ShardRecord>& records);
+    void appendPlan(TimePoint now, std::vector<ShardRecord>& records);
+    void appendPlacement(const PlacementPlan::Placing& placing, TimePoint now, std::vector<ShardRecord>& records);
+    void appendRefusal(const PlacementPlan::Refusal& refusal, TimePoint now, std::vector<ShardRecord>& records);
+    void evict(const AttemptId& id, const std::string& reason);
+    void evictExcess();
+    void dropOldPlacements(TimePoint now);
+    void append(task::TaskRecord& record, TimePoint now, std::vector<ShardRecord>& records);
+
+    SchedulingTimes m_times;
+    StrategySet m_strategies;
+    PlacementPolicy* m_policy;
+    ReducerLimits m_limits;
+    ShardReducer m_reducer;
+    LeaseKeeper m_keeper;
+    WorkerDriver m_driver;
+    RecordBook m_book;
+    std::map<std::string, TentativePlacement> m_tentative;
+    std::vector<DecisionNote> m_notes;
+    bool m_isActive = false;
+};
+
+} // namespace plantainhold
--- a/plantainhold/scheduling/ShardOwner.cpp
+++ b/plantainhold/scheduling/ShardOwner.cpp
@@ -1,52 +1,70 @@
-// The loop of one shard: read the log, keep the lease, serve the tasks.
+// The two loops of one shard.
 
 #include "plantainhold/scheduling/ShardOwner.h"
 
 #include "plantainhold/base/InstanceContext.h"
 #include "plantainhold/base/LogEvent.h"
-#include "plantainhold/base/StrategySet.h"
 #include "plantainhold/config/Settings.h"
 #include "plantainhold/membership/InstanceView.h"
 #include "plantainhold/proto/task.pb.h"
+#include "plantainhold/scheduling/CommandPool.h"
+#include "plantainhold/scheduling/FirstFitPlacement.h"
+#include "plantainhold/scheduling/TaskMetrics.h"
 #include "plantainhold/util/Hash.h"
 #include "plantainhold/util/RcuCell.h"
 #include "plantainhold/util/UniqueId.h"
 
+#include <algorithm>
+
 namespace plantainhold {
 
 namespace {
 
-    constexpr Milliseconds s_longPoll { 50 };
+    constexpr Milliseconds s_longPoll { 200 };
+    constexpr Milliseconds s_logBackoff { 50 };
+    constexpr Milliseconds s_decisionPeriod { 50 };
+    // Decisions share what arrives within this time, so that a burst costs few rounds.
+    constexpr Milliseconds s_decisionGap { 5 };
+    constexpr Milliseconds s_askAgain { 2000 };
+    // How long someone with an intact memory has to supply a snapshot.
+    constexpr Milliseconds s_resetPatience { 10'000 };
 
-    void fill(platform::Resources& message, const Resources& resources)
+    SchedulingTimes timesOf(const Settings& settings)
     {
-        message.set_millicores(resources.millicores);
-        message.set_memory_mib(resources.memoryMib);
-        message.set_accelerators(resources.accelerators);
+        SchedulingTimes times;
+        times.shardLease = settings.shardLease;
+        times.margin = settings.leaseMargin;
+        times.taskLease = settings.taskLease;
+        times.renewWithoutLog = settings.renewWithoutLog;
+        times.recordRetry = settings.logTimeout + settings.logTimeout / 2;
+        times.workerPoll = settings.workerPoll;
+        times.settle = std::max(times.settle, settings.instancesPoll * 2);
+        return times;
     }
 
-    task::EndReason endReasonOf(AttemptState state)
+    WorkerAnswer fromOutcome(CommandOutcome outcome)
     {
-        switch (state) {
-        case AttemptState::Completed:
-            return task::END_REASON_COMPLETED;
-        case AttemptState::Failed:
-            return task::END_REASON_FAILED;
-        case AttemptState::Stopped:
-            return task::END_REASON_EVICTED;
-        default:
-            return task::END_REASON_LAPSED;
-        }
+        WorkerAnswer answer;
+        answer.isAnswered = outcome.status != CommandStatus::Unknown;
+        answer.isDone = outcome.status == CommandStatus::Done;
+        answer.refusal = std::move(outcome.refusal);
+        if (answer.isAnswered)
+            answer.reports.push_back(std::move(outcome.report));
+        return answer;
     }
 
 } // namespace
 
-ShardOwner::ShardOwner(InstanceContext& context, std::uint32_t shard)
+ShardOwner::ShardOwner(InstanceContext& context, CommandPool& pool, TaskMetrics& metrics, std::uint32_t shard)
     : m_context(context)
+    , m_pool(pool)
+    , m_metrics(metrics)
     , m_shard(shard)
     , m_stream("shard/" + context.settings.dataCentre + "/" + std::to_string(shard))
-    , m_cursor(context.log, m_stream)
+    , m_policy(std::make_unique<FirstFitPlacement>())
     , m_writer(context.log, m_stream, context.settings.commitInterval, context.settings.logTimeout)
+    , m_snapshots(context.log, m_stream, context.settings.logTimeout)
+    , m_controller(context.incarnation, timesOf(context.settings), context.strategies, *m_policy)
 {
 }
 
@@ -57,20 +75,28 @@
 
 void ShardOwner::start()
 {
-    m_thread = std::thread([this] { run(); });
+    m_reader = std::thread([this] { readLoop(); });
+    m_decider = std::thread([this] { decideLoop(); });
 }
 
 void ShardOwner::stop()
 {
-    m_isStopping = true;
+    {
+        std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
     m_progress.notify_all();
-    if (m_thread.joinable())
-        m_thread.join();
+    m_decision.notify_all();
+    if (m_reader.joinable())
+        m_reader.join();
+    if (m_decider.joinable())
+        m_decider.join();
 }
 
 void ShardOwner::release()
 {
     m_isReleasing = true;
+    wakeDecision();
 }
 
 bool ShardOwner::isReleased() const
@@ -78,283 +104,357 @@
     return !ownsLease();
 }
 
-bool ShardOwner::appendAndWait(task::TaskRecord record, Milliseconds timeout)
+std::vector<bool> ShardOwner::appendAndWait(std::span<const task::TaskRecord> records, Milliseconds timeout)
 {
     TimePoint until = m_context.clock.now() + timeout;
-    std::string payload = record.SerializeAsString();
+    std::vector<bool> isRead(records.size(), false);
     std::unique_lock lock(m_mutex);
-    while (m_context.clock.now() < until && !m_isStopping && !m_readBack.contains(record.id())) {
-        // Repeating the append is harmless: the reducer knows the id.
-        m_writer.submit(payload);
+    for (const task::TaskRecord& it : records)
+        m_awaited[it.id()] = false;
+    auto isAllRead = [&] { return std::all_of(records.begin(), records.end(), [&](const auto& it) { return m_awaited[it.id()]; }); };
+    while (m_context.clock.now() < until && !m_isStopping && !isAllRead()) {
+        // Repeating an append is harmless: the reducer takes it once.
+        for (const task::TaskRecord& it : records) {
+            if (!m_awaited[it.id()])
+                m_writer.submit(it.SerializeAsString());
+        }
         TimePoint patience = std::min(until, m_context.clock.now() + m_context.settings.logTimeout);
-        m_progress.wait_until(lock, patience, [&] { return m_isStopping || m_readBack.contains(record.id()); });
+        m_progress.wait_until(lock, patience, [&] { return m_isStopping || isAllRead(); });
     }
-    return m_readBack.contains(record.id());
+    for (std::size_t i = 0; i < records.size(); ++i) {
+        isRead[i] = m_awaited[records[i].id()];
+        m_awaited.erase(records[i].id());
+    }
+    return isRead;
 }
 
-std::optional<TaskEntry> ShardOwner::find(const std::string& task) const
+void ShardOwner::inspect(const std::function<void(const ShardReducer&)>& look) const
 {
     std::lock_guard lock(m_mutex);
-    const TaskEntry* entry = m_reducer.find(task);
-    return entry ? std::optional(*entry) : std::nullopt;
+    look(m_controller.reducer());
 }
 
-std::map<std::string, TaskEntry> ShardOwner::tasks() const
+ShardLeaseState ShardOwner::lease() const
 {
     std::lock_guard lock(m_mutex);
-    return m_reducer.tasks();
+    return m_controller.reducer().lease();
 }
 
-ShardLeaseState ShardOwner::lease() const
+bool ShardOwner::ownsLease() const
 {
     std::lock_guard lock(m_mutex);
-    return m_reducer.lease();
+    return m_controller.isOwner();
 }
 
-bool ShardOwner::ownsLease() const
+std::string ShardOwner::statusText() const
 {
-    ShardLeaseState state = lease();
-    return state.owner == m_context.incarnation && !state.isReleased;
+    std::lock_guard lock(m_mutex);
+    const ShardReducer& reducer = m_controller.reducer();
+    std::string text = m_controller.isOwner() ? "owned here" : "owner " + (reducer.lease().isReleased ? std::string("none") : reducer.lease().owner);
+    text += ", epoch " + std::to_string(reducer.lease().epoch);
+    text += ", waiting " + std::to_string(reducer.waiting().size());
+    text += ", live " + std::to_string(reducer.liveTasks() - reducer.waiting().size());
+    if (!m_controller.isOwner())
+        return text;
+    const auto& workers = m_controller.driver().workers();
+    auto answering = std::count_if(workers.begin(), workers.end(), [](const auto& it) { return it.second.isAnswering(); });
+    return text + ", workers answering " + std::to_string(answering) + " of " + std::to_string(workers.size());
 }
 
-void ShardOwner::run()
+void ShardOwner::readLoop()
 {
-    m_lastLeaseChange = m_context.clock.now();
     while (!m_isStopping) {
-        StreamChunk chunk = m_cursor.next(s_longPoll);
-        if (chunk.succeeded)
-            takeChunk(chunk);
-        else
-            std::this_thread::sleep_for(s_longPoll);
-        if (!m_hasReachedEnd)
+        if (m_mustRebuild) {
+            rebuild();
+            continue;
+        }
+        TimePoint startedAt = m_context.clock.now();
+        StreamChunk chunk = m_cursor->next(s_longPoll);
+        if (!chunk.succeeded) {
+            {
+                std::lock_guard lock(m_mutex);
+                m_controller.logUnread();
+            }
+            pause(s_logBackoff);
             continue;
-        if (chunk.succeeded)
-            keepLease();
-        serveTasks();
+        }
+        m_snapshots.learnExpiry(chunk.firstExpiresIn);
+        if (chunk.hasGap) {
+            m_mustRebuild = true;
+            continue;
+        }
+        takeChunk(chunk, startedAt);
+        snapshotIfDue();
     }
 }
 
-void ShardOwner::takeChunk(const StreamChunk& chunk)
+void ShardOwner::rebuild()
 {
     {
         std::lock_guard lock(m_mutex);
-        task::TaskRecord record;
-        for (const StreamRecord& it : chunk.records) {
-            if (!record.ParseFromString(it.payload))
-                continue;
-            bool tookEffect = m_reducer.apply(record);
-            m_readBack.insert(record.id());
-            m_inFlight.erase(record.id());
-            if (!record.has_lease())
-                continue;
-            if (tookEffect)
-                m_lastLeaseChange = m_context.clock.now();
-            if (m_proposalId == record.id()) {
-                // Validity counts from before the append was sent, so it ends here no later than anyone else believes.
-                if (tookEffect)
-                    m_validUntil = (m_lastProposal + m_context.settings.shardLease - m_context.settings.leaseMargin).time_since_epoch().count();
-                m_proposalId.reset();
-            }
-        }
+        m_hasReachedEnd = false;
     }
-    if (chunk.isAtEnd)
-        m_hasReachedEnd = true;
-    m_progress.notify_all();
+    SnapshotSearch search = m_snapshots.search();
+    if (!search.succeeded) {
+        pause(s_logBackoff);
+        return;
+    }
+    if (!search.snapshot && search.firstOffset > 0)
+        return waitForReset(search);
+    std::uint64_t from = search.snapshot ? search.snapshot->uptoOffset : 0;
+    restore(search.snapshot ? std::move(search.snapshot->image) : ShardImage(), from);
+    LogEvent(EventId::ShardRebuilt).field("shard", m_shard).field("from_offset", from);
 }
 
-bool ShardOwner::isLeaseValid() const
+void ShardOwner::restore(ShardImage image, std::uint64_t from)
 {
-    if (!m_context.strategies.uses(Strategy::LeaseCheckBeforeCommand))
-        return true;
-    return m_context.clock.now() < TimePoint(TimePoint::duration(m_validUntil.load()));
+    m_cursor.emplace(m_context.log, m_stream, from);
+    m_mustRebuild = false;
+    m_unrecoverableSince.reset();
+    std::lock_guard lock(m_mutex);
+    m_controller.restore(std::move(image), m_context.clock.now());
 }
 
-bool ShardOwner::isPreferredOwner() const
+void ShardOwner::waitForReset(const SnapshotSearch& search)
 {
-    auto view = m_context.instances.read();
-    std::string best;
-    std::uint64_t bestWeight = 0;
-    for (const Instance& it : view->instances) {
-        if (it.kind != InstanceKind::Entry || it.isLeaving || it.dataCentre != m_context.settings.dataCentre)
-            continue;
-        std::uint64_t weight = rendezvousWeight(m_stream, it.id);
-        if (weight >= bestWeight) {
-            bestWeight = weight;
-            best = it.id;
+    TimePoint now = m_context.clock.now();
+    if (!m_unrecoverableSince) {
+        m_unrecoverableSince = now;
+        LogEvent(EventId::ShardUnrecoverable).field("shard", m_shard).field("first_offset", search.firstOffset);
+    }
+    // A reset that somebody wrote before is as good a start as a snapshot.
+    StreamCursor cursor(m_context.log, m_stream, search.firstOffset);
+    StreamChunk chunk;
+    do {
+        chunk = cursor.next(Milliseconds(0));
+        for (const StreamRecord& it : chunk.records) {
+            task::TaskRecord record;
+            if (!record.ParseFromString(it.payload) || !record.has_reset())
+                continue;
+            restore({}, it.offset);
+            return;
         }
+    } while (chunk.succeeded && !chunk.isAtEnd && !m_isStopping);
+    if (now - m_lastAsked >= s_askAgain) {
+        m_lastAsked = now;
+        task::TaskRecord record;
+        record.set_id(makeUniqueId("ask"));
+        if (now - *m_unrecoverableSince >= s_resetPatience)
+            record.mutable_reset();
+        else
+            record.mutable_snapshot_wanted();
+        m_writer.submit(record.SerializeAsString());
     }
-    return best.empty() || best == m_context.settings.instanceId;
+    pause(s_longPoll);
 }
 
-void ShardOwner::keepLease()
+void ShardOwner::takeChunk(const StreamChunk& chunk, TimePoint startedAt)
 {
-    TimePoint now = m_context.clock.now();
-    if (m_proposalId && now - m_lastProposal < m_context.settings.logTimeout)
-        return;
-    ShardLeaseState state = m_reducer.lease();
-    bool isMine = state.owner == m_context.incarnation && !state.isReleased;
-    if (isMine && m_isReleasing)
-        return proposeLease(false, true);
-    if (isMine) {
-        if (now - m_lastProposal >= m_context.settings.shardLease / 3)
-            proposeLease(true, false);
-        return;
+    {
+        std::lock_guard lock(m_mutex);
+        TimePoint now = m_context.clock.now();
+        for (const StreamRecord& it : chunk.records)
+            takeRecord(it, now);
+        if (chunk.isAtEnd)
+            m_controller.logRead(startedAt);
     }
-    if (m_isReleasing)
+    if (chunk.isAtEnd)
+        m_hasReachedEnd = true;
+    if (chunk.records.empty())
         return;
-    Duration silence = now - m_lastLeaseChange;
-    Duration patience = m_context.settings.shardLease + m_context.settings.leaseMargin;
-    if (!isPreferredOwner())
-        patience *= 2;
-    bool isFree = state.isReleased && (isPreferredOwner() || silence >= m_context.settings.shardLease);
-    if (isFree || silence >= patience)
-        proposeLease(false, false);
+    m_progress.notify_all();
+    wakeDecision();
 }
 
-void ShardOwner::proposeLease(bool isRenewal, bool isRelease)
+void ShardOwner::takeRecord(const StreamRecord& it, TimePoint now)
 {
-    ShardLeaseState state = m_reducer.lease();
     task::TaskRecord record;
-    record.set_id(makeUniqueId("lease"));
-    task::ShardLease* lease = record.mutable_lease();
-    bool isClaim = !isRenewal && !isRelease;
-    lease->set_epoch(state.epoch + (isClaim ? 1 : 0));
-    lease->set_owner(m_context.incarnation);
-    lease->set_base_sequence(state.sequence);
-    lease->set_duration_ms(static_cast<std::uint32_t>(m_context.settings.shardLease.count()));
-    lease->set_is_renewal(isRenewal);
-    lease->set_is_release(isRelease);
-    if (isRelease)
-        m_validUntil = 0;
-    m_proposalId = record.id();
-    m_lastProposal = m_context.clock.now();
-    m_writer.submit(record.SerializeAsString());
+    if (!record.ParseFromString(it.payload))
+        return;
+    m_controller.recordRead(it.offset, record, now);
+    if (auto awaited = m_awaited.find(record.id()); awaited != m_awaited.end())
+        awaited->second = true;
+    m_isSnapshotWanted = m_isSnapshotWanted || (record.has_snapshot_wanted() && m_hasReachedEnd);
 }
 
-void ShardOwner::serveTasks()
+void ShardOwner::snapshotIfDue()
 {
     TimePoint now = m_context.clock.now();
-    if (!ownsLease() || !isLeaseValid())
+    bool isWanted = m_isSnapshotWanted && now - m_snapshots.lastWrite() >= s_askAgain / 2;
+    bool isDue = ownsLease() && m_snapshots.isDue(m_cursor->position(), now);
+    if (!m_hasReachedEnd || !(isWanted || isDue))
         return;
-    assignWaiting();
-    if (now - m_lastPoll < m_context.settings.workerPoll && m_inFlight.empty())
-        return;
-    m_lastPoll = now;
-    driveAttempts();
+    m_isSnapshotWanted = false;
+    m_snapshots.learnOwnExpiry();
+    ShardImage image;
+    {
+        std::lock_guard lock(m_mutex);
+        image = m_controller.reducer().snapshot();
+    }
+    m_snapshots.write(image, m_cursor->position(), now);
+    LogEvent(EventId::ShardSnapshotWritten).field("shard", m_shard).field("upto_offset", m_cursor->position()).field("tasks", image.tasks.size());
 }
 
-std::vector<Instance> ShardOwner::shardWorkers() const
+void ShardOwner::decideLoop()
 {
-    std::vector<Instance> workers;
-    auto view = m_context.instances.read();
-    for (const Instance& it : view->instances) {
-        if (it.kind != InstanceKind::Worker || it.dataCentre != m_context.settings.dataCentre)
-            continue;
-        if (hash64(it.id) % static_cast<std::uint64_t>(m_context.settings.shards) == m_shard)
-            workers.push_back(it);
+    while (!m_isStopping) {
+        {
+            std::unique_lock lock(m_mutex);
+            m_decision.wait_for(lock, s_decisionPeriod, [this] { return m_isStopping || m_isDecisionWanted; });
+            m_isDecisionWanted = false;
+        }
+        refreshView();
+        decideOnce();
+        std::this_thread::sleep_for(s_decisionGap);
     }
-    return workers;
 }
 
-void ShardOwner::assignWaiting()
+void ShardOwner::decideOnce()
 {
-    std::map<std::string, Resources> reserved;
-    for (const auto& [id, entry] : m_reducer.tasks()) {
-        if (entry.phase == TaskPhase::Assigned)
-            reserved[entry.worker] += entry.reserved;
+    std::vector<ShardRecord> records;
+    std::vector<DecisionNote> notes;
+    struct Ready {
+        WorkerCommand command;
+        bool isSuspect;
+    };
+    std::vector<Ready> commands;
+    {
+        std::lock_guard lock(m_mutex);
+        // A state that is still being read back must not be decided on.
+        if (!m_hasReachedEnd)
+            return;
+        TimePoint now = m_context.clock.now();
+        records = m_controller.decide(surroundings(), now);
+        for (const auto& [name, worker] : m_controller.driver().workers()) {
+            bool isSuspect = worker.failures() > 0;
+            if (std::optional<WorkerCommand> command = m_controller.nextCommand(name, now))
+                commands.push_back({ std::move(*command), isSuspect });
+        }
+        notes = m_controller.takeNotes();
+        m_metrics.observe(m_shard, m_controller, now);
     }
-    std::uint64_t epoch = m_reducer.lease().epoch;
-    std::vector<Instance> workers = shardWorkers();
-    for (const auto& [id, entry] : m_reducer.tasks()) {
-        std::string recordId = "assign-" + id + "-" + std::to_string(entry.attempt + 1) + "-" + std::to_string(epoch);
-        if (entry.phase != TaskPhase::Waiting || m_inFlight.contains(recordId))
-            continue;
-        for (const Instance& it : workers) {
-            auto description = m_descriptions.find(it.id);
-            if (it.isLeaving || description == m_descriptions.end())
-                continue;
-            if (!(reserved[it.id] + entry.description.resources).fitsIn(description->second.capacity))
+    for (ShardRecord& it : records)
+        m_writer.submit(std::move(it.payload));
+    for (Ready& it : commands)
+        m_pool.post(*this, std::move(it.command), it.isSuspect);
+    log(notes);
+}
+
+void ShardOwner::refreshView()
+{
+    std::vector<Instance> workers;
+    std::vector<std::string> candidates;
+    {
+        auto view = m_context.instances.read();
+        if (view->version == m_viewVersion)
+            return;
+        m_viewVersion = view->version;
+        for (const Instance& it : view->instances) {
+            if (it.dataCentre != m_context.settings.dataCentre)
                 continue;
-            reserved[it.id] += entry.description.resources;
-            task::TaskRecord record;
-            record.set_id(recordId);
-            task::Assigned* assigned = record.mutable_assigned();
-            assigned->set_task(id);
-            assigned->set_attempt(entry.attempt + 1);
-            assigned->set_worker(it.id);
-            fill(*assigned->mutable_reserved(), entry.description.resources);
-            assigned->set_from_checkpoint(entry.checkpoint);
-            submit(std::move(record));
+            bool isMine = hash64(it.id) % static_cast<std::uint64_t>(m_context.settings.shards) == m_shard;
+            if (it.kind == InstanceKind::Worker && isMine)
+                workers.push_back(it);
+            else if (it.kind == InstanceKind::Entry && !it.isLeaving)
+                candidates.push_back(it.id);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), [&](const std::string& a, const std::string& b) { return rendezvousWeight(m_stream, a) > rendezvousWeight(m_stream, b); });
+    m_candidates = std::move(candidates);
+    std::lock_guard lock(m_mutex);
+    m_controller.listWorkers(workers);
+}
+
+LeaseSurroundings ShardOwner::surroundings() const
+{
+    const ShardLeaseState& lease = m_controller.reducer().lease();
+    LeaseSurroundings result;
+    result.isReleasing = m_isReleasing;
+    for (const std::string& it : m_candidates) {
+        bool isSelf = it == m_context.settings.instanceId;
+        if (isSelf)
             break;
+        // The owner that is silent is the one to be replaced.
+        if (lease.isReleased || it != instanceOf(lease.owner))
+            ++result.rank;
+    }
+    auto other = std::find_if(m_candidates.begin(), m_candidates.end(), [&](const std::string& it) { return it != m_context.settings.instanceId; });
+    if (other != m_candidates.end())
+        result.successor = *other;
+    return result;
+}
+
+void ShardOwner::execute(const WorkerCommand& command)
+{
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_isStopping || !m_controller.maySend(command, m_context.clock.now())) {
+            m_controller.dropped(command);
+            return;
         }
     }
+    WorkerAnswer answer = send(command);
+    {
+        std::lock_guard lock(m_mutex);
+        m_controller.answered(command, answer, m_context.clock.now());
+    }
+    wakeDecision();
 }
 
-void ShardOwner::driveAttempts()
+WorkerAnswer ShardOwner::send(const WorkerCommand& command)
 {
-    std::uint64_t epoch = m_reducer.lease().epoch;
-    std::map<std::string, std::vector<AttemptId>> attempts;
-    for (const auto& [id, entry] : m_reducer.tasks()) {
-        if (entry.phase == TaskPhase::Assigned)
-            attempts[entry.worker].push_back({ id, entry.attempt });
+    WorkerPort& port = m_context.workers;
+    WorkerAnswer answer;
+    switch (command.kind) {
+    case WorkerCommandKind::Describe:
+        answer.description = port.describe(command.address, command.epoch);
+        answer.isAnswered = answer.description.has_value();
+        return answer;
+    case WorkerCommandKind::Renew: {
+        RenewOutcome outcome = port.renew(command.address, command.epoch, command.ids, command.lease);
+        answer.isAnswered = outcome.succeeded;
+        answer.reports = std::move(outcome.attempts);
+        answer.incarnation = std::move(outcome.incarnation);
+        return answer;
     }
-    for (const Instance& it : shardWorkers()) {
-        WorkerAddress address { it.id, it.address };
-        std::optional<WorkerDescription> description = m_context.workers.describe(address, epoch);
-        if (!description)
-            continue;
-        m_descriptions[it.id] = std::move(*description);
-        if (attempts.contains(it.id))
-            driveWorker(address, attempts[it.id]);
+    case WorkerCommandKind::Start:
+        return fromOutcome(port.start(command.address, command.epoch, command.start));
+    case WorkerCommandKind::Throttle:
+        return fromOutcome(port.throttle(command.address, command.epoch, command.ids.front(), command.throttlePercent));
+    case WorkerCommandKind::Checkpoint:
+        return fromOutcome(port.checkpoint(command.address, command.epoch, command.ids.front()));
+    case WorkerCommandKind::Stop:
+        return fromOutcome(port.stop(command.address, command.epoch, command.ids.front()));
     }
+    return answer;
 }
 
-void ShardOwner::driveWorker(const WorkerAddress& worker, const std::vector<AttemptId>& ids)
+void ShardOwner::wakeDecision()
 {
-    std::uint64_t epoch = m_reducer.lease().epoch;
-    for (const AttemptId& id : ids) {
-        LiveAttempt& live = m_attempts[id];
-        const TaskEntry* entry = m_reducer.find(id.task);
-        if (live.isStarted || !entry || !isLeaseValid())
-            continue;
-        StartCommand command;
-        command.id = id;
-        command.reserved = entry->reserved;
-        command.lease = m_context.settings.taskLease;
-        command.fromCheckpoint = entry->checkpoint;
-        command.command = entry->description.command;
-        command.isService = entry->description.isService;
-        command.expected = Milliseconds(entry->description.expectedMs);
-        live.isStarted = m_context.workers.start(worker, epoch, command).status == CommandStatus::Done;
+    {
+        std::lock_guard lock(m_mutex);
+        m_isDecisionWanted = true;
     }
-    RenewOutcome renewed = m_context.workers.renew(worker, epoch, ids, m_context.settings.taskLease);
-    for (const AttemptReport& it : renewed.attempts)
-        handleReport(it);
+    m_decision.notify_one();
 }
 
-void ShardOwner::handleReport(const AttemptReport& report)
+void ShardOwner::log(const std::vector<DecisionNote>& notes)
 {
-    bool isOver = report.state != AttemptState::Running && report.state != AttemptState::Unknown;
-    std::string recordId = "end-" + report.id.task + "-" + std::to_string(report.id.attempt);
-    if (!isOver || m_inFlight.contains(recordId))
-        return;
-    task::TaskRecord record;
-    record.set_id(recordId + "-" + std::to_string(m_reducer.lease().epoch));
-    task::AttemptEnded* ended = record.mutable_ended();
-    ended->set_task(report.id.task);
-    ended->set_attempt(report.id.attempt);
-    ended->set_reason(endReasonOf(report.state));
-    ended->set_detail(report.failure);
-    ended->set_checkpoint(report.checkpoint);
-    m_attempts.erase(report.id);
-    submit(std::move(record));
+    for (const DecisionNote& note : notes) {
+        m_metrics.count(note.event);
+        LogEvent event(note.event);
+        event.field("shard", m_shard);
+        for (const DecisionNote::Field& it : note.fields)
+            event.field(it.key, std::string_view(it.value));
+        if (!note.task.empty())
+            event.explains(m_context.decisions, note.task);
+    }
 }
 
-void ShardOwner::submit(task::TaskRecord record)
+bool ShardOwner::pause(Milliseconds duration)
 {
-    record.set_epoch(m_reducer.lease().epoch);
-    m_inFlight.insert(record.id());
-    m_writer.submit(record.SerializeAsString());
+    std::unique_lock lock(m_mutex);
+    return m_progress.wait_for(lock, duration, [this] { return m_isStopping.load(); });
 }
 
 } // namespace plantainhold
--- a/plantainhold/scheduling/ShardOwner.h
+++ b/plantainhold/scheduling/ShardOwner.h
@@ -1,92 +1,112 @@
-// Follows one shard of this data centre's workers and, while it holds the
-// shard's lease, runs its tasks: assigns, starts, renews, and records the end.
+// The shell of one shard: one thread reads its stream, one decides, and the
+// command pool talks to the workers. All decisions are the controller's.
 #pragma once
 
 #include "plantainhold/log/StreamCursor.h"
 #include "plantainhold/log/StreamWriter.h"
 #include "plantainhold/ports/Instance.h"
-#include "plantainhold/ports/WorkerPort.h"
-#include "plantainhold/scheduling/ShardReducer.h"
+#include "plantainhold/scheduling/ShardController.h"
+#include "plantainhold/scheduling/ShardSnapshots.h"
 
 #include <atomic>
 #include <condition_variable>
-#include <map>
+#include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 #include <thread>
+#include <unordered_map>
 #include <vector>
 
 namespace plantainhold {
 
+class CommandPool;
+class TaskMetrics;
 struct InstanceContext;
 
 class ShardOwner {
 public:
-    ShardOwner(InstanceContext& context, std::uint32_t shard);
+    // Precondition: the pool and the metrics outlive the owner's threads.
+    ShardOwner(InstanceContext& context, CommandPool& pool, TaskMetrics& metrics, std::uint32_t shard);
     ~ShardOwner();
+    ShardOwner(const ShardOwner&) = delete;
+    ShardOwner& operator=(const ShardOwner&) = delete;
 
     void start();
     void stop();
-    // Hands the shard over: releases the lease as soon as nothing is being started.
+    // Hands the shard over as soon as no command is under way. Thread-safe, as all that follows.
     void release();
     bool isReleased() const;
 
-    // Appends a record on behalf of a caller and waits until it is read back. Thread-safe.
-    bool appendAndWait(task::TaskRecord record, Milliseconds timeout);
+    // Appends records on behalf of a caller and waits until they are read back,
+    // all together. Returns for each whether it was. Precondition: the records'
+    // ids are unique to this call.
+    std::vector<bool> appendAndWait(std::span<const task::TaskRecord> records, Milliseconds timeout);
+
+    // Carries out one command; called by the pool. Blocks on the worker.
+    void execute(const WorkerCommand& command);
 
     std::uint32_t shard() const { return m_shard; }
-    // Copies for reports. Thread-safe.
-    std::optional<TaskEntry> find(const std::string& task) const;
-    std::map<std::string, TaskEntry> tasks() const;
+    // Looks at the shard's state under its lock; the function must not block.
+    void inspect(const std::function<void(const ShardReducer&)>& look) const;
     ShardLeaseState lease() const;
     bool ownsLease() const;
+    // The shard's state has been read to the end of the log at least once.
+    bool isRebuilt() const { return m_hasReachedEnd; }
+    std::string statusText() const;
 
 private:
-    struct LiveAttempt {
-        bool isStarted = false;
-        TimePoint lastRenewed;
-    };
-
-    void run();
-    void takeChunk(const StreamChunk& chunk);
-    void keepLease();
-    void proposeLease(bool isRenewal, bool isRelease);
-    void serveTasks();
-    void assignWaiting();
-    void driveAttempts();
-    void driveWorker(const WorkerAddress& worker, const std::vector<AttemptId>& ids);
-    void handleReport(const AttemptReport& report);
-    void submit(task::TaskRecord record);
-    bool isLeaseValid() const;
-    bool isPreferredOwner() const;
-    std::vector<Instance> shardWorkers() const;
+    void readLoop();
+    void rebuild();
+    void restore(ShardImage image, std::uint64_t from);
+    void waitForReset(const SnapshotSearch& search);
+    void takeChunk(const StreamChunk& chunk, TimePoint startedAt);
+    void takeRecord(const StreamRecord& record, TimePoint now);
+    void decideLoop();
+    void decideOnce();
+    void snapshotIfDue();
+    void refreshView();
+    LeaseSurroundings surroundings() const;
+    WorkerAnswer send(const WorkerCommand& command);
+    void wakeDecision();
+    void log(const std::vector<DecisionNote>& notes);
+    bool pause(Milliseconds duration);
 
     InstanceContext& m_context;
+    CommandPool& m_pool;
+    TaskMetrics& m_metrics;
     const std::uint32_t m_shard;
     const std::string m_stream;
-    StreamCursor m_cursor;
+    std::unique_ptr<PlacementPolicy> m_policy;
     StreamWriter m_writer;
 
+    // Only the reading thread touches these.
+    std::optional<StreamCursor> m_cursor;
+    ShardSnapshots m_snapshots;
+    bool m_mustRebuild = true;
+    std::optional<TimePoint> m_unrecoverableSince;
+    TimePoint m_lastAsked;
+    bool m_isSnapshotWanted = false;
+
     mutable std::mutex m_mutex;
     std::condition_variable m_progress;
-    ShardReducer m_reducer;
-    std::unordered_set<std::string> m_readBack;
-
-    // Only the run thread touches what follows.
-    TimePoint m_lastLeaseChange;
-    TimePoint m_lastProposal;
-    std::optional<std::string> m_proposalId;
-    std::map<AttemptId, LiveAttempt> m_attempts;
-    std::unordered_set<std::string> m_inFlight;
-    std::map<std::string, WorkerDescription> m_descriptions;
-    TimePoint m_lastPoll;
-    bool m_hasReachedEnd = false;
-
-    std::atomic<TimePoint::rep> m_validUntil { 0 };
+    std::condition_variable m_decision;
+    ShardController m_controller;
+    // Records that callers wait for; set once read back.
+    std::unordered_map<std::string, bool> m_awaited;
+    bool m_isDecisionWanted = false;
+
+    // Only the deciding thread touches these.
+    std::uint64_t m_viewVersion = 0;
+    std::vector<std::string> m_candidates;
+
+    std::atomic<bool> m_hasReachedEnd { false };
     std::atomic<bool> m_isReleasing { false };
     std::atomic<bool> m_isStopping { false };
-    std::thread m_thread;
+    std::thread m_reader;
+    std::thread m_decider;
 };
 
 } // namespace plantainhold
--- a/plantainhold/scheduling/ShardReducer.cpp
+++ b/plantainhold/scheduling/ShardReducer.cpp
@@ -3,50 +3,68 @@
 #include "plantainhold/scheduling/ShardReducer.h"
 
 #include "plantainhold/proto/task.pb.h"
+#include "plantainhold/scheduling/TaskMessages.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace plantainhold {
 
 namespace {
 
-    TaskDescription describe(const task::TaskSpec& spec)
-    {
-        TaskDescription description;
-        description.id = spec.id();
-        description.team = spec.team();
-        description.profile = spec.profile();
-        description.command = spec.command();
-        description.resources = { spec.resources().millicores(), spec.resources().memory_mib(), spec.resources().accelerators() };
-        description.isService = spec.is_service();
-        description.isUrgent = spec.urgent();
-        description.expectedMs = spec.expected_ms();
-        return description;
-    }
+    constexpr std::size_t s_formerOwnerLimit = 32;
+    // Stands for former owners that nobody can name any more.
+    constexpr char s_unknownOwner = '*';
 
-    TaskPhase phaseAfter(task::EndReason reason, bool isCancelRequested)
+    TaskPhase phaseAfter(const task::AttemptEnded& ended, const TaskEntry& entry)
     {
-        switch (reason) {
-        case task::END_REASON_COMPLETED:
+        if (ended.reason() == task::END_REASON_COMPLETED)
             return TaskPhase::Completed;
-        case task::END_REASON_FAILED:
+        if (ended.reason() == task::END_REASON_FAILED && ended.is_final())
             return TaskPhase::Failed;
-        case task::END_REASON_IMPOSSIBLE:
-            return TaskPhase::Impossible;
-        case task::END_REASON_CANCELLED:
-            return TaskPhase::Cancelled;
-        default:
-            return isCancelRequested ? TaskPhase::Cancelled : TaskPhase::Waiting;
-        }
+        return entry.isCancelRequested ? TaskPhase::Cancelled : TaskPhase::Waiting;
+    }
+
+    WaitingKey keyOf(const TaskEntry& entry)
+    {
+        const TaskDescription& task = entry.description;
+        std::uint8_t rank = task.isUrgent ? 0 : (task.isService ? 1 : 2);
+        return { rank, entry.order, task.id };
+    }
+
+    void removeInstance(std::vector<std::string>& owners, std::string_view instance)
+    {
+        std::erase_if(owners, [&](const std::string& it) { return instanceOf(it) == instance; });
     }
 
 } // namespace
 
-bool ShardReducer::apply(const task::TaskRecord& record)
+ShardReducer::ShardReducer(const ReducerLimits& limits, const StrategySet& strategies)
+    : m_limits(limits)
+    , m_strategies(strategies)
+    , m_endedIds(limits.endedIds)
+{
+}
+
+ShardReducer::ShardReducer(ShardImage image, const ReducerLimits& limits, const StrategySet& strategies)
+    : m_limits(limits)
+    , m_strategies(strategies)
+    , m_image(std::move(image))
+    , m_endedIds(limits.endedIds)
+{
+    derive();
+}
+
+bool ShardReducer::apply(std::uint64_t offset, const task::TaskRecord& record)
 {
-    if (!m_appliedIds.insert(record.id()).second)
-        return false;
     switch (record.kind_case()) {
     case task::TaskRecord::kLease:
         return applyLease(record);
+    case task::TaskRecord::kOwnerGone:
+        return applyOwnerGone(record);
+    case task::TaskRecord::kReset:
+        return applyReset(offset);
     case task::TaskRecord::kSubmitted:
         return applySubmitted(record);
     case task::TaskRecord::kAssigned:
@@ -64,58 +82,122 @@
 
 const TaskEntry* ShardReducer::find(const std::string& task) const
 {
-    auto it = m_tasks.find(task);
-    return it == m_tasks.end() ? nullptr : &it->second;
+    auto it = m_image.tasks.find(task);
+    return it == m_image.tasks.end() ? nullptr : &it->second;
+}
+
+ShardImage ShardReducer::snapshot() const
+{
+    ShardImage image = m_image;
+    image.endedIds = m_endedIds.hashes();
+    return image;
 }
 
 bool ShardReducer::applyLease(const task::TaskRecord& record)
 {
     const task::ShardLease& lease = record.lease();
-    // A claim or renewal stands on the newest lease record or it is void: this is
-    // the compare-and-set that the log itself does not have.
-    if (lease.base_sequence() != m_lease.sequence)
+    ShardLeaseState& state = m_image.lease;
+    // A lease record stands on the newest one or it is void: this is the
+    // compare-and-set that the log itself does not have.
+    bool standsOnNewest = lease.base_sequence() == state.sequence;
+    if (!standsOnNewest && m_strategies.uses(Strategy::LeaseBaseSequence))
         return false;
-    bool isFromOwner = lease.epoch() == m_lease.epoch && lease.owner() == m_lease.owner;
-    if (lease.is_renewal() || lease.is_release()) {
-        if (!isFromOwner || m_lease.isReleased)
-            return false;
-    } else if (lease.epoch() != m_lease.epoch + 1) {
+    bool isFromOwner = lease.epoch() == state.epoch && lease.owner() == state.owner && !state.isReleased;
+    bool isClaim = !lease.is_renewal() && !lease.is_release();
+    if (!isClaim && !isFromOwner)
         return false;
-    }
-    m_lease = { lease.epoch(), m_lease.sequence + 1, lease.owner(), lease.is_release() };
+    if (isClaim && lease.epoch() != state.epoch + 1 && m_strategies.uses(Strategy::LeaseBaseSequence))
+        return false;
+    ++state.sequence;
+    if (isClaim)
+        takeClaim(lease.owner());
+    state.epoch = lease.epoch();
+    state.isReleased = lease.is_release();
+    state.successor = lease.is_release() ? lease.successor() : std::string();
+    if (lease.former_owners_gone())
+        state.formerOwners.clear();
+    return true;
+}
+
+void ShardReducer::takeClaim(const std::string& claimant)
+{
+    ShardLeaseState& state = m_image.lease;
+    bool mayStillRenew = !state.isReleased && !state.owner.empty();
+    if (mayStillRenew && state.formerOwners.size() < s_formerOwnerLimit)
+        state.formerOwners.push_back(state.owner);
+    else if (mayStillRenew)
+        state.formerOwners.back().assign(1, s_unknownOwner);
+    // A new process under the same instance id proves that the earlier one is gone.
+    removeInstance(state.formerOwners, instanceOf(claimant));
+    state.owner = claimant;
+}
+
+bool ShardReducer::applyOwnerGone(const task::TaskRecord& record)
+{
+    const std::string& gone = record.owner_gone().owner();
+    ShardLeaseState& state = m_image.lease;
+    bool wasFormer = std::erase(state.formerOwners, gone) > 0;
+    if (state.owner != gone || state.isReleased)
+        return wasFormer;
+    ++state.sequence;
+    state.isReleased = true;
+    state.successor = record.owner_gone().successor();
+    return true;
+}
+
+bool ShardReducer::applyReset(std::uint64_t offset)
+{
+    *this = ShardReducer(m_limits, m_strategies);
+    // Each epoch and each sequence number took at least one offset, so this exceeds all that were lost.
+    m_image.lease.epoch = offset + 1;
+    m_image.lease.sequence = offset + 1;
+    m_image.lease.formerOwners.emplace_back(1, s_unknownOwner);
     return true;
 }
 
 bool ShardReducer::applySubmitted(const task::TaskRecord& record)
 {
     const task::TaskSpec& spec = record.submitted().spec();
-    TaskEntry entry;
-    entry.description = describe(spec);
-    return m_tasks.emplace(spec.id(), std::move(entry)).second;
+    if (find(spec.id()) || m_endedIds.contains(spec.id()) || liveTasks() >= m_limits.liveTasks)
+        return false;
+    TaskEntry& entry = m_image.tasks[spec.id()];
+    entry.description = toDescription(spec);
+    entry.order = m_image.nextOrder++;
+    beginWaiting(entry);
+    return true;
 }
 
 bool ShardReducer::applyAssigned(const task::TaskRecord& record)
 {
     const task::Assigned& assigned = record.assigned();
-    auto it = m_tasks.find(assigned.task());
-    if (record.epoch() != m_lease.epoch || it == m_tasks.end())
+    TaskEntry* entry = entryOf(assigned.task());
+    if (record.epoch() != m_image.lease.epoch || !entry)
+        return false;
+    if (entry->phase != TaskPhase::Waiting || assigned.attempt() != entry->attempt + 1)
         return false;
-    TaskEntry& entry = it->second;
-    bool isNext = entry.phase == TaskPhase::Waiting && assigned.attempt() == entry.attempt + 1;
-    if (!isNext || entry.isCancelRequested)
+    Resources reserved = toResources(assigned.reserved());
+    if (!m_strategies.uses(Strategy::CapacityInLog))
+        m_ledger.restore(assigned.worker(), assigned.task(), reserved);
+    else if (!m_ledger.reserve(assigned.worker(), assigned.task(), reserved, toResources(assigned.capacity())))
         return false;
-    entry.phase = TaskPhase::Assigned;
-    entry.attempt = assigned.attempt();
-    entry.worker = assigned.worker();
-    entry.reserved = { assigned.reserved().millicores(), assigned.reserved().memory_mib(), assigned.reserved().accelerators() };
+    m_waiting.erase(keyOf(*entry));
+    entry->phase = TaskPhase::Assigned;
+    entry->attempt = assigned.attempt();
+    entry->worker = assigned.worker();
+    entry->workerIncarnation = assigned.worker_incarnation();
+    entry->reserved = reserved;
+    entry->detail.clear();
     return true;
 }
 
 bool ShardReducer::applyCheckpointed(const task::TaskRecord& record)
 {
     const task::Checkpointed& checkpointed = record.checkpointed();
-    TaskEntry* entry = liveAttempt(checkpointed.task(), checkpointed.attempt());
-    if (record.epoch() != m_lease.epoch || !entry || checkpointed.checkpoint() <= entry->checkpoint)
+    TaskEntry* entry = entryOf(checkpointed.task());
+    if (record.epoch() != m_image.lease.epoch || !entry)
+        return false;
+    bool isLive = entry->phase == TaskPhase::Assigned && entry->attempt == checkpointed.attempt();
+    if (!isLive || checkpointed.checkpoint() <= entry->checkpoint)
         return false;
     entry->checkpoint = checkpointed.checkpoint();
     return true;
@@ -124,42 +206,89 @@
 bool ShardReducer::applyEnded(const task::TaskRecord& record)
 {
     const task::AttemptEnded& ended = record.ended();
-    if (record.epoch() != m_lease.epoch)
+    TaskEntry* entry = entryOf(ended.task());
+    if (record.epoch() != m_image.lease.epoch || !entry || entry->attempt != ended.attempt())
         return false;
-    auto it = m_tasks.find(ended.task());
-    if (it == m_tasks.end() || it->second.attempt != ended.attempt())
+    bool isImpossible = ended.reason() == task::END_REASON_IMPOSSIBLE;
+    if (entry->phase != (isImpossible ? TaskPhase::Waiting : TaskPhase::Assigned))
         return false;
-    TaskEntry& entry = it->second;
-    bool endsAttempt = entry.phase == TaskPhase::Assigned;
-    bool endsWaiting = entry.phase == TaskPhase::Waiting && (ended.reason() == task::END_REASON_CANCELLED || ended.reason() == task::END_REASON_IMPOSSIBLE);
-    if (!endsAttempt && !endsWaiting)
-        return false;
-    entry.phase = phaseAfter(ended.reason(), entry.isCancelRequested);
-    entry.detail = ended.detail();
-    entry.reserved = {};
-    entry.worker.clear();
-    if (ended.checkpoint() > entry.checkpoint)
-        entry.checkpoint = ended.checkpoint();
+    entry->detail = ended.detail();
+    if (isImpossible) {
+        end(*entry, TaskPhase::Impossible);
+        return true;
+    }
+    m_ledger.release(entry->worker, ended.task(), entry->reserved);
+    entry->reserved = {};
+    entry->lastWorker = std::exchange(entry->worker, {});
+    entry->workerIncarnation.clear();
+    entry->checkpoint = std::max(entry->checkpoint, ended.checkpoint());
+    if (ended.reason() == task::END_REASON_FAILED)
+        ++entry->failures;
+    TaskPhase phase = phaseAfter(ended, *entry);
+    if (phase == TaskPhase::Waiting)
+        beginWaiting(*entry);
+    else
+        end(*entry, phase);
     return true;
 }
 
 bool ShardReducer::applyCancel(const task::TaskRecord& record)
 {
-    auto it = m_tasks.find(record.cancel().task());
-    if (it == m_tasks.end() || it->second.isCancelRequested)
+    TaskEntry* entry = entryOf(record.cancel().task());
+    if (!entry || entry->isCancelRequested || isEnded(entry->phase))
         return false;
-    it->second.isCancelRequested = true;
-    if (it->second.phase == TaskPhase::Waiting)
-        it->second.phase = TaskPhase::Cancelled;
+    entry->isCancelRequested = true;
+    if (entry->phase == TaskPhase::Waiting)
+        end(*entry, TaskPhase::Cancelled);
     return true;
 }
 
-TaskEntry* ShardReducer::liveAttempt(const std::string& task, std::uint32_t attempt)
+void ShardReducer::beginWaiting(TaskEntry& entry)
+{
+    entry.phase = TaskPhase::Waiting;
+    m_waiting.insert(keyOf(entry));
+}
+
+void ShardReducer::end(TaskEntry& entry, TaskPhase phase)
+{
+    m_waiting.erase(keyOf(entry));
+    entry.phase = phase;
+    entry.endedOrder = m_image.nextOrder++;
+    m_ended.push_back(entry.description.id);
+    forgetOldest();
+}
+
+void ShardReducer::forgetOldest()
+{
+    while (m_ended.size() > m_limits.endedTasks) {
+        m_endedIds.add(m_ended.front());
+        m_image.tasks.erase(m_ended.front());
+        m_ended.pop_front();
+    }
+}
+
+void ShardReducer::derive()
+{
+    std::map<std::uint64_t, std::string> ended;
+    for (auto& [id, entry] : m_image.tasks) {
+        if (entry.phase == TaskPhase::Waiting)
+            m_waiting.insert(keyOf(entry));
+        else if (entry.phase == TaskPhase::Assigned)
+            m_ledger.restore(entry.worker, id, entry.reserved);
+        else
+            ended.emplace(entry.endedOrder, id);
+    }
+    for (auto& [order, id] : ended)
+        m_ended.push_back(id);
+    for (std::uint64_t it : m_image.endedIds)
+        m_endedIds.addHash(it);
+    m_image.endedIds.clear();
+}
+
+TaskEntry* ShardReducer::entryOf(const std::string& task)
 {
-    auto it = m_tasks.find(task);
-    if (it == m_tasks.end() || it->second.attempt != attempt || it->second.phase != TaskPhase::Assigned)
-        return nullptr;
-    return &it->second;
+    auto it = m_image.tasks.find(task);
+    return it == m_image.tasks.end() ? nullptr : &it->second;
 }
 
 } // namespace plantainhold
--- a/plantainhold/scheduling/ShardReducer.h
+++ b/plantainhold/scheduling/ShardReducer.h
@@ -1,88 +1,103 @@
 // Folds one shard's stream into who owns the shard and what its tasks are
 // doing. Pure and deterministic: the log's order decides, and nothing else. A
-// record of an epoch older than the shard's is void, a repeated record is a
-// no-op, so a paused owner's late appends change nothing.
+// record of another epoch than the shard's is void, and each record only takes
+// effect on the state that it was written for, so that repeats and late appends
+// change nothing and no list of applied ids is needed.
 #pragma once
 
-#include "plantainhold/ports/Resources.h"
+#include "plantainhold/base/StrategySet.h"
+#include "plantainhold/scheduling/CapacityLedger.h"
+#include "plantainhold/scheduling/EndedIds.h"
+#include "plantainhold/scheduling/ShardLeaseState.h"
+#include "plantainhold/scheduling/TaskEntry.h"
 
+#include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <set>
 #include <string>
-#include <unordered_set>
 
 namespace plantainhold {
 
 namespace task {
     class TaskRecord;
-    class TaskSpec;
 } // namespace task
 
-enum class TaskPhase : std::uint8_t {
-    Waiting,
-    // An attempt may exist on its worker; its resources are reserved.
-    Assigned,
-    Completed,
-    Failed,
-    Cancelled,
-    Impossible,
+// Bounds of a shard's memory; the same on every instance.
+struct ReducerLimits {
+    // Tasks that have not ended; further submissions are void.
+    std::size_t liveTasks = 50'000;
+    // Ended tasks that are kept whole.
+    std::size_t endedTasks = 1000;
+    // Ended tasks whose ids are remembered after that.
+    std::size_t endedIds = 16'384;
 };
 
-struct TaskDescription {
-    std::string id;
-    std::string team;
-    std::string profile;
-    std::string command;
-    Resources resources;
-    bool isService = false;
-    bool isUrgent = false;
-    std::uint32_t expectedMs = 0;
+// What has to last; everything else is derived from it.
+struct ShardImage {
+    ShardLeaseState lease;
+    std::map<std::string, TaskEntry> tasks;
+    std::uint64_t nextOrder = 1;
+    std::deque<std::uint64_t> endedIds;
 };
 
-struct TaskEntry {
-    TaskDescription description;
-    TaskPhase phase = TaskPhase::Waiting;
-    // Number of the newest attempt; 0 before the first.
-    std::uint32_t attempt = 0;
-    std::string worker;
-    Resources reserved;
-    // Newest confirmed checkpoint, in percent.
-    std::uint32_t checkpoint = 0;
-    bool isCancelRequested = false;
-    std::string detail;
-};
+// Order of waiting tasks: urgent ones, services, batch tasks; each by submission.
+struct WaitingKey {
+    std::uint8_t rank = 0;
+    std::uint64_t order = 0;
+    std::string task;
 
-struct ShardLeaseState {
-    std::uint64_t epoch = 0;
-    // Counts lease records that took effect.
-    std::uint64_t sequence = 0;
-    std::string owner;
-    bool isReleased = true;
+    auto operator<=>(const WaitingKey&) const = default;
 };
 
 class ShardReducer {
 public:
-    // Applies one record in log order. Returns whether it took effect. Not thread-safe.
-    bool apply(const task::TaskRecord& record);
+    explicit ShardReducer(const ReducerLimits& limits = {}, const StrategySet& strategies = {});
+    ShardReducer(ShardImage image, const ReducerLimits& limits, const StrategySet& strategies);
+
+    // Applies one record in log order. Returns whether it took effect. Not
+    // thread-safe, as all here.
+    bool apply(std::uint64_t offset, const task::TaskRecord& record);
 
-    const ShardLeaseState& lease() const { return m_lease; }
-    const std::map<std::string, TaskEntry>& tasks() const { return m_tasks; }
+    const ShardLeaseState& lease() const { return m_image.lease; }
+    const std::map<std::string, TaskEntry>& tasks() const { return m_image.tasks; }
+    const ShardImage& image() const { return m_image; }
     const TaskEntry* find(const std::string& task) const;
+    // Whether the task ended so long ago that only its id is remembered.
+    bool remembersEnd(const std::string& task) const { return m_endedIds.contains(task); }
+    const CapacityLedger& ledger() const { return m_ledger; }
+    const std::set<WaitingKey>& waiting() const { return m_waiting; }
+    std::size_t liveTasks() const { return m_image.tasks.size() - m_ended.size(); }
+    // The image with everything that a rebuild needs.
+    ShardImage snapshot() const;
 
 private:
     bool applyLease(const task::TaskRecord& record);
+    bool applyOwnerGone(const task::TaskRecord& record);
+    bool applyReset(std::uint64_t offset);
     bool applySubmitted(const task::TaskRecord& record);
     bool applyAssigned(const task::TaskRecord& record);
     bool applyCheckpointed(const task::TaskRecord& record);
     bool applyEnded(const task::TaskRecord& record);
     bool applyCancel(const task::TaskRecord& record);
 
-    // The entry whose current attempt is the named one and not yet over; null otherwise.
-    TaskEntry* liveAttempt(const std::string& task, std::uint32_t attempt);
+    void takeClaim(const std::string& claimant);
+    void derive();
+    void beginWaiting(TaskEntry& entry);
+    void end(TaskEntry& entry, TaskPhase phase);
+    void forgetOldest();
+    TaskEntry* entryOf(const std::string& task);
 
-    ShardLeaseState m_lease;
-    std::map<std::string, TaskEntry> m_tasks;
-    std::unordered_set<std::string> m_appliedIds;
+    ReducerLimits m_limits;
+    StrategySet m_strategies;
+    ShardImage m_image;
+    CapacityLedger m_ledger;
+    std::set<WaitingKey> m_waiting;
+    // Ended tasks that are kept whole, oldest first.
+    std::deque<std::string> m_ended;
+    EndedIds m_endedIds;
 };
 
 } // namespace plantainhold
--- /dev/null
+++ b/plantainhold/scheduling/TaskMessages.cpp
@@ -0,0 +1,119 @@
+// Field by field, so that a change of a message shows here and nowhere else.
+
+#include "plantainhold/scheduling/TaskMessages.h"
+
+#include "plantainhold/proto/task.pb.h"
+
+namespace plantainhold {
+
+namespace {
+
+    void fillSpec(task::TaskSpec& spec, const TaskDescription& description)
+    {
+        spec.set_id(description.id);
+        spec.set_team(description.team);
+        spec.set_profile(description.profile);
+        spec.set_command(description.command);
+        fillResources(*spec.mutable_resources(), description.resources);
+        spec.set_is_service(description.isService);
+        spec.set_urgent(description.isUrgent);
+        spec.set_expected_ms(description.expectedMs);
+    }
+
+    TaskEntry toEntry(const task::TaskState& message)
+    {
+        TaskEntry entry;
+        entry.description = toDescription(message.spec());
+        entry.phase = static_cast<TaskPhase>(message.phase());
+        entry.order = message.order();
+        entry.endedOrder = message.ended_order();
+        entry.attempt = message.attempt();
+        entry.worker = message.worker();
+        entry.workerIncarnation = message.worker_incarnation();
+        entry.lastWorker = message.last_worker();
+        entry.reserved = toResources(message.reserved());
+        entry.checkpoint = message.checkpoint();
+        entry.failures = message.failures();
+        entry.isCancelRequested = message.cancel_requested();
+        entry.detail = message.detail();
+        return entry;
+    }
+
+} // namespace
+
+Resources toResources(const platform::Resources& message)
+{
+    return { message.millicores(), message.memory_mib(), message.accelerators() };
+}
+
+void fillResources(platform::Resources& message, const Resources& resources)
+{
+    message.set_millicores(resources.millicores);
+    message.set_memory_mib(resources.memoryMib);
+    message.set_accelerators(resources.accelerators);
+}
+
+TaskDescription toDescription(const task::TaskSpec& spec)
+{
+    TaskDescription description;
+    description.id = spec.id();
+    description.team = spec.team();
+    description.profile = spec.profile();
+    description.command = spec.command();
+    description.resources = toResources(spec.resources());
+    description.isService = spec.is_service();
+    description.isUrgent = spec.urgent();
+    description.expectedMs = spec.expected_ms();
+    return description;
+}
+
+void fillState(task::TaskState& message, const TaskEntry& entry)
+{
+    fillSpec(*message.mutable_spec(), entry.description);
+    message.set_phase(static_cast<std::uint32_t>(entry.phase));
+    message.set_order(entry.order);
+    message.set_ended_order(entry.endedOrder);
+    message.set_attempt(entry.attempt);
+    message.set_worker(entry.worker);
+    message.set_worker_incarnation(entry.workerIncarnation);
+    message.set_last_worker(entry.lastWorker);
+    fillResources(*message.mutable_reserved(), entry.reserved);
+    message.set_checkpoint(entry.checkpoint);
+    message.set_failures(entry.failures);
+    message.set_cancel_requested(entry.isCancelRequested);
+    message.set_detail(entry.detail);
+}
+
+void fillSnapshot(task::ShardSnapshot& message, const ShardImage& image)
+{
+    message.set_lease_sequence(image.lease.sequence);
+    message.set_epoch(image.lease.epoch);
+    message.set_owner(image.lease.owner);
+    message.set_is_released(image.lease.isReleased);
+    message.set_successor(image.lease.successor);
+    for (const std::string& it : image.lease.formerOwners)
+        message.add_former_owners(it);
+    message.set_next_order(image.nextOrder);
+    for (const auto& [id, entry] : image.tasks)
+        fillState(*message.add_tasks(), entry);
+    for (std::uint64_t it : image.endedIds)
+        message.add_ended_ids(it);
+}
+
+ShardImage toImage(const task::ShardSnapshot& message)
+{
+    ShardImage image;
+    image.lease.sequence = message.lease_sequence();
+    image.lease.epoch = message.epoch();
+    image.lease.owner = message.owner();
+    image.lease.isReleased = message.is_released();
+    image.lease.successor = message.successor();
+    image.lease.formerOwners.assign(message.former_owners().begin(), message.former_owners().end());
+    image.nextOrder = message.next_order();
+    for (const task::TaskState& it : message.tasks())
+        image.tasks.emplace(it.spec().id(), toEntry(it));
+    image.endedIds.assign(message.ended_ids().begin(), message.ended_ids().end());
+    return image;
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/scheduling/TaskMetrics.h
@@ -0,0 +1,34 @@
+// What the task module counts for Prometheus.
+#pragma once
+
+#include "plantainhold/base/Event.h"
+#include "plantainhold/ports/Clock.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace prometheus {
+class Registry;
+}
+
+namespace plantainhold {
+
+class ShardController;
+
+class TaskMetrics {
+public:
+    // Precondition: the registry outlives the metrics.
+    explicit TaskMetrics(prometheus::Registry& registry);
+    ~TaskMetrics();
+
+    // Sets the gauges of one shard. Thread-safe, as all here.
+    void observe(std::uint32_t shard, const ShardController& controller, TimePoint now);
+    // Counts a numbered event.
+    void count(EventId event);
+
+private:
+    struct Families;
+    std::unique_ptr<Families> m_families;
+};
+
+} // namespace plantainhold
--- a/plantainhold/scheduling/TaskModule.h
+++ b/plantainhold/scheduling/TaskModule.h
@@ -9,7 +9,10 @@
 
 namespace plantainhold {
 
+class CommandPool;
 class ShardOwner;
+class TaskCalls;
+class TaskMetrics;
 struct InstanceContext;
 
 class TaskModule final : public Module {
@@ -25,9 +28,10 @@
     std::vector<StatusLine> status() const override;
 
 private:
-    class Calls;
+    std::unique_ptr<TaskMetrics> m_metrics;
+    std::unique_ptr<CommandPool> m_pool;
     std::vector<std::unique_ptr<ShardOwner>> m_shards;
-    std::unique_ptr<Calls> m_calls;
+    std::unique_ptr<TaskCalls> m_calls;
 };
 
 } // namespace plantainhold
--- /dev/null
+++ b/plantainhold/scheduling/WorkerCommand.h
@@ -0,0 +1,45 @@
+// One command to one worker, and what came of it.
+#pragma once
+
+#include "plantainhold/ports/WorkerPort.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace plantainhold {
+
+enum class WorkerCommandKind : std::uint8_t {
+    Describe,
+    Start,
+    Renew,
+    Throttle,
+    Checkpoint,
+    Stop,
+};
+
+struct WorkerCommand {
+    WorkerCommandKind kind = WorkerCommandKind::Describe;
+    WorkerAddress address;
+    // The fencing token.
+    std::uint64_t epoch = 0;
+    // What a renewal names; the other kinds name one attempt or none.
+    std::vector<AttemptId> ids;
+    StartCommand start;
+    Milliseconds lease { 0 };
+    std::uint32_t throttlePercent = 100;
+};
+
+struct WorkerAnswer {
+    // False when nothing is known: the command may have been carried out, or may still be.
+    bool isAnswered = false;
+    // The worker did what it was told. Meaningless for a description or a renewal.
+    bool isDone = false;
+    std::string refusal;
+    std::vector<AttemptReport> reports;
+    std::optional<WorkerDescription> description;
+    std::string incarnation;
+};
+
+} // namespace plantainhold
