Add a small world in which ownership and task life can be explored

Cause: the pure parts could be run by the daemon only, so no search could drive them through every order of steps.

--- a/plantainhold/scheduling/AttemptLease.h
+++ b/plantainhold/scheduling/AttemptLease.h
@@ -25,6 +25,9 @@
     TimePoint endsBy(const SchedulingTimes& times) const;
 
 private:
+    // Tests tell states apart through it.
+    friend class StateDigest;
+
     struct Command {
         TimePoint sentBy;
         bool isStart;
--- a/plantainhold/scheduling/LeaseKeeper.h
+++ b/plantainhold/scheduling/LeaseKeeper.h
@@ -73,6 +73,9 @@
     const std::string& incarnation() const { return m_incarnation; }
 
 private:
+    // Tests tell states apart through it.
+    friend class StateDigest;
+
     struct SentProposal {
         std::string recordId;
         TimePoint sentAt;
--- a/plantainhold/scheduling/RecordBook.h
+++ b/plantainhold/scheduling/RecordBook.h
@@ -21,6 +21,9 @@
     void clear() { m_sent.clear(); }
 
 private:
+    // Tests tell states apart through it.
+    friend class StateDigest;
+
     void prune(TimePoint now);
 
     Duration m_retryAfter;
--- a/plantainhold/scheduling/ShardController.h
+++ b/plantainhold/scheduling/ShardController.h
@@ -64,6 +64,9 @@
     std::vector<DecisionNote> takeNotes();
 
 private:
+    // Tests tell states apart through it.
+    friend class StateDigest;
+
     CommandRights rights(TimePoint now) const;
     TimePoint inheritedUntil() const;
     void ownershipMayHaveChanged(std::uint64_t epochBefore, bool wasOwner, TimePoint now);
--- a/plantainhold/scheduling/WorkerDriver.h
+++ b/plantainhold/scheduling/WorkerDriver.h
@@ -65,6 +65,9 @@
     bool areAllKnown() const;
 
 private:
+    // Tests tell states apart through it.
+    friend class StateDigest;
+
     using Attempts = std::map<AttemptId, AttemptTracker>;
 
     AttemptTracker* find(const AttemptId& id);
--- a/plantainhold/scheduling/WorkerTracker.h
+++ b/plantainhold/scheduling/WorkerTracker.h
@@ -51,6 +51,9 @@
     bool isRenewalDue(const SchedulingTimes& times, TimePoint now) const;
 
 private:
+    // Tests tell states apart through it.
+    friend class StateDigest;
+
     WorkerAddress m_address;
     Resources m_capacity;
     std::string m_rack;
--- /dev/null
+++ b/plantainhold/testing/scheduling/ShardWorld.h
@@ -0,0 +1,160 @@
+// A small world around the real controllers: a log that appends late or never, a
+// network that delays and loses, workers that keep their own leases, and a clock
+// in ticks of one second. Each method is one atomic step; a tester chooses the
+// order. The world itself checks what must always hold.
+#pragma once
+
+#include "plantainhold/scheduling/FirstFitPlacement.h"
+#include "plantainhold/scheduling/ShardController.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace plantainhold {
+
+struct WorldOptions {
+    std::size_t tasks = 1;
+    int ticks = 8;
+    // How often each fault may strike: an append that lands late or never, an
+    // answer that is lost, a command that arrives late or never, a worker that restarts.
+    int heldAppends = 0;
+    // How often an owner may be paused, or cut from the log; it may come back at any time.
+    int pauses = 0;
+    int cuts = 0;
+    int lostAnswers = 0;
+    int heldCommands = 0;
+    int restarts = 0;
+    bool mayCancel = false;
+    bool mayEvict = false;
+    bool mayComplete = false;
+    bool mayRelease = false;
+    bool doWorkersFence = false;
+    StrategySet strategies;
+};
+
+class ShardWorld {
+public:
+    static constexpr std::size_t s_owners = 2;
+    static constexpr std::size_t s_workers = 2;
+
+    explicit ShardWorld(const WorldOptions& options);
+
+    // A step that is possible now; perform() takes it.
+    struct Step {
+        enum Kind : std::uint8_t {
+            Tick,
+            // Subject: the owner; object: 0, or which of the new records is held back, from 1 on.
+            ReadAndDecide,
+            // Subject: the owner; object: the worker. Prompt, held back, or with its answer lost.
+            Send,
+            SendHeld,
+            SendAndLoseAnswer,
+            // Subject: which of the held commands or records.
+            Deliver,
+            TimeOut,
+            Land,
+            Pause,
+            Cut,
+            Resume,
+            Cancel,
+            Evict,
+            Complete,
+            Restart,
+            Release,
+        };
+        Kind kind = Tick;
+        std::size_t subject = 0;
+        std::size_t object = 0;
+    };
+    std::vector<Step> steps() const;
+    void perform(const Step& step);
+    static std::string describe(const Step& step);
+
+    // What was violated; empty while all holds.
+    const std::string& violation() const { return m_violation; }
+    std::uint64_t digest() const;
+    // Whether every task ends when from here on nothing fails any more.
+    bool endsWithoutFaults() const;
+    const ShardReducer& tail() const { return m_tail; }
+    std::size_t ownersThatMayCommand() const;
+
+private:
+    enum class Mode : std::uint8_t {
+        Normal,
+        // Without the log: it sends, but reads and appends nothing.
+        Cut,
+        Paused,
+    };
+    struct Owner {
+        ShardController controller;
+        std::size_t position = 0;
+        int lastRead = -1;
+        Mode mode = Mode::Normal;
+        bool isReleasing = false;
+    };
+    struct Run {
+        AttemptState state = AttemptState::Running;
+        int leaseEnd = 0;
+        std::uint32_t checkpoint = 0;
+    };
+    struct Worker {
+        std::string name;
+        std::uint64_t token = 0;
+        int incarnation = 0;
+        std::map<AttemptId, Run> runs;
+    };
+    struct Command {
+        std::size_t owner = 0;
+        WorkerCommand command;
+        int sentAt = 0;
+        bool isAbandoned = false;
+    };
+    using Record = std::shared_ptr<const task::TaskRecord>;
+    struct Append {
+        std::size_t author = 0;
+        Record record;
+    };
+
+    TimePoint now() const { return TimePoint(std::chrono::hours(1)) + std::chrono::seconds(m_tick); }
+    void tick();
+    void readAndDecide(std::size_t index, std::size_t held);
+    bool send(std::size_t owner, std::size_t worker);
+    void deliver(std::size_t index, bool isAnswered);
+    void timeOut(std::size_t index);
+    void expireCommands();
+    // Whether the owner has done all that it does within one tick.
+    bool isIdle(const Owner& owner) const;
+    void addOwnerSteps(std::size_t index, std::vector<Step>& all) const;
+    void land(std::size_t index);
+    void listWorkers();
+    WorkerAnswer execute(const WorkerCommand& command);
+    void executeStart(Worker& worker, const StartCommand& start, WorkerAnswer& answer);
+    void executeCheckpoint(Run& run, const AttemptId& id);
+    AttemptReport report(const Worker& worker, const AttemptId& id) const;
+    bool isDead(const Append& append) const;
+    void check();
+    Worker* workerNamed(const std::string& name);
+
+    WorldOptions m_options;
+    int m_tick = 0;
+    std::vector<Owner> m_owners;
+    std::array<Worker, s_workers> m_workersState;
+    // Records that not every owner has read, after those that all have.
+    std::vector<Append> m_log;
+    std::size_t m_offset = 0;
+    ShardReducer m_tail;
+    std::vector<Append> m_appends;
+    std::vector<Command> m_commands;
+    bool m_isLeaving = false;
+    std::map<AttemptId, int> m_starts;
+    // Newest checkpoint that a worker made durable, and that the log confirms, by task.
+    std::map<std::string, std::uint32_t> m_durable;
+    std::string m_violation;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/testing/scheduling/StateDigest.h
@@ -0,0 +1,35 @@
+// Writes down everything that a controller's future depends on, with times
+// relative to now and names in place of counters, so that the explorer
+// recognises a state that it has been in.
+#pragma once
+
+#include "plantainhold/scheduling/ShardController.h"
+
+#include <string>
+
+namespace plantainhold {
+
+class StateDigest {
+public:
+    StateDigest(std::string& out, TimePoint now, std::uint64_t sequenceBase);
+
+    void add(const ShardController& controller);
+    void add(const ShardReducer& reducer);
+    void add(std::string_view text);
+    void add(std::uint64_t number);
+    // The id's place among the controller's own proposals, or "other".
+    void addProposal(const ShardController& controller, const std::string& recordId);
+
+private:
+    void add(TimePoint time);
+    void add(const LeaseKeeper& keeper);
+    void add(const AttemptId& id);
+    void add(const AttemptTracker& attempt);
+    void add(const WorkerTracker& worker);
+
+    std::string& m_out;
+    TimePoint m_now;
+    std::uint64_t m_sequenceBase;
+};
+
+} // namespace plantainhold
