--- a/plantainhold/adapters/Daemon.cpp
+++ b/plantainhold/adapters/Daemon.cpp
@@ -7,6 +7,7 @@
 #include "plantainhold/adapters/GrpcLog.h"
 #include "plantainhold/adapters/GrpcWorkers.h"
 #include "plantainhold/adapters/HealthServer.h"
+#include "plantainhold/adapters/ProcessMetrics.h"
 #include "plantainhold/base/DecisionLog.h"
 #include "plantainhold/base/InstanceContext.h"
 #include "plantainhold/base/LogEvent.h"
@@ -38,6 +39,7 @@
     constexpr std::size_t s_decisionCapacity = 20'000;
     constexpr Milliseconds s_drainPoll { 20 };
     constexpr Milliseconds s_workerTimeout { 1000 };
+    constexpr int s_shortestPingIntervalMs = 500;
     constexpr int s_messageLimitBytes = 16 << 20;
 
 } // namespace
@@ -72,12 +74,20 @@
         return std::all_of(modules.begin(), modules.end(), [](const auto& it) { return it->isDrained(); });
     }
 
+    std::vector<std::shared_ptr<prometheus::Collectable>> collectables() const
+    {
+        return { metrics, std::make_shared<ProcessMetrics>() };
+    }
+
     void startControl()
     {
         grpc::ServerBuilder builder;
         int port = 0;
         builder.AddListeningPort(settings.controlAddress, grpc::InsecureServerCredentials(), &port);
         builder.SetMaxReceiveMessageSize(s_messageLimitBytes);
+        // Peers ping to find silent connections; gRPC's default would end theirs for it.
+        builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, s_shortestPingIntervalMs);
+        builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
         for (const auto& module : modules) {
             for (grpc::Service* it : module->services())
                 builder.RegisterService(it);
@@ -128,7 +138,7 @@
 void Daemon::start()
 {
     m_impl->startControl();
-    m_impl->health = std::make_unique<HealthServer>(m_impl->settings.metricsAddress, m_impl->metrics, [impl = m_impl.get()] { return impl->isReady(); });
+    m_impl->health = std::make_unique<HealthServer>(m_impl->settings.metricsAddress, m_impl->collectables(), [impl = m_impl.get()] { return impl->isReady(); });
     for (const auto& it : m_impl->modules)
         it->start();
     m_impl->reports->start();
