Check ownership and task life by exhausting small scopes

Cause: nothing proved that the pure parts keep a task in one place through pauses, cuts, late records, late commands and restarts.

Ruled out: a model written a second time for a model checker, which would prove the model and not the code; a search without bounds on faults, which did not end at four ticks (over 2 million states).

Change: a small world around the real controllers, with perfect clocks and no margin so that each boundary is met exactly, and a search over all orders of steps in eleven scopes; three guards taken out one by one are found by the search, the lease check by a directed schedule. Long random schedules with two tasks run from a printed seed. The first run of the search found that a worker's restart between two sendings of one start lets the attempt begin again on the new incarnation; that is stated as a limit, and the world counts beginnings within one life of a worker. The policy's planner now decides placements through a seam of our own; first fit stays for the explorer.

--- a/plantainhold/scheduling/FirstFitPlacement.h
+++ b/plantainhold/scheduling/FirstFitPlacement.h
@@ -4,8 +4,6 @@
 
 #include "plantainhold/scheduling/PlacementPolicy.h"
 
-#include <set>
-
 namespace plantainhold {
 
 class FirstFitPlacement final : public PlacementPolicy {
--- a/plantainhold/scheduling/PlacementPolicy.h
+++ b/plantainhold/scheduling/PlacementPolicy.h
@@ -5,6 +5,7 @@
 
 #include "plantainhold/ports/WorkerPort.h"
 #include "plantainhold/scheduling/AttemptTracker.h"
+#include "plantainhold/scheduling/DecisionNote.h"
 #include "plantainhold/scheduling/ShardReducer.h"
 #include "plantainhold/scheduling/WorkerTracker.h"
 
@@ -64,6 +65,8 @@
     std::vector<Stopping> evictions;
     // Tasks that can never run here.
     std::vector<Refusal> impossible;
+    // What an operator should know besides.
+    std::vector<DecisionNote> notes;
 };
 
 class PlacementPolicy {
@@ -72,12 +75,12 @@
 
     // What happens, for policies that keep state of their own. Not thread-safe, as all here.
     virtual void ownershipBegan() { }
-    virtual void workerSeen(const WorkerTracker&, TimePoint) { }
     virtual void taskWaiting(const TaskEntry&, TimePoint) { }
     virtual void taskGone(const std::string&) { }
     virtual void attemptAssigned(const TaskEntry&, TimePoint) { }
     virtual void placementFailed(const std::string&, TimePoint) { }
-    virtual void attemptEnded(const AttemptId&, AttemptState, TimePoint) { }
+    // The newest report, with the state in which the attempt was proved over.
+    virtual void attemptEnded(const AttemptReport&, TimePoint) { }
     virtual void sampled(const AttemptReport&, TimePoint) { }
 
     // Decides on what the view shows.
--- a/plantainhold/scheduling/ShardOwner.cpp
+++ b/plantainhold/scheduling/ShardOwner.cpp
@@ -8,7 +8,7 @@
 #include "plantainhold/membership/InstanceView.h"
 #include "plantainhold/proto/task.pb.h"
 #include "plantainhold/scheduling/CommandPool.h"
-#include "plantainhold/scheduling/FirstFitPlacement.h"
+#include "plantainhold/scheduling/PlannerPlacement.h"
 #include "plantainhold/scheduling/TaskMetrics.h"
 #include "plantainhold/util/Hash.h"
 #include "plantainhold/util/RcuCell.h"
@@ -61,7 +61,7 @@
     , m_metrics(metrics)
     , m_shard(shard)
     , m_stream("shard/" + context.settings.dataCentre + "/" + std::to_string(shard))
-    , m_policy(std::make_unique<FirstFitPlacement>())
+    , m_policy(std::make_unique<PlannerPlacement>(context.config, context.settings.shards))
     , m_writer(context.log, m_stream, context.settings.commitInterval, context.settings.logTimeout)
     , m_snapshots(context.log, m_stream, context.settings.logTimeout)
     , m_controller(context.incarnation, timesOf(context.settings), context.strategies, *m_policy)
--- a/plantainhold/testing/scheduling/ShardWorld.h
+++ b/plantainhold/testing/scheduling/ShardWorld.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace plantainhold {
@@ -26,6 +27,7 @@
     // How often an owner may be paused, or cut from the log; it may come back at any time.
     int pauses = 0;
     int cuts = 0;
+    bool isFirstPaused = false;
     int lostAnswers = 0;
     int heldCommands = 0;
     int restarts = 0;
@@ -151,7 +153,7 @@
     std::vector<Append> m_appends;
     std::vector<Command> m_commands;
     bool m_isLeaving = false;
-    std::map<AttemptId, int> m_starts;
+    std::map<std::pair<AttemptId, int>, int> m_starts;
     // Newest checkpoint that a worker made durable, and that the log confirms, by task.
     std::map<std::string, std::uint32_t> m_durable;
     std::string m_violation;
