--- a/plantainhold/scheduling/TaskCalls.cpp
+++ b/plantainhold/scheduling/TaskCalls.cpp
@@ -135,9 +135,11 @@
         Wave& wave = waves[shardOf(request->tasks(i))];
         wave.positions.push_back(static_cast<std::size_t>(i));
     }
-    for (auto& [shard, wave] : waves) {
+    for (auto& it : waves) {
+        ShardOwner& shard = *m_shards[it.first];
+        Wave& wave = it.second;
         std::vector<std::size_t> known;
-        m_shards[shard]->inspect([&](const ShardReducer& reducer) {
+        shard.inspect([&](const ShardReducer& reducer) {
             for (std::size_t i : wave.positions) {
                 const std::string& id = request->tasks(static_cast<int>(i));
                 if (reducer.find(id))
@@ -154,7 +156,7 @@
             record.mutable_cancel()->set_task(request->tasks(static_cast<int>(i)));
         }
         // All of a shard's records go out together and are waited for together.
-        std::vector<bool> isRead = m_shards[shard]->appendAndWait(wave.records, Milliseconds(request->timeout_ms()));
+        std::vector<bool> isRead = shard.appendAndWait(wave.records, Milliseconds(request->timeout_ms()));
         for (std::size_t i = 0; i < isRead.size(); ++i) {
             if (!isRead[i])
                 results[wave.positions[i]] = ResultCode::TaskOutcomeUnknown;
--- a/plantainhold/testing/scheduling/ExplorerTest.cpp
+++ b/plantainhold/testing/scheduling/ExplorerTest.cpp
@@ -11,127 +11,127 @@
 #include <random>
 #include <unordered_set>
 
-using namespace plantainhold;
+namespace plantainhold {
 
 namespace {
 
-// Depth first over all steps; states that were seen are not entered again.
-class Explorer {
-public:
-    explicit Explorer(std::size_t stateLimit)
-        : m_stateLimit(stateLimit)
-    {
-    }
+    // Depth first over all steps; states that were seen are not entered again.
+    class Explorer {
+    public:
+        explicit Explorer(std::size_t stateLimit)
+            : m_stateLimit(stateLimit)
+        {
+        }
 
-    void explore(const ShardWorld& start) { visit(start); }
+        void explore(const ShardWorld& start) { visit(start); }
 
-    std::size_t states() const { return m_seen.size(); }
-    bool isComplete() const { return m_isComplete; }
-    const std::string& violation() const { return m_violation; }
+        std::size_t states() const { return m_seen.size(); }
+        bool isComplete() const { return m_isComplete; }
+        const std::string& violation() const { return m_violation; }
 
-private:
-    static constexpr std::size_t s_livenessSample = 64;
+    private:
+        static constexpr std::size_t s_livenessSample = 64;
 
-    void visit(const ShardWorld& world)
-    {
-        std::uint64_t digest = world.digest();
-        if (!m_violation.empty() || !m_isComplete || !m_seen.insert(digest).second)
-            return;
-        if (m_seen.size() >= m_stateLimit) {
-            m_isComplete = false;
-            return;
+        void visit(const ShardWorld& world)
+        {
+            std::uint64_t digest = world.digest();
+            if (!m_violation.empty() || !m_isComplete || !m_seen.insert(digest).second)
+                return;
+            if (m_seen.size() >= m_stateLimit) {
+                m_isComplete = false;
+                return;
+            }
+            if (digest % s_livenessSample == 0 && !world.endsWithoutFaults())
+                return fail("a task does not end although nothing fails any more");
+            for (const ShardWorld::Step& step : world.steps()) {
+                ShardWorld next = world;
+                next.perform(step);
+                m_path.push_back(step);
+                if (!next.violation().empty())
+                    fail(next.violation());
+                else
+                    visit(next);
+                m_path.pop_back();
+            }
         }
-        if (digest % s_livenessSample == 0 && !world.endsWithoutFaults())
-            return fail("a task does not end although nothing fails any more");
-        for (const ShardWorld::Step& step : world.steps()) {
-            ShardWorld next = world;
-            next.perform(step);
-            m_path.push_back(step);
-            if (!next.violation().empty())
-                fail(next.violation());
-            else
-                visit(next);
-            m_path.pop_back();
+
+        void fail(const std::string& what)
+        {
+            if (!m_violation.empty())
+                return;
+            m_violation = what + " after:";
+            for (const ShardWorld::Step& it : m_path)
+                m_violation += " " + ShardWorld::describe(it) + ",";
         }
-    }
 
-    void fail(const std::string& what)
+        std::size_t m_stateLimit;
+        bool m_isComplete = true;
+        std::unordered_set<std::uint64_t> m_seen;
+        std::vector<ShardWorld::Step> m_path;
+        std::string m_violation;
+    };
+
+    // The states that one scope may take; more can be asked for.
+    std::size_t stateLimit()
     {
-        if (!m_violation.empty())
-            return;
-        m_violation = what + " after:";
-        for (const ShardWorld::Step& it : m_path)
-            m_violation += " " + ShardWorld::describe(it) + ",";
+        constexpr std::size_t s_usual = 1'000'000;
+        const char* text = std::getenv("PLANTAINHOLD_EXPLORER_STATES");
+        return text ? std::strtoull(text, nullptr, 10) : s_usual;
     }
 
-    std::size_t m_stateLimit;
-    bool m_isComplete = true;
-    std::unordered_set<std::uint64_t> m_seen;
-    std::vector<ShardWorld::Step> m_path;
-    std::string m_violation;
-};
-
-// The states that one scope may take; more can be asked for.
-std::size_t stateLimit()
-{
-    constexpr std::size_t s_usual = 1'000'000;
-    const char* text = std::getenv("PLANTAINHOLD_EXPLORER_STATES");
-    return text ? std::strtoull(text, nullptr, 10) : s_usual;
-}
-
-using Step = ShardWorld::Step;
-
-// Owner 0 takes the shard, learns of both workers and assigns the task to worker 0.
-constexpr std::array s_untilAssigned { Step { Step::ReadAndDecide, 0 }, Step { Step::ReadAndDecide, 0 }, Step { Step::Send, 0, 0 }, Step { Step::Send, 0, 1 }, Step { Step::ReadAndDecide, 0 }, Step { Step::ReadAndDecide, 0 }, Step { Step::ReadAndDecide, 1 } };
-
-struct Scope {
-    const char* name;
-    // Whether exploration begins with the task assigned.
-    bool isAssigned;
-    // Sets what may happen.
-    void (*allow)(WorldOptions& options);
-};
-
-constexpr std::array s_scopes {
-    Scope { "a pause", false, [](WorldOptions& it) { it.ticks = 7, it.pauses = 1; } },
-    Scope { "a cut from the log", false, [](WorldOptions& it) { it.ticks = 7, it.cuts = 1; } },
-    Scope { "a pause and a lost answer", true, [](WorldOptions& it) { it.ticks = 5, it.pauses = 1, it.lostAnswers = 1; } },
-    Scope { "two late commands", true, [](WorldOptions& it) { it.ticks = 5, it.heldCommands = 2; } },
-    Scope { "two late appends", false, [](WorldOptions& it) { it.ticks = 2, it.heldAppends = 2; } },
-    Scope { "a pause and a late append", true, [](WorldOptions& it) { it.ticks = 4, it.pauses = 1, it.heldAppends = 1; } },
-    Scope { "an eviction, a cancellation and a completion", true, [](WorldOptions& it) { it.ticks = 1, it.mayEvict = it.mayCancel = it.mayComplete = true; } },
-    Scope { "an eviction and a late command", true, [](WorldOptions& it) { it.ticks = 2, it.mayEvict = true, it.heldCommands = 1; } },
-    Scope { "an eviction and a pause", true, [](WorldOptions& it) { it.ticks = 3, it.mayEvict = true, it.pauses = 1; } },
-    Scope { "a restart and a late command", true, [](WorldOptions& it) { it.ticks = 2, it.restarts = 1, it.heldCommands = 1; } },
-    Scope { "a handover and an eviction", true, [](WorldOptions& it) { it.ticks = 2, it.mayRelease = it.mayEvict = true; } },
-};
-
-struct Mutation {
-    const char* strategy;
-    bool isAssigned;
-    void (*allow)(WorldOptions& options);
-};
-
-// Each guard, with the faults that it guards against.
-constexpr std::array s_mutations {
-    Mutation { "LeaseBaseSequence", false, [](WorldOptions& it) { it.ticks = 2, it.heldAppends = 1; } },
-    Mutation { "ConfirmedStop", true, [](WorldOptions& it) { it.ticks = 2, it.mayEvict = true, it.heldCommands = 1; } },
-    Mutation { "ProvedLapse", true, [](WorldOptions& it) { it.ticks = 2, it.lostAnswers = 1; } },
-};
-
-ShardWorld beginning(WorldOptions options, bool isAssigned)
-{
-    bool isFirstPaused = options.isFirstPaused;
-    options.pauses += isFirstPaused;
-    ShardWorld world(options);
-    for (const Step& it : s_untilAssigned) {
-        if (isAssigned)
-            world.perform(it);
+    using Step = ShardWorld::Step;
+
+    // Owner 0 takes the shard, learns of both workers and assigns the task to worker 0.
+    constexpr std::array s_untilAssigned { Step { Step::ReadAndDecide, 0 }, Step { Step::ReadAndDecide, 0 }, Step { Step::Send, 0, 0 }, Step { Step::Send, 0, 1 }, Step { Step::ReadAndDecide, 0 }, Step { Step::ReadAndDecide, 0 }, Step { Step::ReadAndDecide, 1 } };
+
+    struct Scope {
+        const char* name;
+        // Whether exploration begins with the task assigned.
+        bool isAssigned;
+        // Sets what may happen.
+        void (*allow)(WorldOptions& options);
+    };
+
+    constexpr std::array s_scopes {
+        Scope { "a pause", false, [](WorldOptions& it) { it.ticks = 7, it.pauses = 1; } },
+        Scope { "a cut from the log", false, [](WorldOptions& it) { it.ticks = 7, it.cuts = 1; } },
+        Scope { "a pause and a lost answer", true, [](WorldOptions& it) { it.ticks = 5, it.pauses = 1, it.lostAnswers = 1; } },
+        Scope { "two late commands", true, [](WorldOptions& it) { it.ticks = 5, it.heldCommands = 2; } },
+        Scope { "two late appends", false, [](WorldOptions& it) { it.ticks = 2, it.heldAppends = 2; } },
+        Scope { "a pause and a late append", true, [](WorldOptions& it) { it.ticks = 4, it.pauses = 1, it.heldAppends = 1; } },
+        Scope { "an eviction, a cancellation and a completion", true, [](WorldOptions& it) { it.ticks = 1, it.mayEvict = it.mayCancel = it.mayComplete = true; } },
+        Scope { "an eviction and a late command", true, [](WorldOptions& it) { it.ticks = 2, it.mayEvict = true, it.heldCommands = 1; } },
+        Scope { "an eviction and a pause", true, [](WorldOptions& it) { it.ticks = 3, it.mayEvict = true, it.pauses = 1; } },
+        Scope { "a restart and a late command", true, [](WorldOptions& it) { it.ticks = 2, it.restarts = 1, it.heldCommands = 1; } },
+        Scope { "a handover and an eviction", true, [](WorldOptions& it) { it.ticks = 2, it.mayRelease = it.mayEvict = true; } },
+    };
+
+    struct Mutation {
+        const char* strategy;
+        bool isAssigned;
+        void (*allow)(WorldOptions& options);
+    };
+
+    // Each guard, with the faults that it guards against.
+    constexpr std::array s_mutations {
+        Mutation { "LeaseBaseSequence", false, [](WorldOptions& it) { it.ticks = 2, it.heldAppends = 1; } },
+        Mutation { "ConfirmedStop", true, [](WorldOptions& it) { it.ticks = 2, it.mayEvict = true, it.heldCommands = 1; } },
+        Mutation { "ProvedLapse", true, [](WorldOptions& it) { it.ticks = 2, it.lostAnswers = 1; } },
+    };
+
+    ShardWorld beginning(WorldOptions options, bool isAssigned)
+    {
+        bool isFirstPaused = options.isFirstPaused;
+        options.pauses += isFirstPaused;
+        ShardWorld world(options);
+        for (const Step& it : s_untilAssigned) {
+            if (isAssigned)
+                world.perform(it);
+        }
+        if (isFirstPaused)
+            world.perform({ Step::Pause, 0 });
+        return world;
     }
-    if (isFirstPaused)
-        world.perform({ Step::Pause, 0 });
-    return world;
-}
 
 } // namespace
 
@@ -223,3 +223,5 @@
         CHECK(world.violation() == (isGuarded ? "" : "task t0 runs in two places"));
     }
 }
+
+} // namespace plantainhold
--- a/plantainhold/testing/scheduling/SchedulingTest.cpp
+++ b/plantainhold/testing/scheduling/SchedulingTest.cpp
@@ -8,59 +8,62 @@
 
 #include <catch2/catch.hpp>
 
-using namespace plantainhold;
-using namespace std::chrono_literals;
+namespace plantainhold {
+
+using std::chrono_literals::operator""h;
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
 
 namespace {
 
-constexpr TimePoint s_start { 1h };
+    constexpr TimePoint s_start { 1h };
 
-task::TaskRecord submission(const std::string& id)
-{
-    task::TaskRecord record;
-    record.mutable_submitted()->mutable_spec()->set_id(id);
-    record.mutable_submitted()->mutable_spec()->mutable_resources()->set_millicores(1000);
-    return record;
-}
+    task::TaskRecord submission(const std::string& id)
+    {
+        task::TaskRecord record;
+        record.mutable_submitted()->mutable_spec()->set_id(id);
+        record.mutable_submitted()->mutable_spec()->mutable_resources()->set_millicores(1000);
+        return record;
+    }
 
-task::TaskRecord claim(std::uint64_t epoch, std::uint64_t base, const std::string& owner)
-{
-    task::TaskRecord record;
-    record.mutable_lease()->set_epoch(epoch);
-    record.mutable_lease()->set_base_sequence(base);
-    record.mutable_lease()->set_owner(owner);
-    return record;
-}
+    task::TaskRecord claim(std::uint64_t epoch, std::uint64_t base, const std::string& owner)
+    {
+        task::TaskRecord record;
+        record.mutable_lease()->set_epoch(epoch);
+        record.mutable_lease()->set_base_sequence(base);
+        record.mutable_lease()->set_owner(owner);
+        return record;
+    }
 
-task::TaskRecord assignment(const std::string& id, std::uint32_t attempt, std::uint64_t epoch, std::int64_t capacity)
-{
-    task::TaskRecord record;
-    record.set_epoch(epoch);
-    record.mutable_assigned()->set_task(id);
-    record.mutable_assigned()->set_attempt(attempt);
-    record.mutable_assigned()->set_worker("w");
-    record.mutable_assigned()->mutable_reserved()->set_millicores(1000);
-    record.mutable_assigned()->mutable_capacity()->set_millicores(capacity);
-    return record;
-}
+    task::TaskRecord assignment(const std::string& id, std::uint32_t attempt, std::uint64_t epoch, std::int64_t capacity)
+    {
+        task::TaskRecord record;
+        record.set_epoch(epoch);
+        record.mutable_assigned()->set_task(id);
+        record.mutable_assigned()->set_attempt(attempt);
+        record.mutable_assigned()->set_worker("w");
+        record.mutable_assigned()->mutable_reserved()->set_millicores(1000);
+        record.mutable_assigned()->mutable_capacity()->set_millicores(capacity);
+        return record;
+    }
 
-task::TaskRecord end(const std::string& id, std::uint32_t attempt, std::uint64_t epoch, task::EndReason reason, std::uint32_t checkpoint = 0)
-{
-    task::TaskRecord record;
-    record.set_epoch(epoch);
-    record.mutable_ended()->set_task(id);
-    record.mutable_ended()->set_attempt(attempt);
-    record.mutable_ended()->set_reason(reason);
-    record.mutable_ended()->set_checkpoint(checkpoint);
-    return record;
-}
+    task::TaskRecord end(const std::string& id, std::uint32_t attempt, std::uint64_t epoch, task::EndReason reason, std::uint32_t checkpoint = 0)
+    {
+        task::TaskRecord record;
+        record.set_epoch(epoch);
+        record.mutable_ended()->set_task(id);
+        record.mutable_ended()->set_attempt(attempt);
+        record.mutable_ended()->set_reason(reason);
+        record.mutable_ended()->set_checkpoint(checkpoint);
+        return record;
+    }
 
-task::TaskRecord cancellation(const std::string& id)
-{
-    task::TaskRecord record;
-    record.mutable_cancel()->set_task(id);
-    return record;
-}
+    task::TaskRecord cancellation(const std::string& id)
+    {
+        task::TaskRecord record;
+        record.mutable_cancel()->set_task(id);
+        return record;
+    }
 
 } // namespace
 
@@ -234,3 +237,5 @@
     lease.unanswered(false, times, s_start + 32s);
     CHECK(lease.endsBy(times) == s_start + 31s + 2 * times.taskLease);
 }
+
+} // namespace plantainhold
