Wait for readiness in the demo before callers ask

Cause: the demo called before the instances were ready; the refusals counted as bad, and its burn report showed an alert (2 good of 9).

Ruled out: leaving refusals out of burn; a refused caller is not served.

Change: the demo waits until both instances are ready.

--- a/scenarios/demo.sh
+++ b/scenarios/demo.sh
@@ -89,6 +89,13 @@
 eventually in_force
 "$bin/plantainhold" config show --server 127.0.0.12:7081
 
+say "both are ready: they know a configuration, each other, and their share of the slots"
+ready() { "$bin/plantainhold" status --server "$1" | grep -q ' ready'; }
+not_ready() { "$bin/plantainhold" status --server "$1" | grep -q ' not ready'; }
+is_ready() { ready "$1" && ! not_ready "$1"; }
+eventually is_ready 127.0.0.11:7081
+eventually is_ready 127.0.0.12:7081
+
 say "a buyer asks either data centre for a quote"
 eventually call 127.0.0.11:7080 paulig-lane "/quote?work_ms=20" "lot 17, 40 bags"
 cat "$out/try"
