--- a/standin/LogService.h
+++ b/standin/LogService.h
@@ -26,7 +26,9 @@
 
     LogService(Journal& journal, Limits limits);
 
-    // Switches: outage on|off, slow MS, lose_replies PERCENT.
+    // Switches: outage on|off (every call fails at once), stall on|off (no call is
+    // answered), slow MS, lose_replies PERCENT (appends take effect, their callers
+    // never hear), lose_requests PERCENT (neither), retention MS.
     void addSwitches(SwitchBoard& board);
 
     grpc::Status Append(grpc::ServerContext*, const platform::AppendRequest* request, platform::AppendReply* reply) override;
@@ -47,8 +49,11 @@
     // Takes a token of the append limit; waits for it at most a second.
     bool takeToken();
     void expire(Stream& stream);
-    bool losesReply();
-    void delay() const;
+    // Draws whether a fault of this probability happens.
+    bool draws(int percent);
+    void delay(grpc::ServerContext* context) const;
+    // Leaves the caller without an answer until it gives up.
+    grpc::Status hold(grpc::ServerContext* context) const;
 
     Journal& m_journal;
     const Limits m_limits;
@@ -58,7 +63,10 @@
     Clock::time_point m_nextToken;
     std::atomic<bool> m_isOut { false };
     std::atomic<int> m_slowMs { 0 };
-    std::atomic<int> m_losePercent { 0 };
+    std::atomic<bool> m_isStalled { false };
+    std::atomic<int> m_loseReplyPercent { 0 };
+    std::atomic<int> m_loseRequestPercent { 0 };
+    std::atomic<std::int64_t> m_retentionMs;
     std::uint32_t m_random = 1;
 };
 
