--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -1,11 +1,13 @@
-// CapacityBench [--bin FOLDER] [--seed N] [--output text|json] [--save FILE] [--from FILE]
+// CapacityBench [--bin FOLDER] [--seed N] [--output text|json|markdown] [--save FILE] [--from FILE] [--only NAME]...
 //
 // Measures what more of each thing costs, and works out from it what the design
 // size would cost. With --from, works it out from kept measurements alone.
 
 #include "bench/BenchReport.h"
 #include "bench/CapacityModel.h"
+#include "bench/CapacityPage.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -39,12 +41,15 @@
     return a.dataCentres == b.dataCentres && a.entriesADataCentre == b.entriesADataCentre && a.workersADataCentre == b.workersADataCentre && a.teams == b.teams;
 }
 
-bench::CapacityMeasurements measureAll(const std::string& bin, unsigned seed)
+// Precondition: when only some are measured, a restart's predecessor is among them.
+bench::CapacityMeasurements measureAll(const std::string& bin, unsigned seed, const std::vector<std::string>& only)
 {
     bench::CapacityMeasurements measurements { commit(), processor(), seed, {} };
     std::unique_ptr<bench::CapacityRig> rig;
     bench::RigShape current;
     for (const bench::Experiment& it : bench::capacityExperiments()) {
+        if (!only.empty() && std::find(only.begin(), only.end(), it.name) == only.end())
+            continue;
         std::cerr << "measuring " << it.name << '\n';
         // A restart looks at the installation of the experiment before it.
         if (it.isRestart && rig && isSameShape(current, it.shape)) {
@@ -59,33 +64,36 @@
     return measurements;
 }
 
+// A figure that applies, or nothing.
+std::string shown(double figure)
+{
+    if (figure < 0)
+        return "";
+    return bench::decimal(figure, figure < 10 ? 3 : figure < 1000 ? 1
+                                                                  : 0);
+}
+
 void addMeasured(const bench::CapacityMeasurements& measurements, bench::BenchReport& report)
 {
     for (const bench::Measurement& it : measurements.all) {
         bench::InstanceCost mean = it.sample.mean();
-        report.addRow({ "measured", it.experiment.name, "an instance", bench::decimal(mean.bytesASecond(), 0), bench::decimal(mean.processorPercent, 3), bench::decimal(mean.memoryMb, 1), bench::decimal(it.sample.appendsASecond, 1), "",
-            bench::decimal(it.sample.startsASecond, 1) + " starts/s, " + bench::decimal(it.sample.claimsASecond, 1) + " claims/s, " + bench::decimal(it.sample.changesASecond, 2) + " changes/s" });
+        std::string loads = bench::decimal(it.sample.startsASecond, 1) + " starts/s, " + bench::decimal(it.sample.claimsASecond, 1) + " claims/s, " + bench::decimal(it.sample.changesASecond, 2) + " changes/s";
+        report.addRow({ "measured", it.experiment.name, "", shown(mean.bytesASecond()), shown(mean.processorPercent), shown(mean.memoryMb), shown(it.sample.appendsASecond), "", loads });
     }
 }
 
 void addSlopes(const std::vector<bench::Slope>& slopes, bench::BenchReport& report)
 {
     for (const bench::Slope& it : slopes)
-        report.addRow({ "slope", it.of, "one more", bench::decimal(it.bytes(), 1), bench::decimal(it.processorPercent, 4), bench::decimal(it.memoryMb, 4), bench::decimal(it.appends, 3), "", it.from });
+        report.addRow({ "slope", it.of, "1", shown(it.bytes()), bench::decimal(it.processorPercent, 4), bench::decimal(it.memoryMb, 4), shown(it.appends), "", it.from });
 }
 
 void addDerived(const std::vector<bench::CapacityLine>& lines, bench::BenchReport& report)
 {
-    for (const bench::CapacityLine& it : lines) {
-        std::string figure = bench::decimal(it.figure, it.figure < 10 ? 3 : 0);
-        std::string bytes = it.unit == "B/s" ? figure : "", percent = it.unit == "% of a core" ? figure : "", memory = it.unit == "MB" ? figure : "", appends = it.unit == "appends/s" ? figure : "";
-        std::string other = bytes.empty() && percent.empty() && memory.empty() && appends.empty() ? figure + " " + it.unit + "; " : "";
-        report.addRow({ "derived", it.role + ", " + it.what, it.budget == 0 ? "" : it.fits() ? "fits"
-                                                                                             : "DOES NOT FIT",
-            bytes, percent, memory, appends, it.budget == 0 ? "" : bench::decimal(it.budget, 1), other + it.mechanism });
-        if (it.budget > 0)
-            report.addTargetAtMost(it.role + ", " + it.what + " (" + it.unit + ")", it.figure, it.budget);
-    }
+    for (const bench::CapacityLine& it : lines)
+        report.addRow({ "derived", it.role + ": " + it.what, shown(it.units), shown(it.bytesASecond), shown(it.processorPercent), shown(it.memoryMb), shown(it.appendsASecond), shown(it.onceKilobytes), it.mechanism });
+    for (const bench::CapacityVerdict& it : bench::judgeLines(lines, {}))
+        report.addTargetAtMost(it.what, it.figure, it.budget);
 }
 
 } // namespace
@@ -95,19 +103,26 @@
     TCLAP::CmdLine line("Measures the cost of control, and works out that at the design size");
     TCLAP::ValueArg<std::string> bin("", "bin", "folder of the programs", false, "build/bin", "FOLDER", line);
     TCLAP::ValueArg<unsigned> seed("", "seed", "of everything random", false, 1, "N", line);
-    TCLAP::ValueArg<std::string> output("", "output", "text or json", false, "text", "FORMAT", line);
+    TCLAP::ValueArg<std::string> output("", "output", "text, json or markdown", false, "text", "FORMAT", line);
     TCLAP::ValueArg<std::string> save("", "save", "keeps the measurements", false, "", "FILE", line);
     TCLAP::ValueArg<std::string> from("", "from", "takes kept measurements in place of new ones", false, "", "FILE", line);
+    TCLAP::MultiArg<std::string> only("", "only", "measures this alone and works nothing out", false, "NAME", line);
     line.parse(argc, argv);
     try {
-        bench::CapacityMeasurements measurements = from.isSet() ? bench::readMeasurements(from.getValue()) : measureAll(bin.getValue(), seed.getValue());
+        bench::CapacityMeasurements measurements = from.isSet() ? bench::readMeasurements(from.getValue()) : measureAll(bin.getValue(), seed.getValue(), only.getValue());
         if (save.isSet())
             bench::writeMeasurements(measurements, save.getValue());
+        if (output.getValue() == "markdown") {
+            std::cout << bench::capacityTables(measurements);
+            return 0;
+        }
         bench::BenchReport report("capacity", measurements.seed);
-        report.setColumns({ "part", "line", "of", "bytes/s", "% of a core", "MB", "appends/s", "budget", "mechanism or source" });
+        report.setColumns({ "part", "line", "units", "bytes/s", "% of a core", "MB", "appends/s", "kB once", "load, source or mechanism" });
         addMeasured(measurements, report);
-        addSlopes(bench::deriveSlopes(measurements), report);
-        addDerived(bench::deriveLines(measurements, {}, {}), report);
+        if (!only.isSet()) {
+            addSlopes(bench::deriveSlopes(measurements), report);
+            addDerived(bench::deriveLines(measurements, {}), report);
+        }
         report.addNote("measured at commit " + measurements.commit + " on " + measurements.machine);
         report.print(std::cout, output.getValue() == "json");
         return 0;
--- a/bench/CapacityModel.cpp
+++ b/bench/CapacityModel.cpp
@@ -193,43 +193,61 @@
         };
     }
 
-    void addInstanceLines(const std::vector<Part>& parts, const Budget& budget, std::vector<CapacityLine>& lines)
+    CapacityLine lineOf(const std::string& role, const Part& part)
     {
-        double processor = 0, memory = 0, bytes = 0;
+        CapacityLine line { role, part.what, part.units };
+        line.bytesASecond = part.units * part.slope.bytes();
+        line.processorPercent = part.units * part.slope.processorPercent;
+        line.memoryMb = part.units * part.slope.memoryMb;
+        line.mechanism = part.mechanism;
+        line.from = part.slope.from;
+        return line;
+    }
+
+    void addInstanceLines(const std::vector<Part>& parts, std::vector<CapacityLine>& lines)
+    {
+        CapacityLine sum { "entry instance", "all", 1, 0, 0, 0 };
         for (const Part& it : parts) {
-            // A restart costs bytes and time once; it is no standing use of memory.
-            lines.push_back({ "entry instance", it.what + ": bytes", it.units * it.slope.bytes(), "B/s", 0, it.mechanism, it.slope.from });
-            lines.push_back({ "entry instance", it.what + ": processor", it.units * it.slope.processorPercent, "% of a core", 0, it.mechanism, it.slope.from });
-            if (it.slope.memoryMb > 0)
-                lines.push_back({ "entry instance", it.what + ": memory", it.units * it.slope.memoryMb, "MB", 0, it.mechanism, it.slope.from });
-            processor += it.units * it.slope.processorPercent;
-            memory += it.units * it.slope.memoryMb;
-            bytes += it.units * it.slope.bytes();
+            CapacityLine line = lineOf("entry instance", it);
+            sum.bytesASecond += line.bytesASecond;
+            sum.processorPercent += line.processorPercent;
+            sum.memoryMb += line.memoryMb;
+            lines.push_back(std::move(line));
         }
-        lines.push_back({ "entry instance", "all: bytes", bytes, "B/s", budget.bytesASecond, "sum of the above", "" });
-        lines.push_back({ "entry instance", "all: processor", processor, "% of a core", budget.processorPercent, "sum of the above", "" });
-        lines.push_back({ "entry instance", "all: memory", memory, "MB", budget.memoryMb, "sum of the above", "" });
+        sum.isLimited = true;
+        lines.push_back(std::move(sum));
     }
 
-    void addWorkerLines(const Slopes& it, const DesignSize& size, const Budget& budget, std::vector<CapacityLine>& lines)
+    void addWorkerLines(const Slopes& it, const DesignSize& size, std::vector<CapacityLine>& lines)
     {
+        CapacityLine line { "worker", "control traffic", size.workers };
         double tasks = size.runningTasks / size.workers;
         double starts = size.startsASecond / size.workers;
-        double bytes = it.worker.workerBytes + tasks * it.task.workerBytes + starts * (it.start.once.workerBytes + it.start.each.workerBytes);
-        lines.push_back({ "worker", "control traffic", bytes, "B/s", budget.bytesASecond, "one owner polls it; nothing of the system runs on it", it.worker.from + "; " + it.task.from });
+        line.bytesASecond = it.worker.workerBytes + tasks * it.task.workerBytes + starts * (it.start.once.workerBytes + it.start.each.workerBytes);
+        line.mechanism = "one owner polls it; nothing of the system runs on it";
+        line.from = it.worker.from + "; " + it.task.from + "; " + it.start.once.from;
+        line.isLimited = true;
+        lines.push_back(std::move(line));
     }
 
-    void addLogLines(const Slopes& it, const DesignSize& size, const Budget& budget, std::vector<CapacityLine>& lines)
+    void addLogLines(const Slopes& it, const DesignSize& size, std::vector<CapacityLine>& lines)
     {
-        double starts = size.startsASecond * it.start.once.appends;
-        double claims = size.claimsASecond * it.claim.once.appends;
-        double changes = size.changesADay / s_secondsADay * it.change.appends;
-        double idle = size.instances() * it.idle.appends;
-        lines.push_back({ "log", "leases and what idles", idle, "appends/s", 0, "one renewal a shard", it.idle.from });
-        lines.push_back({ "log", "starts", starts, "appends/s", 0, "group commit", it.start.once.from });
-        lines.push_back({ "log", "claims", claims, "appends/s", 0, "group commit a partition", it.claim.once.from });
-        lines.push_back({ "log", "changes", changes, "appends/s", 0, "one a change", it.change.from });
-        lines.push_back({ "log", "all", idle + starts + claims + changes, "appends/s", budget.appendsASecond, "sum of the above", "" });
+        CapacityLine sum { "log", "all", 1 };
+        sum.appendsASecond = 0;
+        auto add = [&](const std::string& what, double units, const Slope& slope, const std::string& mechanism) {
+            CapacityLine line { "log", what, units };
+            line.appendsASecond = units * slope.appends;
+            line.mechanism = mechanism;
+            line.from = slope.from;
+            sum.appendsASecond += line.appendsASecond;
+            lines.push_back(std::move(line));
+        };
+        add("leases and what idles", size.instances(), it.idle, "one renewal a shard");
+        add("starts a second", size.startsASecond, it.start.once, "group commit; the share of an append falls as the rate grows");
+        add("claims a second", size.claimsASecond, it.claim.once, "group commit a partition");
+        add("changes a second", size.changesADay / s_secondsADay, it.change, "one a change");
+        sum.isLimited = true;
+        lines.push_back(std::move(sum));
     }
 
     void addFailureLines(const Slopes& it, const DesignSize& size, std::vector<CapacityLine>& lines)
@@ -239,10 +257,17 @@
         double survivors = size.instancesADataCentre - size.instancesARack;
         double changesAnHour = size.changesADay / s_secondsADay * s_secondsAnHour;
         double change = it.change.logBytes + size.teams * it.changeATeam.logBytes;
-        lines.push_back({ "failures", "an instance restarts: it reads", rebuild, "kB once", 0, "snapshot and tail of its shards", it.restartATask.from });
-        lines.push_back({ "failures", "a rack is lost: each survivor of its data centre reads", rebuild * size.instancesARack / survivors, "kB once", 0, "rendezvous hashing spreads the shards", it.restartATask.from });
-        lines.push_back({ "failures", "a data centre is lost: others read", 0, "kB once", 0, "no shard is taken over across data centres; its callers go elsewhere", "" });
-        lines.push_back({ "failures", "an hour without another region: configuration to catch up, each instance", changesAnHour * change / s_kilobyte, "kB once", 0, "the log is read in order from where the reading stopped", it.change.from });
+        auto add = [&](const std::string& what, double units, double kilobytes, const std::string& mechanism, const std::string& from) {
+            CapacityLine line { "failures", what, units };
+            line.onceKilobytes = kilobytes;
+            line.mechanism = mechanism;
+            line.from = from;
+            lines.push_back(std::move(line));
+        };
+        add("an instance restarts (a day): it reads", size.restartsADay + size.failuresADay, rebuild, "snapshot and tail of its shards", it.restartATask.from);
+        add("a rack is lost: each survivor of the data centre reads", 1, rebuild * size.instancesARack / survivors, "rendezvous hashing spreads the shards", it.restartATask.from);
+        add("a data centre is lost: others read", 1, 0, "no shard is taken over across data centres", "");
+        add("an hour without another region: each instance catches up on changes", changesAnHour, changesAnHour * change / s_kilobyte, "the log is read on from where the reading stopped", it.changeATeam.from);
     }
 
 } // namespace
@@ -253,15 +278,34 @@
     return { it.idle, it.worker, it.task, it.start.once, it.start.each, it.claim.once, it.claim.each, it.peer, it.change, it.changeATeam, it.team, it.listChange, it.listChangeAnInstance, it.restartATask };
 }
 
-std::vector<CapacityLine> deriveLines(const CapacityMeasurements& measurements, const DesignSize& size, const Budget& budget)
+std::vector<CapacityLine> deriveLines(const CapacityMeasurements& measurements, const DesignSize& size)
 {
     Slopes slopes = measureSlopes(measurements);
     std::vector<CapacityLine> lines;
-    addInstanceLines(partsOfAnInstance(slopes, size), budget, lines);
-    addWorkerLines(slopes, size, budget, lines);
-    addLogLines(slopes, size, budget, lines);
+    addInstanceLines(partsOfAnInstance(slopes, size), lines);
+    addWorkerLines(slopes, size, lines);
+    addLogLines(slopes, size, lines);
     addFailureLines(slopes, size, lines);
     return lines;
 }
 
+std::vector<CapacityVerdict> judgeLines(const std::vector<CapacityLine>& lines, const Budget& budget)
+{
+    std::vector<CapacityVerdict> verdicts;
+    for (const CapacityLine& it : lines) {
+        if (!it.isLimited)
+            continue;
+        std::string name = it.role + ", " + it.what;
+        auto judge = [&](const char* unit, double figure, double limit) {
+            if (figure >= 0)
+                verdicts.push_back({ name + " (" + unit + ")", figure, limit });
+        };
+        judge("B/s", it.bytesASecond, budget.bytesASecond);
+        judge("% of a core", it.processorPercent, budget.processorPercent);
+        judge("MB", it.memoryMb, budget.memoryMb);
+        judge("appends/s", it.appendsASecond, budget.appendsASecond);
+    }
+    return verdicts;
+}
+
 } // namespace plantainhold::bench
--- a/bench/CapacityModel.h
+++ b/bench/CapacityModel.h
@@ -54,21 +54,39 @@
     double bytes() const { return logBytes + listBytes + peerBytes + workerBytes; }
 };
 
+// One row of the derived table. A negative figure does not apply.
 struct CapacityLine {
     std::string role;
     std::string what;
-    double figure = 0;
-    std::string unit;
-    // 0 when nothing limits this line alone.
-    double budget = 0;
+    // How many of it there are at the design size.
+    double units = 0;
+    double bytesASecond = -1;
+    double processorPercent = -1;
+    double memoryMb = -1;
+    double appendsASecond = -1;
+    // Bytes exchanged once, in kB, when it happens.
+    double onceKilobytes = -1;
     std::string mechanism;
+    // The measurements that the figures come from; empty for a sum.
     std::string from;
+    // Whether the budget applies to this row, which is a sum.
+    bool isLimited = false;
+};
+
+// A figure of a row against what is allowed.
+struct CapacityVerdict {
+    std::string what;
+    double figure = 0;
+    double budget = 0;
 
-    bool fits() const { return budget == 0 || figure <= budget; }
+    bool fits() const { return figure <= budget; }
 };
 
+// One verdict for each figure of the rows to which the budget applies. Thread-safe.
+std::vector<CapacityVerdict> judgeLines(const std::vector<CapacityLine>& lines, const Budget& budget);
+
 // Throws std::runtime_error when a measurement is missing. Thread-safe.
 std::vector<Slope> deriveSlopes(const CapacityMeasurements& measurements);
-std::vector<CapacityLine> deriveLines(const CapacityMeasurements& measurements, const DesignSize& size, const Budget& budget);
+std::vector<CapacityLine> deriveLines(const CapacityMeasurements& measurements, const DesignSize& size);
 
 } // namespace plantainhold::bench
