--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -1,4 +1,4 @@
-// CapacityBench [--bin FOLDER] [--seed N] [--output text|json|markdown] [--save FILE] [--from FILE] [--only NAME]...
+// CapacityBench [--bin FOLDER] [--seed N] [--output text|json|markdown] [--save FILE] [--page FILE] [--from FILE] [--only NAME]...
 //
 // Measures what more of each thing costs, and works out from it what the design
 // size would cost. With --from, works it out from kept measurements alone.
@@ -105,6 +105,7 @@
     TCLAP::ValueArg<unsigned> seed("", "seed", "of everything random", false, 1, "N", line);
     TCLAP::ValueArg<std::string> output("", "output", "text, json or markdown", false, "text", "FORMAT", line);
     TCLAP::ValueArg<std::string> save("", "save", "keeps the measurements", false, "", "FILE", line);
+    TCLAP::ValueArg<std::string> page("", "page", "replaces the tables of this page", false, "", "FILE", line);
     TCLAP::ValueArg<std::string> from("", "from", "takes kept measurements in place of new ones", false, "", "FILE", line);
     TCLAP::MultiArg<std::string> only("", "only", "measures this alone and works nothing out", false, "NAME", line);
     line.parse(argc, argv);
@@ -112,6 +113,8 @@
         bench::CapacityMeasurements measurements = from.isSet() ? bench::readMeasurements(from.getValue()) : measureAll(bin.getValue(), seed.getValue(), only.getValue());
         if (save.isSet())
             bench::writeMeasurements(measurements, save.getValue());
+        if (page.isSet())
+            bench::writeTables(measurements, page.getValue());
         if (output.getValue() == "markdown") {
             std::cout << bench::capacityTables(measurements);
             return 0;
--- a/bench/CapacityPage.cpp
+++ b/bench/CapacityPage.cpp
@@ -5,12 +5,18 @@
 #include "bench/BenchReport.h"
 #include "bench/CapacityModel.h"
 
+#include <fstream>
 #include <sstream>
+#include <stdexcept>
+#include <string_view>
 
 namespace plantainhold::bench {
 
 namespace {
 
+    constexpr std::string_view s_beginMark = "<!-- tables: ./run bench capacity -->\n";
+    constexpr std::string_view s_endMark = "<!-- end of tables -->";
+
     std::string shown(double figure)
     {
         if (figure < 0)
@@ -69,4 +75,19 @@
     return out.str();
 }
 
+void writeTables(const CapacityMeasurements& measurements, const std::filesystem::path& page)
+{
+    std::ifstream in(page);
+    std::stringstream buf;
+    buf << in.rdbuf();
+    std::string text = buf.str();
+    auto begin = text.find(s_beginMark);
+    auto end = text.find(s_endMark);
+    if (begin == std::string::npos || end == std::string::npos)
+        throw std::runtime_error(page.string() + " has no marks for its tables");
+    begin += s_beginMark.size();
+    text.replace(begin, end - begin, capacityTables(measurements));
+    std::ofstream(page) << text;
+}
+
 } // namespace plantainhold::bench
--- a/standin/proving/StepRunner.cpp
+++ b/standin/proving/StepRunner.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+    constexpr std::uint64_t s_seedStep = 1'000'003;
     constexpr std::chrono::seconds s_joinLimit { 60 };
     constexpr std::chrono::seconds s_gentleEndLimit { 40 };
 
@@ -278,7 +279,8 @@
 void StepRunner::chaosStep(WordList& words)
 {
     ChaosPlan plan;
-    plan.seed = m_options.seed;
+    // A second schedule of the same run differs from the first.
+    plan.seed = m_options.seed + s_seedStep * m_chaosCount++;
     plan.duration = std::chrono::seconds(words.optionNumber("seconds", 10));
     plan.interval = Milliseconds(words.optionNumber("every_ms", 1000));
     std::string faults = words.option("faults", "kill,pause");
--- a/standin/proving/StepRunner.h
+++ b/standin/proving/StepRunner.h
@@ -114,6 +114,7 @@
     std::atomic<bool> m_isStopping { false };
     std::atomic<std::size_t> m_nextEntry { 0 };
     std::atomic<std::uint64_t> m_nextKey { 0 };
+    std::uint64_t m_chaosCount = 0;
     std::uint64_t m_nextTask = 0;
     std::uint64_t m_nextPublish = 0;
     std::vector<SubmittedTask> m_tasks;
