--- a/plantainhold/routing/RequestMachine.h
+++ b/plantainhold/routing/RequestMachine.h
@@ -18,8 +18,8 @@
     Retry,
     // Ask the budgets, then for a slot beside the running attempt.
     Hedge,
-    // The running attempt is silent: ask the budgets and, if they allow it, cancel
-    // it; its end then asks for the Retry that is already paid.
+    // The newest attempt is silent: as Hedge. The silent one goes on, since it may
+    // only be slow, and cutting it would lose work that an executor really does.
     Replace,
     // Tell the caller result().
     Finish,
