--- a/plantainhold/adapters/Daemon.cpp
+++ b/plantainhold/adapters/Daemon.cpp
@@ -13,6 +13,7 @@
 #include "plantainhold/base/InstanceContext.h"
 #include "plantainhold/base/LogEvent.h"
 #include "plantainhold/base/ResultError.h"
+#include "plantainhold/claims/ClaimModule.h"
 #include "plantainhold/config/ConfigModule.h"
 #include "plantainhold/config/ConfigSnapshot.h"
 #include "plantainhold/membership/InstanceView.h"
@@ -20,7 +21,6 @@
 #include "plantainhold/ports/SteadyClock.h"
 #include "plantainhold/report/ReportModule.h"
 #include "plantainhold/routing/BurnCounters.h"
-#include "plantainhold/routing/NoClaims.h"
 #include "plantainhold/scheduling/TaskModule.h"
 #include "plantainhold/util/RcuCell.h"
 #include "plantainhold/util/UniqueId.h"
@@ -61,7 +61,10 @@
         modules.push_back(std::make_unique<MembershipModule>(context));
         modules.push_back(std::make_unique<ConfigModule>(context));
         modules.push_back(std::make_unique<TaskModule>(context));
-        modules.push_back(std::make_unique<HttpRequestModule>(context, burn, claims));
+        auto claims = std::make_unique<ClaimModule>(context);
+        ClaimPort& claimPort = claims->port();
+        modules.push_back(std::move(claims));
+        modules.push_back(std::make_unique<HttpRequestModule>(context, burn, claimPort));
         reports = std::make_unique<ReportModule>(context, burn, modules);
     }
 
@@ -111,7 +114,6 @@
     DecisionLog decisions;
     std::shared_ptr<prometheus::Registry> metrics;
     BurnCounters burn;
-    NoClaims claims;
     InstanceContext context;
     std::vector<std::unique_ptr<Module>> modules;
     std::unique_ptr<ReportModule> reports;
