Call a reservation used up only when most samples show it

Cause: the mean use of an attempt within 3 % of its reservation counted as used up, which noise alone brings about; the kind then grew by 1.4. Change: three of the first four samples at 99 % of the reservation say so, at full speed only; s_processorMargin back to 1.04.

--- a/plantainhold/policy/KindStatistics.cpp
+++ b/plantainhold/policy/KindStatistics.cpp
@@ -11,7 +11,7 @@
     // Processors are compressible: a task short of them runs slower. Memory is
     // not: a task short of it dies, so the most ever seen counts, and a margin.
     constexpr double s_processorQuantile = 0.9;
-    constexpr double s_processorMargin = 1.08;
+    constexpr double s_processorMargin = 1.04;
     constexpr double s_memoryMargin = 1.1;
     constexpr double s_runTimeQuantile = 0.75;
     constexpr double s_exhaustedGrowth = 1.4;
--- a/plantainhold/policy/PlannerState.cpp
+++ b/plantainhold/policy/PlannerState.cpp
@@ -11,9 +11,11 @@
 
     constexpr std::size_t s_kindLimit = 1024;
     // Use above this share of the reservation may be a use that was held down by it.
-    constexpr double s_exhaustedShare = 0.97;
+    constexpr double s_exhaustedShare = 0.99;
     constexpr std::uint32_t s_leastPercentToLearn = 10;
     constexpr std::uint32_t s_samplesToTrust = 4;
+    // So many of them at the reservation say that the task would use more.
+    constexpr std::uint32_t s_exhaustedToTrust = 3;
     constexpr std::uint32_t s_useSmoothing = 8;
     constexpr Milliseconds s_ceilingNoticeInterval { 600'000 };
     // Progress this far beyond the checkpoint is lost by an eviction.
@@ -132,6 +134,7 @@
     task.attempt = 0;
     task.serial = m_nextSerial++;
     task.useSamples = 0;
+    task.exhaustedSamples = 0;
     task.mostMemoryMib = 0;
     task.busyCores = m_kindStatistics.busyCores(task.kind, reserved);
     ++m_runningByKind[task.kind];
@@ -265,13 +268,14 @@
     constexpr double s_percentOfMilli = 10;
     double cores = static_cast<double>(report.used.millicores) / s_percentOfMilli / report.throttlePercent;
     ++task.useSamples;
+    task.exhaustedSamples += report.throttlePercent == 100 && isExhausted(report.used.millicores, task.reserved.millicores);
     task.busyCores += (cores - task.busyCores) / std::min(task.useSamples, s_useSmoothing);
     task.mostMemoryMib = std::max(task.mostMemoryMib, report.used.memoryMib);
     if (task.useSamples != s_samplesToTrust)
         return;
     auto millicores = static_cast<std::int64_t>(task.busyCores * 1000);
     m_kindStatistics.observeUse(task.kind, { millicores, task.mostMemoryMib, 0 });
-    if (isExhausted(millicores, task.reserved.millicores))
+    if (task.exhaustedSamples >= s_exhaustedToTrust)
         m_kindStatistics.observeExhaustedProcessors(task.kind, task.reserved.millicores);
 }
 
--- a/plantainhold/policy/PolicyTask.h
+++ b/plantainhold/policy/PolicyTask.h
@@ -48,6 +48,8 @@
     double busyCores = 0;
     // Reports of this attempt that were taken at more than a tenth of full speed.
     std::uint32_t useSamples = 0;
+    // Those of them in which the reservation was used up.
+    std::uint32_t exhaustedSamples = 0;
     std::int64_t mostMemoryMib = 0;
 
     // Runs on a quarantined worker to find out whether that is sound again.
