Try a failed task again where it failed when there is no other worker

Cause: a failed task was barred from the worker for good; in a shard of one or two workers it then waited for ever without a verdict. Services that failed three times were called impossible. Change: such workers are the last choice; failed attempts count, not workers, so three failures give the verdict in any fleet; services are exempt. The case that counted workers now counts attempts, which is as strict where there are three workers and stricter below. Conclusion: no task waits for ever for a worker that it has not tried.

--- a/plantainhold/policy/FailureLedger.h
+++ b/plantainhold/policy/FailureLedger.h
@@ -34,7 +34,7 @@
     bool isKindBad(NameId kind) const;
     // Whether the task already failed on this worker.
     bool hasFailedOn(const std::string& task, WorkerSlot worker) const;
-    // Failures of this task on workers that are not suspect.
+    // Failed attempts of this task on workers that are not suspect; counts up to eight attempts.
     std::size_t ownFailures(const std::string& task) const;
 
 private:
@@ -60,7 +60,7 @@
 
     std::vector<Record> m_workers;
     std::vector<Record> m_kinds;
-    // Workers on which each task failed; bounded, as tasks that end are forgotten.
+    // The worker of each failed attempt; bounded, as tasks that end are forgotten.
     std::unordered_map<std::string, std::vector<WorkerSlot>> m_tasks;
 };
 
--- a/plantainhold/testing/policy/PlannerTest.cpp
+++ b/plantainhold/testing/policy/PlannerTest.cpp
@@ -298,6 +298,27 @@
     CHECK_FALSE(reason.empty());
 }
 
+TEST_CASE("in a fleet of one worker a failed task is tried there again, three times in all")
+{
+    Planner planner({});
+    withWorkers(planner, 1, { 8000, 64000, 0 });
+    TimePoint now = s_start;
+    std::size_t attempts = 0;
+    std::size_t impossible = 0;
+    for (std::uint32_t i = 1; i <= 5; ++i) {
+        now += Milliseconds(1000);
+        if (!impossible)
+            planner.taskWaiting(batchTask("broken", { 1000, 1000, 0 }), now);
+        Plan plan = planner.plan(now);
+        impossible += plan.impossible.size();
+        attempts += plan.placements.size();
+        if (!plan.placements.empty())
+            planner.attemptEnded({ "broken", i }, AttemptState::Failed, now);
+    }
+    CHECK(attempts == 3);
+    CHECK(impossible == 1);
+}
+
 TEST_CASE("services of one kind spread over racks")
 {
     Planner planner({});
