Make room for urgent work once, not twice

Cause: where the planner preempts for an urgent task, the shard's own clearing chose other victims on another worker in the same turn. Change: the clearing is left out of a turn in which the planner preempts. Ruled out: dropping the clearing, as its own cases cover what the planner has not been told yet. Figures: none measured; the scheduling cases (14) and policy cases (41) pass.

--- a/plantainhold/scheduling/PlannerPlacement.cpp
+++ b/plantainhold/scheduling/PlannerPlacement.cpp
@@ -179,7 +179,10 @@
         m_impossible[it.task] = it.reason;
         result.impossible.push_back({ it.task, std::move(it.reason) });
     }
-    clearForUrgent(view, result);
+    // Room that the planner is making already must not be made twice.
+    bool isPreempting = std::any_of(plan.actions.begin(), plan.actions.end(), [](const PolicyAction& it) { return it.event == EventId::TaskPreempted; });
+    if (!isPreempting)
+        clearForUrgent(view, result);
     for (PolicyNotice& it : plan.notices)
         result.notes.push_back({ it.event, {}, { { "subject", it.subject }, { "reason", it.reason } } });
     return result;
