--- a/plantainhold/testing/standin/LogServiceTest.cpp
+++ b/plantainhold/testing/standin/LogServiceTest.cpp
@@ -1,9 +1,9 @@
 // The log stand-in over a real connection: order, retention, its limit of appends,
 // and what becomes of a record whose reply or request is lost.
 
+#include "standin/LogService.h"
 #include "plantainhold/adapters/GrpcLog.h"
 #include "standin/Journal.h"
-#include "standin/LogService.h"
 #include "standin/SwitchBoard.h"
 #include "standin/proving/Subnet.h"
 
