--- a/bench/RequestsBench.cpp
+++ b/bench/RequestsBench.cpp
@@ -3,6 +3,7 @@
 // same load goes directly to the executors in the same run.
 
 #include "bench/BenchReport.h"
+#include "bench/ChoiceModel.h"
 #include "bench/LoadFleet.h"
 #include "bench/LoadGenerator.h"
 
@@ -35,6 +36,7 @@
 
         void run()
         {
+            compareChoices();
             measureLatency();
             measureOverload();
             measureFaults();
@@ -84,6 +86,23 @@
             }
         }
 
+        // Rules for the choice of an executor, in a model: half and most of the slots
+        // in use, all executors alike or one ten times slower.
+        void compareChoices()
+        {
+            for (const ChoiceRule& rule : choiceRules()) {
+                std::string text = "model, rule '" + std::string(rule.name) + "', p99 ms at 50 % and 80 %:";
+                for (double slowFactor : { 1.0, 10.0 }) {
+                    for (double load : { 0.5, 0.8 }) {
+                        ChoiceModelSpec spec { .load = load, .slowFactor = slowFactor, .seed = m_seed };
+                        text += " " + decimal(runChoiceModel(spec, rule).p99Ms, 1);
+                    }
+                    text += slowFactor == 1 ? " alike;" : " with one 10x slow";
+                }
+                m_report.addNote(text);
+            }
+        }
+
         void measureLatency()
         {
             LoadFleet fleet(m_bin, "");
