Do not call a task impossible before the new owner's workers have answered

Ruled out: asking the planner only once all workers are known, which would hold up a takeover while one worker is down.

Change: until the shard's owner has heard all listed workers and waited, an impossible task goes back to the planner's queue.

--- a/plantainhold/scheduling/PlannerPlacement.cpp
+++ b/plantainhold/scheduling/PlannerPlacement.cpp
@@ -176,6 +176,12 @@
             result.evictions.push_back({ it.attempt, std::move(it.reason) });
     }
     for (ImpossibleTask& it : plan.impossible) {
+        const TaskEntry* entry = view.reducer.find(it.task);
+        // After a takeover workers that have not answered yet seem to have nothing.
+        if (!view.isSettled && entry) {
+            m_planner->taskWaiting(requestFor(*entry), now);
+            continue;
+        }
         m_impossible[it.task] = it.reason;
         result.impossible.push_back({ it.task, std::move(it.reason) });
     }
