--- a/plantainhold/config/ConfigDelta.h
+++ b/plantainhold/config/ConfigDelta.h
@@ -1,5 +1,5 @@
 // What one document changes against another, by name. A document of hundreds of
-// teams is tens of kilobytes; a usual change to it is a hundred bytes.
+// teams is more than ten kilobytes; a usual change to it is below a hundred bytes.
 #pragma once
 
 #include "plantainhold/config/ConfigDocument.h"
--- a/plantainhold/config/ConfigModule.cpp
+++ b/plantainhold/config/ConfigModule.cpp
@@ -140,7 +140,9 @@
         config::ConfigRecord record;
         config::PublishRecord* publish = record.mutable_publish();
         publish->set_id(request.id());
-        publish->set_base_version(request.base_version() ? request.base_version() : newest.version);
+        // A peer may have given a version that this reader has not come to yet.
+        std::uint64_t known = std::max(newest.version, m_follower.context().config.read()->version);
+        publish->set_base_version(request.base_version() ? request.base_version() : known);
         publish->set_author(request.author());
         publish->set_schema(s_configSchema);
         *publish->mutable_document() = request.document();
--- a/plantainhold/testing/claims/ClaimExplorer.cpp
+++ b/plantainhold/testing/claims/ClaimExplorer.cpp
@@ -228,7 +228,7 @@
             if (state.phase != ClaimPhase::Free) {
                 attempt.told = Told::Other;
                 checkRecorded(world, state);
-                world.attempts.push_back(std::move(attempt));
+                world.attempts.push_back(attempt);
                 return;
             }
             int index = static_cast<int>(world.attempts.size());
@@ -244,7 +244,7 @@
             times.retryFor = Milliseconds(1000);
             times.retryPause = Milliseconds(0);
             attempt.claimant.emplace(claim, times, m_scope.rules);
-            world.attempts.push_back(std::move(attempt));
+            world.attempts.push_back(attempt);
             world.appends.push_back({ claim, index, world.now });
         }
 
--- a/plantainhold/testing/claims/ClaimStoreTest.cpp
+++ b/plantainhold/testing/claims/ClaimStoreTest.cpp
@@ -152,7 +152,8 @@
     eventually([&] { return log.heldAppends() == 1; });
     log.setMode(MemoryLog::Mode::Normal);
     clock.advance(Milliseconds(1500));
-    CHECK(wait(std::move(pending)).state == ClaimState::NotAvailable);
+    ClaimVerdict verdict = wait(std::move(pending));
+    CHECK(verdict.state == ClaimState::NotAvailable);
     log.land();
     CHECK(ask(second).state == ClaimState::Won);
     eventually([&] { return ask(first).state == ClaimState::InProgress; });
@@ -167,7 +168,8 @@
     clock.advance(Milliseconds(1500));
     eventually([&] { return log.appendCount() >= 2; });
     clock.advance(s_callerPatience);
-    CHECK(wait(std::move(pending)).state == ClaimState::OutcomeUnknown);
+    ClaimVerdict verdict = wait(std::move(pending));
+    CHECK(verdict.state == ClaimState::OutcomeUnknown);
     // It lands, nobody ever dispatches it, and the tombstone that is still tried frees the key.
     log.setMode(MemoryLog::Mode::Normal);
     log.land();
@@ -195,7 +197,8 @@
     clock.advance(Milliseconds(1001));
     log.setMode(MemoryLog::Mode::Normal);
     log.land();
-    CHECK(wait(std::move(pending)).state == ClaimState::NotAvailable);
+    ClaimVerdict verdict = wait(std::move(pending));
+    CHECK(verdict.state == ClaimState::NotAvailable);
     askUntil(second, ClaimState::Won);
 }
 
--- a/plantainhold/testing/membership/PeerTableTest.cpp
+++ b/plantainhold/testing/membership/PeerTableTest.cpp
@@ -99,11 +99,11 @@
     for (std::size_t i = 0; i < s_instances; ++i)
         CHECK(fleet.tables[i].peers(fleet.now).size() == s_instances - 1);
     fleet.bytes = 0;
-    constexpr int rounds = 50;
-    for (int i = 0; i < rounds; ++i)
+    constexpr int s_rounds = 50;
+    for (int i = 0; i < s_rounds; ++i)
         fleet.round();
     // Each exchange's bytes are sent by one instance and received by another.
-    double perSecond = 2.0 * static_cast<double>(fleet.bytes) / s_instances / (rounds * 2.0);
+    double perSecond = 2.0 * static_cast<double>(fleet.bytes) / s_instances / (s_rounds * 2.0);
     WARN("payload sent and received, bytes a second an instance: " << perSecond);
     CHECK(perSecond < s_budgetBytesPerSecond);
     for (std::size_t i = 0; i < s_instances; ++i)
