--- a/plantainhold/testing/scheduling/SchedulingTest.cpp
+++ b/plantainhold/testing/scheduling/SchedulingTest.cpp
@@ -10,9 +10,7 @@
 
 namespace plantainhold {
 
-using std::chrono_literals::operator""h;
-using std::chrono_literals::operator""ms;
-using std::chrono_literals::operator""s;
+using namespace std::chrono_literals;
 
 namespace {
 
