Tell "not run" only once the release of a won claim is in the log

Cause: a request that won its claim and then found no executor freed the key without waiting and told "not run" at once. If the instance died before the release was in the log, the honest repeat heard "unknown" for the key's hour.

Ruled out: releasing after the answer with a retry elsewhere (nobody else knows the claim); keeping the claim and telling "unknown" always (the repeat would never run).

Change: ClaimUse, a pure class, holds the claim's states and what may be told: a "not run" becomes "unknown" while the key may be held. The answer waits for the release up to its deadline or a second, and a stop does not wait for it.

Conclusion: the promise "not run, and the honest repeat runs" holds for won claims too.

--- a/plantainhold/adapters/HttpRequestRun.cpp
+++ b/plantainhold/adapters/HttpRequestRun.cpp
@@ -22,6 +22,8 @@
 namespace {
 
     constexpr Milliseconds s_longestLateWatch { 30'000 };
+    // How long an answer may wait beyond its deadline for the release of its claim.
+    constexpr Milliseconds s_releasePatience { 1000 };
 
     std::string attemptIdOf(const std::string& requestId)
     {
@@ -63,6 +65,11 @@
         asio::post(m_io, [run = std::move(m_run), verdict] { run->onVerdict(verdict); });
     }
 
+    void released(bool isFree)
+    {
+        asio::post(m_io, [run = std::move(m_run), isFree] { run->onReleased(isFree); });
+    }
+
 private:
     asio::io_context& m_io;
     std::shared_ptr<HttpRequestRun> m_run;
@@ -99,12 +106,12 @@
         if (std::optional<ResultCode> code = co_await claim())
             co_return refusalAnswer(*code);
     }
-    if (m_isDone)
-        co_return makeAnswer();
-    m_shared.dispatcher.depositAttempt(m_demand, m_admission.retryPercent);
-    submit();
-    armTimer();
-    while (!m_isDone)
+    if (!m_isDone) {
+        m_shared.dispatcher.depositAttempt(m_demand, m_admission.retryPercent);
+        submit();
+        armTimer();
+    }
+    while (!m_isDone || (m_claim.isReleasing() && !m_shared.isStopped))
         co_await m_signal.async_wait(s_asTuple);
     co_return makeAnswer();
 }
@@ -135,10 +142,11 @@
     std::string_view target(m_request->target().data(), m_request->target().size());
     ClaimRequest request { m_demand.team, m_idempotencyKey, hash64(body, hash64(target, static_cast<std::uint64_t>(m_request->method()))), m_demand.deadline };
     auto relay = std::make_shared<Relay>(shared_from_this());
+    m_claim.asked();
     m_shared.claims.begin(request, [relay](const ClaimVerdict& verdict) { relay->decided(verdict); });
     while (!m_verdict && !m_isDone)
         co_await m_signal.async_wait(s_asTuple);
-    co_return m_isDone ? std::nullopt : takeVerdict();
+    co_return m_isDone ? std::nullopt : m_claim.decided(*m_verdict);
 }
 
 void HttpRequestRun::onVerdict(const ClaimVerdict& verdict)
@@ -150,25 +158,10 @@
         m_shared.claims.abandon(verdict.claimId);
 }
 
-std::optional<ResultCode> HttpRequestRun::takeVerdict()
+void HttpRequestRun::onReleased(bool isFree)
 {
-    switch (m_verdict->state) {
-    case ClaimState::Won:
-        m_claimId = m_verdict->claimId;
-        m_claimValidUntil = m_verdict->validUntil;
-        return std::nullopt;
-    case ClaimState::Recorded:
-        return ResultCode::DoneEarlier;
-    case ClaimState::InProgress:
-        return ResultCode::RepeatInProgress;
-    case ClaimState::KeyReused:
-        return ResultCode::IdempotencyKeyReused;
-    case ClaimState::NotAvailable:
-        return ResultCode::ClaimUnavailable;
-    case ClaimState::OutcomeUnknown:
-        break;
-    }
-    return ResultCode::ClaimOutcomeUnknown;
+    m_claim.released(isFree);
+    m_signal.cancel();
 }
 
 void HttpRequestRun::submit()
@@ -224,8 +217,7 @@
     TimePoint now = m_shared.context.clock.now();
     if (m_isDone || m_shared.isStopped || now >= m_demand.deadline)
         return false;
-    m_hasClaimLapsed = !m_claimId.empty() && now >= m_claimValidUntil;
-    if (m_hasClaimLapsed)
+    if (!m_claim.maySend(now))
         return false;
     m_machine->sending(now);
     armTimer();
@@ -264,15 +256,34 @@
 void HttpRequestRun::settleClaim()
 {
     // Another attempt may still tell how it ended.
-    if (m_claimId.empty() || !m_isDone || !m_calls.empty())
+    if (!m_isDone || !m_calls.empty())
+        return;
+    bool isAnswered = m_answeredStatus != 0;
+    switch (m_claim.settle(isAnswered, m_machine->mayHaveRun())) {
+    case ClaimUse::Settlement::None:
+        return;
+    case ClaimUse::Settlement::Finish:
+        if (isAnswered)
+            m_shared.claims.finish(m_claim.id(), ResultCode::Done, m_answeredStatus);
+        else
+            m_shared.claims.finish(m_claim.id(), m_machine->result(), httpStatusOf(m_machine->result()));
         return;
-    std::string id = std::exchange(m_claimId, {});
-    if (m_answeredStatus != 0)
-        m_shared.claims.finish(id, ResultCode::Done, m_answeredStatus);
-    else if (m_machine->mayHaveRun())
-        m_shared.claims.finish(id, m_machine->result(), httpStatusOf(m_machine->result()));
-    else
-        m_shared.claims.abandon(id);
+    case ClaimUse::Settlement::Release:
+        releaseClaim();
+        return;
+    }
+}
+
+void HttpRequestRun::releaseClaim()
+{
+    if (!m_shared.context.strategies.uses(Strategy::ReleaseBeforeNotRun)) {
+        m_shared.claims.abandon(m_claim.id());
+        m_claim.released(true);
+        return;
+    }
+    TimePoint until = std::max(m_demand.deadline, m_shared.context.clock.now() + s_releasePatience);
+    auto relay = std::make_shared<Relay>(shared_from_this());
+    m_shared.claims.abandon(m_claim.id(), until, [relay](bool isFree) { relay->released(isFree); });
 }
 
 void HttpRequestRun::perform(RequestStep step)
@@ -309,7 +320,7 @@
 
 void HttpRequestRun::retry(bool isCharged)
 {
-    bool isAllowed = !m_hasClaimLapsed && !m_shared.isStopped && (!isCharged || (m_admission.retryPercent > 0 && m_shared.dispatcher.spendExtraAttempt(m_demand)));
+    bool isAllowed = !m_claim.hasLapsed() && !m_shared.isStopped && (!isCharged || (m_admission.retryPercent > 0 && m_shared.dispatcher.spendExtraAttempt(m_demand)));
     if (!isAllowed) {
         noteExtra(EventId::RetryDenied, "denied", m_demand.tried.back());
         perform(m_machine->retryDenied());
@@ -385,8 +396,13 @@
 
 void HttpRequestRun::stop()
 {
-    if (m_isDone || !m_machine)
+    if (!m_machine)
         return;
+    if (m_isDone) {
+        // It may wait for its claim's release, which a stop does not.
+        m_signal.cancel();
+        return;
+    }
     m_shared.dispatcher.cancel(m_demand);
     perform(m_machine->stopped());
 }
@@ -405,7 +421,8 @@
 
 CallerAnswer HttpRequestRun::makeAnswer()
 {
-    ResultCode code = m_hasClaimLapsed && !m_machine->mayHaveRun() ? ResultCode::ClaimLapsed : m_machine->result();
+    bool hasLapsed = m_claim.hasLapsed() && !m_machine->mayHaveRun();
+    ResultCode code = m_claim.tellable(hasLapsed ? ResultCode::ClaimLapsed : m_machine->result());
     if (code != ResultCode::Done)
         return refusalAnswer(code);
     count(code);
--- a/plantainhold/adapters/HttpRequestRun.h
+++ b/plantainhold/adapters/HttpRequestRun.h
@@ -5,7 +5,7 @@
 
 #include "plantainhold/adapters/HttpAnswer.h"
 #include "plantainhold/adapters/HttpThread.h"
-#include "plantainhold/routing/ClaimVerdict.h"
+#include "plantainhold/routing/ClaimUse.h"
 #include "plantainhold/routing/RequestAdmission.h"
 #include "plantainhold/routing/RequestHead.h"
 #include "plantainhold/routing/RequestMachine.h"
@@ -38,8 +38,8 @@
     std::optional<ResultCode> admit();
     void makeMachine();
     asio::awaitable<std::optional<ResultCode>> claim();
-    std::optional<ResultCode> takeVerdict();
     void onVerdict(const ClaimVerdict& verdict);
+    void onReleased(bool isFree);
     void submit();
     void onGranted(const SlotGrant& grant);
     void onRefused(ResultCode code);
@@ -50,6 +50,7 @@
     bool maySend();
     void onEnded(const SlotGrant& grant, UpstreamAnswer answer);
     void settleClaim();
+    void releaseClaim();
     void perform(RequestStep step);
     void retry(bool isCharged);
     void attemptBeside(EventId event, const char* kind);
@@ -74,9 +75,7 @@
     RequestDemand& m_demand { m_admission.demand };
     std::optional<RequestMachine> m_machine;
     std::optional<ClaimVerdict> m_verdict;
-    std::string m_claimId;
-    TimePoint m_claimValidUntil;
-    bool m_hasClaimLapsed = false;
+    ClaimUse m_claim;
     bool m_isDone = false;
     const char* m_lastCause = "none";
     // Status of the executor's whole answer; 0 while there is none.
