Pass tasks on from shards whose workers cannot run them

Cause: a task's shard follows from its id alone.

Ruled out: a choice by the submitter (one id could enter two shards); workers assigned to shards by count (a changed list would move them between owners).

Change: the records MovedOn and Arrived, a ring of shards, at most one pass through each; calls look for the shard that has the task.

--- a/plantainhold/scheduling/ShardController.cpp
+++ b/plantainhold/scheduling/ShardController.cpp
@@ -16,6 +16,8 @@
 
     // Failures after which a task is not run again.
     constexpr std::uint32_t s_failureLimit = 3;
+    // Bounds the work of one decision in a shard that has just lost its workers.
+    constexpr std::size_t s_movesADecision = 256;
 
     task::EndReason reasonOf(AttemptState state)
     {
@@ -59,6 +61,8 @@
             return record.ended().task();
         case task::TaskRecord::kCancel:
             return record.cancel().task();
+        case task::TaskRecord::kMovedOn:
+            return record.moved_on().task();
         default:
             return {};
         }
@@ -71,6 +75,8 @@
             return EventId::TaskWaitsAgain;
         case TaskPhase::Impossible:
             return EventId::TaskRefused;
+        case TaskPhase::Moved:
+            return EventId::TaskMoved;
         default:
             return EventId::TaskEnded;
         }
@@ -78,7 +84,7 @@
 
     const char* nameOf(TaskPhase phase)
     {
-        static constexpr std::array<const char*, 6> s_names { "waiting", "assigned", "completed", "failed", "cancelled", "impossible" };
+        static constexpr std::array<const char*, 7> s_names { "waiting", "assigned", "completed", "failed", "cancelled", "impossible", "moved" };
         return s_names[static_cast<std::size_t>(phase)];
     }
 
@@ -206,6 +212,7 @@
 
 void ShardController::listWorkers(std::span<const Instance> workers)
 {
+    m_hasWorkerList = true;
     m_driver.listWorkers(workers, m_reducer);
 }
 
@@ -218,6 +225,7 @@
     m_driver.checkLapses(m_reducer, inheritedUntil(), now);
     appendEnds(now, records);
     appendCheckpoints(now, records);
+    appendArrivals(now, records);
     if (mayCommand(now) && !surroundings.isReleasing)
         appendPlan(now, records);
     return records;
@@ -287,6 +295,7 @@
 {
     dropOldPlacements(now);
     evictExcess();
+    appendMoves(now, records);
     bool isSettled = m_driver.areAllKnown() && now - m_keeper.ownedSince() >= m_times.settle;
     ShardView view { m_reducer, m_driver.workers(), m_driver.attempts(), m_tentative, isSettled };
     PlacementPlan plan = m_policy->plan(view, now);
@@ -332,6 +341,8 @@
     const TaskEntry* entry = m_reducer.find(refusal.task);
     if (!entry || entry->phase != TaskPhase::Waiting)
         return;
+    if (mayMove(*entry))
+        return appendMove(*entry, now, records);
     task::TaskRecord record;
     record.set_id("impossible-" + refusal.task);
     record.mutable_ended()->set_task(refusal.task);
@@ -341,6 +352,49 @@
     append(record, now, records);
 }
 
+// A shard without workers passes on what waits. One that has some keeps its tasks
+// until the policy finds that none of its workers can ever run them.
+void ShardController::appendMoves(TimePoint now, std::vector<ShardRecord>& records)
+{
+    bool isEmpty = m_hasWorkerList && m_driver.workers().empty() && now - m_keeper.ownedSince() >= m_times.settle;
+    if (!isEmpty)
+        return;
+    std::size_t moved = 0;
+    for (const WaitingKey& it : m_reducer.waiting()) {
+        const TaskEntry& entry = *m_reducer.find(it.task);
+        if (!mayMove(entry))
+            continue;
+        if (++moved > s_movesADecision)
+            return;
+        appendMove(entry, now, records);
+    }
+}
+
+bool ShardController::mayMove(const TaskEntry& entry) const
+{
+    bool isFresh = entry.attempt == 0 && !entry.isCancelRequested && !m_tentative.contains(entry.description.id);
+    return isFresh && entry.hops + 1 < m_shardCount && m_strategies.uses(Strategy::MoveOn);
+}
+
+void ShardController::appendMove(const TaskEntry& entry, TimePoint now, std::vector<ShardRecord>& records)
+{
+    task::TaskRecord record;
+    record.set_id("move-" + entry.description.id);
+    record.mutable_moved_on()->set_task(entry.description.id);
+    append(record, now, records);
+}
+
+void ShardController::appendArrivals(TimePoint now, std::vector<ShardRecord>& records)
+{
+    std::erase_if(m_arrivals, [this](const std::string& it) { return !m_reducer.departing().contains(it); });
+    for (const std::string& it : m_arrivals) {
+        task::TaskRecord record;
+        record.set_id("arrived-" + it);
+        record.mutable_arrived()->set_task(it);
+        append(record, now, records);
+    }
+}
+
 void ShardController::evict(const AttemptId& id, const std::string& reason)
 {
     auto it = m_driver.attempts().find(id);
--- a/plantainhold/scheduling/ShardController.h
+++ b/plantainhold/scheduling/ShardController.h
@@ -15,6 +15,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -46,6 +47,12 @@
     // The shard's workers on the platform's list.
     void listWorkers(std::span<const Instance> workers);
 
+    // How many shards the data centre has; a task passes each at most once.
+    // Precondition: called before the first decision.
+    void setShardCount(std::uint32_t shards) { m_shardCount = shards; }
+    // The next shard has a task that this one passed on.
+    void arrived(const std::string& task) { m_arrivals.insert(task); }
+
     // What to append now.
     std::vector<ShardRecord> decide(const LeaseSurroundings& surroundings, TimePoint now);
 
@@ -80,6 +87,10 @@
     void appendPlan(TimePoint now, std::vector<ShardRecord>& records);
     void appendPlacement(const PlacementPlan::Placing& placing, TimePoint now, std::vector<ShardRecord>& records);
     void appendRefusal(const PlacementPlan::Refusal& refusal, TimePoint now, std::vector<ShardRecord>& records);
+    void appendMoves(TimePoint now, std::vector<ShardRecord>& records);
+    void appendMove(const TaskEntry& entry, TimePoint now, std::vector<ShardRecord>& records);
+    void appendArrivals(TimePoint now, std::vector<ShardRecord>& records);
+    bool mayMove(const TaskEntry& entry) const;
     void evict(const AttemptId& id, const std::string& reason);
     void evictExcess();
     void dropOldPlacements(TimePoint now);
@@ -95,6 +106,9 @@
     RecordBook m_book;
     std::map<std::string, TentativePlacement> m_tentative;
     std::vector<DecisionNote> m_notes;
+    std::uint32_t m_shardCount = 1;
+    std::set<std::string> m_arrivals;
+    bool m_hasWorkerList = false;
     bool m_isActive = false;
 };
 
--- a/plantainhold/scheduling/ShardOwner.cpp
+++ b/plantainhold/scheduling/ShardOwner.cpp
@@ -9,6 +9,7 @@
 #include "plantainhold/proto/task.pb.h"
 #include "plantainhold/scheduling/CommandPool.h"
 #include "plantainhold/scheduling/PlannerPlacement.h"
+#include "plantainhold/scheduling/TaskMessages.h"
 #include "plantainhold/scheduling/TaskMetrics.h"
 #include "plantainhold/util/Hash.h"
 #include "plantainhold/util/RcuCell.h"
@@ -26,6 +27,7 @@
     // Decisions share what arrives within this time, so that a burst costs few rounds.
     constexpr Milliseconds s_decisionGap { 5 };
     constexpr Milliseconds s_askAgain { 2000 };
+    constexpr Milliseconds s_passOnPeriod { 100 };
     // How long someone with an intact memory has to supply a snapshot.
     constexpr Milliseconds s_resetPatience { 10'000 };
 
@@ -42,6 +44,15 @@
         return times;
     }
 
+    std::string passedOnRecord(const TaskEntry& entry)
+    {
+        task::TaskRecord record;
+        record.set_id("passed-on-" + entry.description.id);
+        fillSpec(*record.mutable_submitted()->mutable_spec(), entry.description);
+        record.mutable_submitted()->set_hops(entry.hops + 1);
+        return record.SerializeAsString();
+    }
+
     WorkerAnswer fromOutcome(CommandOutcome outcome)
     {
         WorkerAnswer answer;
@@ -66,6 +77,7 @@
     , m_snapshots(context.log, m_stream, context.settings.logTimeout)
     , m_controller(context.incarnation, timesOf(context.settings), context.strategies, *m_policy)
 {
+    m_controller.setShardCount(static_cast<std::uint32_t>(context.settings.shards));
 }
 
 ShardOwner::~ShardOwner()
@@ -305,6 +317,7 @@
         }
         refreshView();
         decideOnce();
+        passOn();
         std::this_thread::sleep_for(s_decisionGap);
     }
 }
@@ -340,6 +353,44 @@
     log(notes);
 }
 
+void ShardOwner::passOn()
+{
+    TimePoint now = m_context.clock.now();
+    if (!m_next || now - m_lastPassedOn < s_passOnPeriod)
+        return;
+    m_lastPassedOn = now;
+    std::vector<TaskEntry> departing;
+    {
+        std::lock_guard lock(m_mutex);
+        if (!m_controller.mayCommand(now))
+            return;
+        for (const std::string& it : m_controller.reducer().departing())
+            departing.push_back(*m_controller.reducer().find(it));
+    }
+    std::vector<std::string> arrived;
+    std::vector<std::string> missing;
+    // Never under this shard's own lock: the shards pass on in a ring.
+    if (departing.empty() || !m_next->m_hasReachedEnd)
+        return;
+    m_next->inspect([&](const ShardReducer& reducer) {
+        for (const TaskEntry& it : departing) {
+            const std::string& id = it.description.id;
+            if (reducer.find(id) || reducer.remembersEnd(id))
+                arrived.push_back(id);
+            else
+                missing.push_back(passedOnRecord(it));
+        }
+    });
+    for (std::string& it : missing)
+        m_next->m_writer.submit(std::move(it));
+    if (arrived.empty())
+        return;
+    std::lock_guard lock(m_mutex);
+    for (const std::string& it : arrived)
+        m_controller.arrived(it);
+    m_isDecisionWanted = true;
+}
+
 void ShardOwner::refreshView()
 {
     std::vector<Instance> workers;
--- a/plantainhold/scheduling/ShardOwner.h
+++ b/plantainhold/scheduling/ShardOwner.h
@@ -34,6 +34,10 @@
     ShardOwner(const ShardOwner&) = delete;
     ShardOwner& operator=(const ShardOwner&) = delete;
 
+    // The shard that takes what this one passes on. Precondition: called before
+    // start(); the other shard lives as long as this one.
+    void setNext(ShardOwner& next) { m_next = &next; }
+
     void start();
     void stop();
     // Hands the shard over as soon as no command is under way. Thread-safe, as all that follows.
@@ -66,6 +70,8 @@
     void takeRecord(const StreamRecord& record, TimePoint now);
     void decideLoop();
     void decideOnce();
+    // Brings the next shard what was passed on, until it is read back there.
+    void passOn();
     void snapshotIfDue();
     void refreshView();
     LeaseSurroundings surroundings() const;
@@ -97,8 +103,10 @@
     // Records that callers wait for; set once read back.
     std::unordered_map<std::string, bool> m_awaited;
     bool m_isDecisionWanted = false;
+    ShardOwner* m_next = nullptr;
 
     // Only the deciding thread touches these.
+    TimePoint m_lastPassedOn;
     std::uint64_t m_viewVersion = 0;
     std::vector<std::string> m_candidates;
 
--- a/plantainhold/scheduling/ShardReducer.cpp
+++ b/plantainhold/scheduling/ShardReducer.cpp
@@ -75,6 +75,10 @@
         return applyEnded(record);
     case task::TaskRecord::kCancel:
         return applyCancel(record);
+    case task::TaskRecord::kMovedOn:
+        return applyMovedOn(record);
+    case task::TaskRecord::kArrived:
+        return applyArrived(record);
     default:
         return false;
     }
@@ -162,6 +166,7 @@
         return false;
     TaskEntry& entry = m_image.tasks[spec.id()];
     entry.description = toDescription(spec);
+    entry.hops = record.submitted().hops();
     entry.order = m_image.nextOrder++;
     beginWaiting(entry);
     return true;
@@ -243,6 +248,31 @@
     return true;
 }
 
+bool ShardReducer::applyMovedOn(const task::TaskRecord& record)
+{
+    TaskEntry* entry = entryOf(record.moved_on().task());
+    if (record.epoch() != m_image.lease.epoch || !entry || entry->phase != TaskPhase::Waiting)
+        return false;
+    // What has run stays, so that its attempts are counted and its checkpoint is known in one place.
+    if (entry->attempt > 0 || entry->isCancelRequested)
+        return false;
+    entry->isArrivalOpen = true;
+    m_departing.insert(entry->description.id);
+    end(*entry, TaskPhase::Moved);
+    return true;
+}
+
+bool ShardReducer::applyArrived(const task::TaskRecord& record)
+{
+    TaskEntry* entry = entryOf(record.arrived().task());
+    if (record.epoch() != m_image.lease.epoch || !entry || !entry->isArrivalOpen)
+        return false;
+    entry->isArrivalOpen = false;
+    m_departing.erase(entry->description.id);
+    forgetOldest();
+    return true;
+}
+
 void ShardReducer::beginWaiting(TaskEntry& entry)
 {
     entry.phase = TaskPhase::Waiting;
@@ -260,7 +290,8 @@
 
 void ShardReducer::forgetOldest()
 {
-    while (m_ended.size() > m_limits.endedTasks) {
+    // A task that the next shard may not have yet must not be forgotten, nor what ended after it.
+    while (m_ended.size() > m_limits.endedTasks && !m_departing.contains(m_ended.front())) {
         m_endedIds.add(m_ended.front());
         m_image.tasks.erase(m_ended.front());
         m_ended.pop_front();
@@ -277,6 +308,8 @@
             m_ledger.restore(entry.worker, id, entry.reserved);
         else
             ended.emplace(entry.endedOrder, id);
+        if (entry.isArrivalOpen)
+            m_departing.insert(id);
     }
     for (auto& [order, id] : ended)
         m_ended.push_back(id);
--- a/plantainhold/scheduling/ShardReducer.h
+++ b/plantainhold/scheduling/ShardReducer.h
@@ -69,6 +69,8 @@
     bool remembersEnd(const std::string& task) const { return m_endedIds.contains(task); }
     const CapacityLedger& ledger() const { return m_ledger; }
     const std::set<WaitingKey>& waiting() const { return m_waiting; }
+    // Tasks passed on that the next shard is not known to have.
+    const std::set<std::string>& departing() const { return m_departing; }
     std::size_t liveTasks() const { return m_image.tasks.size() - m_ended.size(); }
     // The image with everything that a rebuild needs.
     ShardImage snapshot() const;
@@ -82,6 +84,8 @@
     bool applyCheckpointed(const task::TaskRecord& record);
     bool applyEnded(const task::TaskRecord& record);
     bool applyCancel(const task::TaskRecord& record);
+    bool applyMovedOn(const task::TaskRecord& record);
+    bool applyArrived(const task::TaskRecord& record);
 
     void takeClaim(const std::string& claimant);
     void derive();
@@ -95,6 +99,7 @@
     ShardImage m_image;
     CapacityLedger m_ledger;
     std::set<WaitingKey> m_waiting;
+    std::set<std::string> m_departing;
     // Ended tasks that are kept whole, oldest first.
     std::deque<std::string> m_ended;
     EndedIds m_endedIds;
--- a/plantainhold/scheduling/TaskCalls.cpp
+++ b/plantainhold/scheduling/TaskCalls.cpp
@@ -21,7 +21,7 @@
     constexpr std::size_t s_nameLimitBytes = 128;
     constexpr std::size_t s_commandLimitBytes = 4096;
     constexpr int s_cancelLimit = 100'000;
-    constexpr std::array<const char*, 6> s_phaseNames { "waiting", "assigned", "completed", "failed", "cancelled", "impossible" };
+    constexpr std::array<const char*, 7> s_phaseNames { "waiting", "assigned", "completed", "failed", "cancelled", "impossible", "moved" };
 
     std::string faultIn(const task::TaskSpec& spec)
     {
@@ -63,11 +63,27 @@
 {
 }
 
-std::size_t TaskCalls::shardOf(const std::string& task) const
+std::size_t TaskCalls::homeOf(const std::string& task) const
 {
     return hash64(task) % m_shards.size();
 }
 
+std::size_t TaskCalls::shardOf(const std::string& task) const
+{
+    std::size_t home = homeOf(task);
+    for (std::size_t hops = 0; hops < m_shards.size(); ++hops) {
+        std::size_t at = (home + hops) % m_shards.size();
+        bool isThere = false;
+        m_shards[at]->inspect([&](const ShardReducer& reducer) {
+            const TaskEntry* entry = reducer.find(task);
+            isThere = entry && (entry->phase != TaskPhase::Moved || entry->isArrivalOpen);
+        });
+        if (isThere)
+            return at;
+    }
+    return home;
+}
+
 grpc::Status TaskCalls::Submit(grpc::ServerContext*, const task::SubmitRequest* request, task::SubmitReply* reply)
 {
     task::TaskSpec spec = request->spec();
@@ -97,7 +113,8 @@
         shard->inspect([&](const ShardReducer& reducer) {
             for (const auto& [id, entry] : reducer.tasks()) {
                 bool isWanted = request->team().empty() || request->team() == entry.description.team;
-                if (isWanted && reply->tasks_size() < limit)
+                bool isElsewhere = entry.phase == TaskPhase::Moved && !entry.isArrivalOpen;
+                if (isWanted && !isElsewhere && reply->tasks_size() < limit)
                     fillSummary(*reply->add_tasks(), entry, reducer.lease(), shard->shard());
             }
         });
@@ -142,7 +159,11 @@
         shard.inspect([&](const ShardReducer& reducer) {
             for (std::size_t i : wave.positions) {
                 const std::string& id = request->tasks(static_cast<int>(i));
-                if (reducer.find(id))
+                const TaskEntry* entry = reducer.find(id);
+                // On its way to the next shard: a repeat finds it there.
+                if (entry && entry->phase == TaskPhase::Moved)
+                    results[i] = ResultCode::TaskOutcomeUnknown;
+                else if (entry)
                     known.push_back(i);
                 else
                     results[i] = reducer.remembersEnd(id) ? ResultCode::TaskAlreadyEnded : ResultCode::TaskUnknown;
@@ -157,10 +178,14 @@
         }
         // All of a shard's records go out together and are waited for together.
         std::vector<bool> isRead = shard.appendAndWait(wave.records, Milliseconds(request->timeout_ms()));
-        for (std::size_t i = 0; i < isRead.size(); ++i) {
-            if (!isRead[i])
-                results[wave.positions[i]] = ResultCode::TaskOutcomeUnknown;
-        }
+        shard.inspect([&](const ShardReducer& reducer) {
+            for (std::size_t i = 0; i < isRead.size(); ++i) {
+                const TaskEntry* entry = reducer.find(request->tasks(static_cast<int>(wave.positions[i])));
+                bool hasLeft = entry && entry->phase == TaskPhase::Moved;
+                if (!isRead[i] || hasLeft)
+                    results[wave.positions[i]] = ResultCode::TaskOutcomeUnknown;
+            }
+        });
     }
     ResultCode worst = ResultCode::TaskAccepted;
     for (ResultCode it : results) {
--- a/plantainhold/scheduling/TaskCalls.h
+++ b/plantainhold/scheduling/TaskCalls.h
@@ -24,6 +24,9 @@
     grpc::Status Cancel(grpc::ServerContext*, const task::CancelRequest* request, task::CancelReply* reply) override;
 
 private:
+    // The shard that a task is first submitted to.
+    std::size_t homeOf(const std::string& task) const;
+    // The shard that has the task now; its home when none has.
     std::size_t shardOf(const std::string& task) const;
 
     std::span<const std::unique_ptr<ShardOwner>> m_shards;
--- a/plantainhold/scheduling/TaskEntry.h
+++ b/plantainhold/scheduling/TaskEntry.h
@@ -16,6 +16,8 @@
     Failed,
     Cancelled,
     Impossible,
+    // Passed on to the next shard, which follows it from there.
+    Moved,
 };
 
 constexpr bool isEnded(TaskPhase phase)
@@ -56,6 +58,10 @@
     std::uint32_t checkpoint = 0;
     std::uint32_t failures = 0;
     bool isCancelRequested = false;
+    // How many shards have passed the task on before this one.
+    std::uint32_t hops = 0;
+    // Passed on, and the next shard is not known to have it yet.
+    bool isArrivalOpen = false;
     std::string detail;
 
     bool operator==(const TaskEntry&) const = default;
--- a/plantainhold/scheduling/TaskMessages.cpp
+++ b/plantainhold/scheduling/TaskMessages.cpp
@@ -8,18 +8,6 @@
 
 namespace {
 
-    void fillSpec(task::TaskSpec& spec, const TaskDescription& description)
-    {
-        spec.set_id(description.id);
-        spec.set_team(description.team);
-        spec.set_profile(description.profile);
-        spec.set_command(description.command);
-        fillResources(*spec.mutable_resources(), description.resources);
-        spec.set_is_service(description.isService);
-        spec.set_urgent(description.isUrgent);
-        spec.set_expected_ms(description.expectedMs);
-    }
-
     TaskEntry toEntry(const task::TaskState& message)
     {
         TaskEntry entry;
@@ -36,6 +24,8 @@
         entry.failures = message.failures();
         entry.isCancelRequested = message.cancel_requested();
         entry.detail = message.detail();
+        entry.hops = message.hops();
+        entry.isArrivalOpen = message.is_arrival_open();
         return entry;
     }
 
@@ -67,6 +57,18 @@
     return description;
 }
 
+void fillSpec(task::TaskSpec& spec, const TaskDescription& description)
+{
+    spec.set_id(description.id);
+    spec.set_team(description.team);
+    spec.set_profile(description.profile);
+    spec.set_command(description.command);
+    fillResources(*spec.mutable_resources(), description.resources);
+    spec.set_is_service(description.isService);
+    spec.set_urgent(description.isUrgent);
+    spec.set_expected_ms(description.expectedMs);
+}
+
 void fillState(task::TaskState& message, const TaskEntry& entry)
 {
     fillSpec(*message.mutable_spec(), entry.description);
@@ -82,6 +84,8 @@
     message.set_failures(entry.failures);
     message.set_cancel_requested(entry.isCancelRequested);
     message.set_detail(entry.detail);
+    message.set_hops(entry.hops);
+    message.set_is_arrival_open(entry.isArrivalOpen);
 }
 
 void fillSnapshot(task::ShardSnapshot& message, const ShardImage& image)
--- a/plantainhold/scheduling/TaskMessages.h
+++ b/plantainhold/scheduling/TaskMessages.h
@@ -20,6 +20,7 @@
 Resources toResources(const platform::Resources& message);
 void fillResources(platform::Resources& message, const Resources& resources);
 TaskDescription toDescription(const task::TaskSpec& spec);
+void fillSpec(task::TaskSpec& spec, const TaskDescription& description);
 void fillState(task::TaskState& message, const TaskEntry& entry);
 
 // The snapshot's offset is left for the caller to set.
--- a/plantainhold/scheduling/TaskModule.cpp
+++ b/plantainhold/scheduling/TaskModule.cpp
@@ -25,6 +25,8 @@
 {
     for (std::int64_t i = 0; i < context.settings.shards; ++i)
         m_shards.push_back(std::make_unique<ShardOwner>(context, *m_pool, *m_metrics, static_cast<std::uint32_t>(i)));
+    for (std::size_t i = 0; i < m_shards.size(); ++i)
+        m_shards[i]->setNext(*m_shards[(i + 1) % m_shards.size()]);
     m_calls = std::make_unique<TaskCalls>(m_shards);
 }
 
