Share the benches' options, and log silent workers and orphans

Cause: six benches read the same three options each in its own words; two events of the catalogue (PHE320, PHE321) were never written, although the operators' page tells to look for them; two commands of the worker stand-in repeated their first ten lines, and confirmed commands on attempts that had just ended.

Ruled out: dropping the two events; a silent worker is what an operator must see.

Change: BenchOptions; the shard's controller notes a worker that falls silent, with each task that waits for it, and attempts that no record accounts for; runningAttempt() in the stand-in looks after stepping its clock.

--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -3,6 +3,7 @@
 // Measures what more of each thing costs, and works out from it what the design
 // size would cost. With --from, works it out from kept measurements alone.
 
+#include "bench/BenchOptions.h"
 #include "bench/BenchReport.h"
 #include "bench/CapacityModel.h"
 #include "bench/CapacityPage.h"
@@ -11,7 +12,6 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
-#include <tclap/CmdLine.h>
 
 namespace {
 
@@ -100,22 +100,19 @@
 
 int main(int argc, char** argv)
 {
-    TCLAP::CmdLine line("Measures the cost of control, and works out that at the design size");
-    TCLAP::ValueArg<std::string> bin("", "bin", "folder of the programs", false, "build/bin", "FOLDER", line);
-    TCLAP::ValueArg<unsigned> seed("", "seed", "of everything random", false, 1, "N", line);
-    TCLAP::ValueArg<std::string> output("", "output", "text, json or markdown", false, "text", "FORMAT", line);
-    TCLAP::ValueArg<std::string> save("", "save", "keeps the measurements", false, "", "FILE", line);
-    TCLAP::ValueArg<std::string> page("", "page", "replaces the tables of this page", false, "", "FILE", line);
-    TCLAP::ValueArg<std::string> from("", "from", "takes kept measurements in place of new ones", false, "", "FILE", line);
-    TCLAP::MultiArg<std::string> only("", "only", "measures this alone and works nothing out", false, "NAME", line);
-    line.parse(argc, argv);
+    bench::BenchOptions options("Measures the cost of control, and works out that at the design size");
+    TCLAP::ValueArg<std::string> save("", "save", "keeps the measurements", false, "", "FILE", options.line());
+    TCLAP::ValueArg<std::string> page("", "page", "replaces the tables of this page", false, "", "FILE", options.line());
+    TCLAP::ValueArg<std::string> from("", "from", "takes kept measurements in place of new ones", false, "", "FILE", options.line());
+    TCLAP::MultiArg<std::string> only("", "only", "measures this alone and works nothing out", false, "NAME", options.line());
+    options.parse(argc, argv);
     try {
-        bench::CapacityMeasurements measurements = from.isSet() ? bench::readMeasurements(from.getValue()) : measureAll(bin.getValue(), seed.getValue(), only.getValue());
+        bench::CapacityMeasurements measurements = from.isSet() ? bench::readMeasurements(from.getValue()) : measureAll(options.bin(), options.seed(), only.getValue());
         if (save.isSet())
             bench::writeMeasurements(measurements, save.getValue());
         if (page.isSet())
             bench::writeTables(measurements, page.getValue());
-        if (output.getValue() == "markdown") {
+        if (options.format() == "markdown") {
             std::cout << bench::capacityTables(measurements);
             return 0;
         }
@@ -127,7 +124,7 @@
             addDerived(bench::deriveLines(measurements, {}), report);
         }
         report.addNote("measured at commit " + measurements.commit + " on " + measurements.machine);
-        report.print(std::cout, output.getValue() == "json");
+        options.print(report);
         return 0;
     } catch (const std::exception& error) {
         std::cerr << error.what() << '\n';
--- a/bench/ConfigBench.cpp
+++ b/bench/ConfigBench.cpp
@@ -2,6 +2,7 @@
 // Real processes: how long an accepted change takes until each instance has it in
 // force, and what changes and membership cost an instance in bytes and processor time.
 
+#include "bench/BenchOptions.h"
 #include "bench/BenchReport.h"
 #include "plantainhold/proto/config.grpc.pb.h"
 #include "plantainhold/proto/report.grpc.pb.h"
@@ -15,12 +16,10 @@
 #include <grpcpp/client_context.h>
 #include <grpcpp/create_channel.h>
 #include <grpcpp/security/credentials.h>
-#include <iostream>
 #include <limits>
 #include <memory>
 #include <random>
 #include <regex>
-#include <tclap/CmdLine.h>
 #include <thread>
 #include <unistd.h>
 
@@ -251,22 +250,19 @@
 
     int run(int argc, char** argv)
     {
-        TCLAP::CmdLine line("Measures configuration and membership on real processes.", ' ', "0.1.0");
-        TCLAP::ValueArg<std::string> bin("", "bin", "folder of the programs", true, "", "FOLDER", line);
-        TCLAP::ValueArg<unsigned> seed("", "seed", "seed", false, 1, "N", line);
-        TCLAP::ValueArg<int> changes("", "changes", "how many changes", false, 100, "N", line);
-        TCLAP::ValueArg<std::string> output("", "output", "text or json", false, "text", "FORMAT", line);
-        line.parse(argc, argv);
+        BenchOptions options("Measures configuration and membership on real processes.");
+        TCLAP::ValueArg<int> changes("", "changes", "how many changes", false, 100, "N", options.line());
+        options.parse(argc, argv);
         std::filesystem::path folder = std::filesystem::temp_directory_path() / ("plantainhold-config-bench-" + std::to_string(getpid()));
         std::filesystem::create_directories(folder);
-        BenchReport report("config", seed.getValue());
+        BenchReport report("config", options.seed());
         report.setColumns({ "what", "figure", "unit" });
         {
-            Trial trial(bin.getValue(), folder, seed.getValue());
+            Trial trial(options.bin(), folder, options.seed());
             measure(trial, changes.getValue(), report);
         }
         std::filesystem::remove_all(folder);
-        report.print(std::cout, output.getValue() == "json");
+        options.print(report);
         return 0;
     }
 
--- a/bench/DecisionsBench.cpp
+++ b/bench/DecisionsBench.cpp
@@ -2,6 +2,7 @@
 // Placement decisions a second and memory a task in one decision core, at
 // today's size, four and sixteen times it, and the size to design for.
 
+#include "bench/BenchOptions.h"
 #include "bench/BenchReport.h"
 #include "plantainhold/policy/Fleet.h"
 #include "plantainhold/policy/Planner.h"
@@ -12,11 +13,9 @@
 #include <chrono>
 #include <cmath>
 #include <deque>
-#include <iostream>
 #include <malloc.h>
 #include <random>
 #include <string>
-#include <tclap/CmdLine.h>
 #include <unordered_map>
 #include <vector>
 
@@ -254,16 +253,13 @@
 
     int run(int argc, char** argv)
     {
-        TCLAP::CmdLine line("Measures the decision core of one shard owner.");
-        TCLAP::ValueArg<std::string> bin("", "bin", "folder of the programs; not needed here", false, "", "path", line);
-        TCLAP::ValueArg<unsigned> seed("", "seed", "seed", false, 1, "number", line);
-        TCLAP::ValueArg<std::string> output("", "output", "text or json", false, "text", "format", line);
-        line.parse(argc, argv);
-        BenchReport report("decisions", seed.getValue());
+        BenchOptions options("Measures the decision core of one shard owner.");
+        options.parse(argc, argv);
+        BenchReport report("decisions", options.seed());
         report.setColumns({ "size", "workers", "running", "decisions/s", "us/decision", "samples/s", "bytes/task", "blocked round us" });
         std::vector<Figures> all;
         for (const Size& it : s_sizes) {
-            Figures figures = Core(it, seed.getValue()).measure();
+            Figures figures = Core(it, options.seed()).measure();
             all.push_back(figures);
             report.addRow({ it.name, std::to_string(it.workers), std::to_string(figures.running), decimal(figures.decisionsPerSecond, 0), decimal(figures.microsecondsPerDecision, 1),
                 decimal(figures.samplesPerSecond, 0), decimal(figures.bytesPerTask, 0), decimal(figures.blockedRoundMicroseconds, 0) });
@@ -277,7 +273,7 @@
         report.addTargetAtMost("MB for 32,000 tasks in one core", 32000 * all.back().bytesPerTask / 1e6, 128);
         report.addNote("a decision: one attempt's end, one arrival, one placement and the speeds that follow; one thread");
         report.addNote("3.8 % of a core an instance over 56 instances is the budget of the whole fleet");
-        report.print(std::cout, output.getValue() == "json");
+        options.print(report);
         return 0;
     }
 
--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -2,15 +2,14 @@
 // Protects services from their neighbours in the closed-loop fake: one row a
 // policy, the median over the seeds N to N + K - 1.
 
+#include "bench/BenchOptions.h"
 #include "bench/BenchReport.h"
 #include "bench/ClosedRun.h"
 
 #include <algorithm>
 #include <atomic>
 #include <cstdio>
-#include <iostream>
 #include <map>
-#include <tclap/CmdLine.h>
 #include <thread>
 #include <vector>
 
@@ -115,17 +114,14 @@
 
     int run(int argc, char** argv)
     {
-        TCLAP::CmdLine line("Protects services from their neighbours in a closed-loop fake of workers.");
-        TCLAP::ValueArg<std::string> bin("", "bin", "folder of the programs; not needed here", false, "", "path", line);
-        TCLAP::ValueArg<unsigned> seed("", "seed", "first seed", false, 101, "number", line);
-        TCLAP::ValueArg<unsigned> seeds("", "seeds", "how many seeds", false, 1, "number", line);
-        TCLAP::ValueArg<unsigned> threads("", "threads", "runs at a time", false, 2, "number", line);
-        TCLAP::ValueArg<std::string> team("", "team", "parish or kahvisatama", false, "parish", "name", line);
-        TCLAP::ValueArg<std::string> policies("", "policies", "names, separated by commas; all when empty", false, "", "names", line);
-        TCLAP::ValueArg<std::string> output("", "output", "text or json", false, "text", "format", line);
-        line.parse(argc, argv);
+        BenchOptions options("Protects services from their neighbours in a closed-loop fake of workers.");
+        TCLAP::ValueArg<unsigned> seeds("", "seeds", "how many seeds", false, 1, "number", options.line());
+        TCLAP::ValueArg<unsigned> threads("", "threads", "runs at a time", false, 2, "number", options.line());
+        TCLAP::ValueArg<std::string> team("", "team", "parish or kahvisatama", false, "parish", "name", options.line());
+        TCLAP::ValueArg<std::string> policies("", "policies", "names, separated by commas; all when empty", false, "", "names", options.line());
+        options.parse(argc, argv);
         std::vector<Job> jobs;
-        for (std::uint32_t it = seed.getValue(); it < seed.getValue() + seeds.getValue(); ++it) {
+        for (std::uint32_t it = options.seed(); it < options.seed() + seeds.getValue(); ++it) {
             for (const std::string& policy : closedPolicyNames()) {
                 bool isWanted = policies.getValue().empty() || ("," + policies.getValue() + ",").find("," + policy + ",") != std::string::npos;
                 if (isWanted)
@@ -134,12 +130,12 @@
         }
         runJobs(jobs, team.getValue(), threads.getValue());
         Results results(std::move(jobs));
-        BenchReport report("policy " + team.getValue(), seed.getValue());
+        BenchReport report("policy " + team.getValue(), options.seed());
         addRows(report, results);
         addTargets(report, results);
         report.addNote("median over " + std::to_string(seeds.getValue()) + " seeds; seeds 1 to 20 served for tuning, 101 to 120 judge");
         report.addNote("core-h/h: core hours of batch work done an hour that were not lost again");
-        report.print(std::cout, output.getValue() == "json");
+        options.print(report);
         return 0;
     }
 
--- a/bench/RecoveryBench.cpp
+++ b/bench/RecoveryBench.cpp
@@ -2,6 +2,7 @@
 // Real processes: the owner of a shard is killed, paused, or cut from the log;
 // how long until an urgent task starts again, and until every worker is owned.
 
+#include "bench/BenchOptions.h"
 #include "bench/BenchReport.h"
 #include "plantainhold/proto/report.grpc.pb.h"
 #include "plantainhold/proto/task.grpc.pb.h"
@@ -20,7 +21,6 @@
 #include <iostream>
 #include <optional>
 #include <random>
-#include <tclap/CmdLine.h>
 #include <thread>
 
 namespace plantainhold::bench {
@@ -200,14 +200,11 @@
 
     int runBench(int argc, char** argv)
     {
-        TCLAP::CmdLine line("Recovery of a shard after faults of its owner");
-        TCLAP::ValueArg<std::string> bin("", "bin", "folder of the programs", true, "", "FOLDER", line);
-        TCLAP::ValueArg<unsigned> seed("", "seed", "seed", false, 1, "N", line);
-        TCLAP::ValueArg<int> tasks("", "tasks", "tasks that run besides, in the large rows", false, 4000, "N", line);
-        TCLAP::ValueArg<int> trials("", "trials", "trials a row", false, 3, "N", line);
-        TCLAP::ValueArg<std::string> output("", "output", "text or json", false, "text", "FORMAT", line);
-        line.parse(argc, argv);
-        BenchReport report("recovery", seed.getValue());
+        BenchOptions options("Recovery of a shard after faults of its owner");
+        TCLAP::ValueArg<int> tasks("", "tasks", "tasks that run besides, in the large rows", false, 4000, "N", options.line());
+        TCLAP::ValueArg<int> trials("", "trials", "trials a row", false, 3, "N", options.line());
+        options.parse(argc, argv);
+        BenchReport report("recovery", options.seed());
         report.setColumns({ "fault", "tasks", "trials", "urgent_start_ms", "all_owned_ms" });
         struct Row {
             std::string fault;
@@ -220,7 +217,7 @@
                 std::filesystem::path folder = std::filesystem::temp_directory_path() / ("plantainhold-recovery-" + std::to_string(std::random_device()()));
                 std::filesystem::create_directories(folder);
                 {
-                    Trial trial(bin.getValue(), folder, seed.getValue() + static_cast<unsigned>(i));
+                    Trial trial(options.bin(), folder, options.seed() + static_cast<unsigned>(i));
                     trial.run(row.fault, row.tasks);
                     urgent.push_back(trial.urgentMs);
                     owned.push_back(trial.ownedMs);
@@ -235,7 +232,7 @@
                 report.addTargetAtMost("all workers owned in ms, " + name, median(owned), s_takeoverLimitMs);
         }
         report.addNote("medians; the takeover limit is the shard's lease, its margin and a second");
-        report.print(std::cout, output.getValue() == "json");
+        options.print(report);
         return 0;
     }
 
--- a/bench/RequestsBench.cpp
+++ b/bench/RequestsBench.cpp
@@ -2,14 +2,13 @@
 // Real processes: two entry instances, four executors with eight slots each. The
 // same load goes directly to the executors in the same run.
 
+#include "bench/BenchOptions.h"
 #include "bench/BenchReport.h"
 #include "bench/ChoiceModel.h"
 #include "bench/LoadFleet.h"
 #include "bench/LoadGenerator.h"
 
 #include <algorithm>
-#include <iostream>
-#include <tclap/CmdLine.h>
 #include <thread>
 
 namespace plantainhold::bench {
@@ -201,14 +200,11 @@
 int main(int argc, char** argv)
 {
     namespace bench = plantainhold::bench;
-    TCLAP::CmdLine line("Requests through two entry instances to four executors");
-    TCLAP::ValueArg<std::string> bin("", "bin", "folder of the programs", true, "", "FOLDER", line);
-    TCLAP::ValueArg<unsigned> seed("", "seed", "of the arrivals", false, 1, "N", line);
-    TCLAP::ValueArg<int> seconds("", "seconds", "of each measurement", false, 4, "S", line);
-    TCLAP::ValueArg<std::string> output("", "output", "text or json", false, "text", "FORMAT", line);
-    line.parse(argc, argv);
-    bench::BenchReport report("requests", seed.getValue());
-    bench::RequestsBench(bin.getValue(), seed.getValue(), std::chrono::seconds(seconds.getValue()), report).run();
-    report.print(std::cout, output.getValue() == "json");
+    bench::BenchOptions options("Requests through two entry instances to four executors");
+    TCLAP::ValueArg<int> seconds("", "seconds", "of each measurement", false, 4, "S", options.line());
+    options.parse(argc, argv);
+    bench::BenchReport report("requests", options.seed());
+    bench::RequestsBench(options.bin(), options.seed(), std::chrono::seconds(seconds.getValue()), report).run();
+    options.print(report);
     return 0;
 }
--- a/plantainhold/scheduling/ShardController.cpp
+++ b/plantainhold/scheduling/ShardController.cpp
@@ -468,15 +468,40 @@
 
 void ShardController::answered(const WorkerCommand& command, const WorkerAnswer& answer, TimePoint now)
 {
+    WorkerCondition before = conditionOf(command.address.worker);
     m_driver.answered(command, answer, rights(now), m_reducer, now);
     if (!m_isActive)
         return;
+    noteWorker(command.address.worker, before);
     for (const AttemptReport& it : answer.reports) {
         if (m_driver.attempts().contains(it.id))
             m_policy->sampled(it, now);
     }
 }
 
+ShardController::WorkerCondition ShardController::conditionOf(const std::string& worker) const
+{
+    auto it = m_driver.workers().find(worker);
+    if (it == m_driver.workers().end())
+        return {};
+    return { it->second.failures() > 0, !it->second.orphans().empty() };
+}
+
+void ShardController::noteWorker(const std::string& worker, const WorkerCondition& before)
+{
+    WorkerCondition now = conditionOf(worker);
+    if (now.hasOrphans && !before.hasOrphans)
+        m_notes.push_back({ EventId::OrphansFound, {}, { { "worker", worker } } });
+    if (!now.isSilent || before.isSilent)
+        return;
+    m_notes.push_back({ EventId::WorkerSilent, {}, { { "worker", worker } } });
+    for (const auto& [id, attempt] : m_driver.attempts()) {
+        const TaskEntry* entry = m_reducer.find(id.task);
+        if (entry && entry->worker == worker && entry->attempt == id.attempt)
+            noteTask(EventId::WorkerSilent, *entry, "it may begin elsewhere only once its lease there must have lapsed");
+    }
+}
+
 std::vector<DecisionNote> ShardController::takeNotes()
 {
     return std::exchange(m_notes, {});
--- a/plantainhold/scheduling/ShardController.h
+++ b/plantainhold/scheduling/ShardController.h
@@ -74,6 +74,11 @@
     // Tests tell states apart through it.
     friend class StateDigest;
 
+    struct WorkerCondition {
+        bool isSilent = false;
+        bool hasOrphans = false;
+    };
+
     CommandRights rights(TimePoint now) const;
     TimePoint inheritedUntil() const;
     void ownershipMayHaveChanged(std::uint64_t epochBefore, bool wasOwner, TimePoint now);
@@ -93,6 +98,9 @@
     bool mayMove(const TaskEntry& entry) const;
     void evict(const AttemptId& id, const std::string& reason);
     void evictExcess();
+    WorkerCondition conditionOf(const std::string& worker) const;
+    // Notes what has changed for the worse.
+    void noteWorker(const std::string& worker, const WorkerCondition& before);
     void dropOldPlacements(TimePoint now);
     void append(task::TaskRecord& record, TimePoint now, std::vector<ShardRecord>& records);
 
--- a/standin/WorkerService.cpp
+++ b/standin/WorkerService.cpp
@@ -197,8 +197,7 @@
     attempt.leaseEnd = attempt.lastStep + std::chrono::milliseconds(request->lease_ms());
     m_journal.write({ { "event", "start" }, { "worker", request->worker() }, { "task", key.first }, { "attempt", key.second }, { "token", request->fencing_token() },
         { "millicores", attempt.reserved.millicores() }, { "memory_mib", attempt.reserved.memory_mib() }, { "accelerators", attempt.reserved.accelerators() }, { "from_checkpoint", request->from_checkpoint() } });
-    reply->set_done(true);
-    fillReport(*reply->mutable_report(), key, &attempt);
+    confirm(*reply, key, attempt);
     return grpc::Status::OK;
 }
 
@@ -223,22 +222,36 @@
     return grpc::Status::OK;
 }
 
+WorkerService::Attempt* WorkerService::runningAttempt(const std::string& id, Worker& worker, const platform::AttemptId& wanted, std::uint64_t token, platform::CommandReply& reply)
+{
+    step(id, worker, Clock::now());
+    AttemptKey key { wanted.task(), wanted.attempt() };
+    auto it = worker.attempts.find(key);
+    bool isRunning = it != worker.attempts.end() && it->second.state == platform::ATTEMPT_RUNNING;
+    if (isFenced(worker, token) || !isRunning) {
+        reply.set_refusal("stale fencing token or no such attempt");
+        return nullptr;
+    }
+    return &it->second;
+}
+
+void WorkerService::confirm(platform::CommandReply& reply, const AttemptKey& key, const Attempt& attempt) const
+{
+    reply.set_done(true);
+    fillReport(*reply.mutable_report(), key, &attempt);
+}
+
 grpc::Status WorkerService::Throttle(grpc::ServerContext*, const platform::ThrottleRequest* request, platform::CommandReply* reply)
 {
     std::lock_guard lock(m_mutex);
     Worker* worker = find(request->worker());
     if (!worker)
         return { grpc::StatusCode::NOT_FOUND, "unknown worker" };
-    AttemptKey key { request->id().task(), request->id().attempt() };
-    auto it = worker->attempts.find(key);
-    if (isFenced(*worker, request->fencing_token()) || it == worker->attempts.end() || it->second.state != platform::ATTEMPT_RUNNING) {
-        reply->set_refusal("stale fencing token or no such attempt");
+    Attempt* attempt = runningAttempt(request->worker(), *worker, request->id(), request->fencing_token(), *reply);
+    if (!attempt)
         return grpc::Status::OK;
-    }
-    step(request->worker(), *worker, Clock::now());
-    it->second.throttlePercent = std::clamp<std::uint32_t>(request->percent(), 1, 100);
-    reply->set_done(true);
-    fillReport(*reply->mutable_report(), key, &it->second);
+    attempt->throttlePercent = std::clamp<std::uint32_t>(request->percent(), 1, 100);
+    confirm(*reply, { request->id().task(), request->id().attempt() }, *attempt);
     return grpc::Status::OK;
 }
 
@@ -248,19 +261,14 @@
     Worker* worker = find(request->worker());
     if (!worker)
         return { grpc::StatusCode::NOT_FOUND, "unknown worker" };
-    AttemptKey key { request->id().task(), request->id().attempt() };
-    auto it = worker->attempts.find(key);
-    if (isFenced(*worker, request->fencing_token()) || it == worker->attempts.end() || it->second.state != platform::ATTEMPT_RUNNING) {
-        reply->set_refusal("stale fencing token or no such attempt");
+    Attempt* attempt = runningAttempt(request->worker(), *worker, request->id(), request->fencing_token(), *reply);
+    if (!attempt)
         return grpc::Status::OK;
-    }
-    step(request->worker(), *worker, Clock::now());
-    Attempt& attempt = it->second;
-    if (attempt.workMs > 0)
-        attempt.checkpoint = std::max(attempt.checkpoint, static_cast<std::uint32_t>(std::min(99.0, s_percent * attempt.doneMs / attempt.workMs)));
-    m_journal.write({ { "event", "checkpoint" }, { "worker", request->worker() }, { "task", key.first }, { "attempt", key.second }, { "checkpoint", attempt.checkpoint } });
-    reply->set_done(true);
-    fillReport(*reply->mutable_report(), key, &attempt);
+    if (attempt->workMs > 0)
+        attempt->checkpoint = std::max(attempt->checkpoint, static_cast<std::uint32_t>(std::min(99.0, s_percent * attempt->doneMs / attempt->workMs)));
+    AttemptKey key { request->id().task(), request->id().attempt() };
+    m_journal.write({ { "event", "checkpoint" }, { "worker", request->worker() }, { "task", key.first }, { "attempt", key.second }, { "checkpoint", attempt->checkpoint } });
+    confirm(*reply, key, *attempt);
     return grpc::Status::OK;
 }
 
@@ -282,8 +290,7 @@
         it->second.state = platform::ATTEMPT_STOPPED;
     else if (it->second.state == platform::ATTEMPT_RUNNING)
         finish(request->worker(), key, it->second, platform::ATTEMPT_STOPPED, "stopped");
-    reply->set_done(true);
-    fillReport(*reply->mutable_report(), key, &it->second);
+    confirm(*reply, key, it->second);
     return grpc::Status::OK;
 }
 
--- a/standin/WorkerService.h
+++ b/standin/WorkerService.h
@@ -67,6 +67,9 @@
     bool isFenced(Worker& worker, std::uint64_t token) const;
     void fillReport(platform::AttemptReport& report, const AttemptKey& key, const Attempt* attempt) const;
     Worker* find(const std::string& id);
+    // The running attempt that a command is for; null, with the refusal set, when there is none.
+    Attempt* runningAttempt(const std::string& id, Worker& worker, const platform::AttemptId& wanted, std::uint64_t token, platform::CommandReply& reply);
+    void confirm(platform::CommandReply& reply, const AttemptKey& key, const Attempt& attempt) const;
 
     Journal& m_journal;
     std::mutex m_mutex;
