--- a/cmd/plantainhold/ConfigCommands.cpp
+++ b/cmd/plantainhold/ConfigCommands.cpp
@@ -1,7 +1,7 @@
 // config check | publish | show | history
 
 #include "cmd/plantainhold/Command.h"
-#include "cmd/plantainhold/CommonOptions.h"
+#include "cmd/plantainhold/DaemonCall.h"
 #include "plantainhold/base/ResultError.h"
 #include "plantainhold/config/ConfigCodec.h"
 #include "plantainhold/config/ConfigDelta.h"
@@ -11,8 +11,6 @@
 #include "plantainhold/util/UniqueId.h"
 
 #include <array>
-#include <grpcpp/channel.h>
-#include <grpcpp/client_context.h>
 #include <iostream>
 
 namespace plantainhold {
@@ -30,10 +28,7 @@
     // What the document would change for which service.
     void printEffects(const CommonOptions& options, const ConfigDocument& document)
     {
-        config::ShowReply reply;
-        grpc::ClientContext context;
-        options.prepare(context);
-        requireOk(config::Config::NewStub(options.channel())->Show(&context, config::ShowRequest(), &reply));
+        config::ShowReply reply = callDaemon<config::Config>(options, &config::Config::Stub::Show, config::ShowRequest());
         std::vector<std::string> effects = describeEffects(documentFromMessage(reply.document()), document);
         std::cout << "against version " << reply.version() << ": " << effects.size() << " services change\n";
         for (const std::string& it : effects)
@@ -73,10 +68,7 @@
         request.set_author(author.getValue());
         request.set_timeout_ms(options.timeoutMs());
         fillMessage(*request.mutable_document(), document);
-        config::PublishReply reply;
-        grpc::ClientContext context;
-        options.prepare(context);
-        requireOk(config::Config::NewStub(options.channel())->Publish(&context, request, &reply));
+        config::PublishReply reply = callDaemon<config::Config>(options, &config::Config::Stub::Publish, request);
         if (options.isJson())
             printJson(reply);
         else
@@ -91,10 +83,7 @@
         options.parse(std::move(arguments));
         config::ShowRequest request;
         request.set_in_force(inForce.getValue());
-        config::ShowReply reply;
-        grpc::ClientContext context;
-        options.prepare(context);
-        requireOk(config::Config::NewStub(options.channel())->Show(&context, request, &reply));
+        config::ShowReply reply = callDaemon<config::Config>(options, &config::Config::Stub::Show, request);
         if (options.isJson()) {
             printJson(reply);
             return 0;
@@ -114,10 +103,7 @@
         options.parse(std::move(arguments));
         config::HistoryRequest request;
         request.set_limit(limit.getValue());
-        config::HistoryReply reply;
-        grpc::ClientContext context;
-        options.prepare(context);
-        requireOk(config::Config::NewStub(options.channel())->History(&context, request, &reply));
+        config::HistoryReply reply = callDaemon<config::Config>(options, &config::Config::Stub::History, request);
         if (options.isJson()) {
             printJson(reply);
             return 0;
