Tell for every recent request why it went where it went

Cause: explain knew refusals, retries and hedges, but said nothing of a request that simply went well.

Ruled out: one more log line a request; notes in the one ring, where a few seconds of requests would push out what is known of tasks.

Change: a ring of its own for what happens to every request, the event RequestRouted (PHE206, not logged), and the demo shows it.

The cost on the request path is measured next.

--- a/plantainhold/adapters/HttpRequestRun.cpp
+++ b/plantainhold/adapters/HttpRequestRun.cpp
@@ -189,7 +189,9 @@
 
 void HttpRequestRun::startAttempt(const SlotGrant& grant)
 {
-    m_machine->granted(m_shared.context.clock.now());
+    TimePoint now = m_shared.context.clock.now();
+    m_shared.events.routed(m_requestId, grant.executor, wholeMilliseconds(now - m_demand.arrivedAt));
+    m_machine->granted(now);
     m_demand.tried.push_back(grant.executor);
     asio::co_spawn(m_thread.io, attempt(shared_from_this(), grant), asio::detached);
 }
--- a/plantainhold/base/DecisionLog.cpp
+++ b/plantainhold/base/DecisionLog.cpp
@@ -2,6 +2,9 @@
 
 #include "plantainhold/base/DecisionLog.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace plantainhold {
 
 DecisionLog::DecisionLog(std::size_t capacity)
@@ -11,21 +14,29 @@
 
 void DecisionLog::note(std::string_view subject, EventId event, std::string_view text)
 {
-    Decision decision { std::string(subject), event, std::string(text), std::chrono::steady_clock::now() };
+    add(m_decisions, { std::string(subject), event, std::string(text), std::chrono::steady_clock::now() });
+}
+
+void DecisionLog::noteRoutine(std::string_view subject, EventId event, std::string_view text)
+{
+    add(m_routine, { std::string(subject), event, std::string(text), std::chrono::steady_clock::now() });
+}
+
+void DecisionLog::add(std::deque<Decision>& ring, Decision decision)
+{
     std::lock_guard lock(m_mutex);
-    if (m_decisions.size() == m_capacity)
-        m_decisions.pop_front();
-    m_decisions.push_back(std::move(decision));
+    if (ring.size() == m_capacity)
+        ring.pop_front();
+    ring.push_back(std::move(decision));
 }
 
 std::vector<Decision> DecisionLog::about(std::string_view subject) const
 {
     std::lock_guard lock(m_mutex);
     std::vector<Decision> found;
-    for (const Decision& it : m_decisions) {
-        if (it.subject == subject)
-            found.push_back(it);
-    }
+    for (const std::deque<Decision>* ring : { &m_decisions, &m_routine })
+        std::copy_if(ring->begin(), ring->end(), std::back_inserter(found), [subject](const Decision& it) { return it.subject == subject; });
+    std::sort(found.begin(), found.end(), [](const Decision& a, const Decision& b) { return a.at < b.at; });
     return found;
 }
 
--- a/plantainhold/base/DecisionLog.h
+++ b/plantainhold/base/DecisionLog.h
@@ -1,5 +1,6 @@
-// Remembers why recent requests and tasks went where they went. A bounded ring:
-// the oldest notes make room, so memory stays fixed whatever the load.
+// Remembers why recent requests and tasks went where they went. Two bounded
+// rings: the oldest notes make room, so memory stays fixed whatever the load, and
+// what happens to every request does not push out what is rare.
 #pragma once
 
 #include "plantainhold/base/Event.h"
@@ -28,13 +29,19 @@
     // Adds a note about one request or task. Thread-safe.
     void note(std::string_view subject, EventId event, std::string_view text);
 
+    // As note(), for what happens to every request; kept in a ring of its own. Thread-safe.
+    void noteRoutine(std::string_view subject, EventId event, std::string_view text);
+
     // The notes on one subject, oldest first. Linear in the ring's size. Thread-safe.
     std::vector<Decision> about(std::string_view subject) const;
 
 private:
+    void add(std::deque<Decision>& ring, Decision decision);
+
     const std::size_t m_capacity;
     mutable std::mutex m_mutex;
     std::deque<Decision> m_decisions;
+    std::deque<Decision> m_routine;
 };
 
 } // namespace plantainhold
--- a/plantainhold/routing/RequestEvents.cpp
+++ b/plantainhold/routing/RequestEvents.cpp
@@ -37,6 +37,11 @@
     m_decisions.note(requestId, event, " result=" + resultLabel(code) + " reason=" + std::string(resultInfo(code).name));
 }
 
+void RequestEvents::routed(std::string_view requestId, std::string_view executor, Milliseconds waited)
+{
+    m_decisions.noteRoutine(requestId, EventId::RequestRouted, " executor=" + std::string(executor) + " waited_ms=" + std::to_string(waited.count()) + " reason=\"least cost of those with a free slot\"");
+}
+
 void RequestEvents::attempt(EventId event, std::string_view requestId, std::string_view executor, std::string_view cause)
 {
     if (mayLog()) {
--- a/plantainhold/routing/RequestEvents.h
+++ b/plantainhold/routing/RequestEvents.h
@@ -25,6 +25,9 @@
     // A request ended without an answer from an executor. Thread-safe, as all that follows.
     void ended(std::string_view requestId, std::string_view team, std::string_view service, ResultCode code);
 
+    // An executor was chosen. Only remembered, as it happens to every request.
+    void routed(std::string_view requestId, std::string_view executor, Milliseconds waited);
+
     // Another attempt, or that none was allowed; cause is how the last one ended.
     void attempt(EventId event, std::string_view requestId, std::string_view executor, std::string_view cause);
 
--- a/scenarios/demo.sh
+++ b/scenarios/demo.sh
@@ -99,9 +99,13 @@
 say "a buyer asks either data centre for a quote"
 eventually call 127.0.0.11:7080 paulig-lane "/quote?work_ms=20" "lot 17, 40 bags"
 cat "$out/try"
+request=$(awk '{print $3}' "$out/try")
 eventually call 127.0.0.12:7080 paulig-lane "/quote?work_ms=20" "lot 18, 12 bags"
 cat "$out/try"
 
+say "why did the first quote go where it went; any instance can tell"
+"$bin/plantainhold" explain "$request" --server 127.0.0.12:7081
+
 say "a bad document is refused with number, file and line"
 printf '[profile.x]\npriority = "soon"\nlatency_objective_ms = 1\ndeadline_ms = 10\nidempotent = true\n' >"$out/bad.toml"
 "$bin/plantainhold" config check "$out/bad.toml" || echo "exit status $?"
