--- /dev/null
+++ b/cmd/plantainhold_jobsd/Main.cpp
@@ -0,0 +1,84 @@
+// plantainhold-jobsd: takes in and schedules jobs on the users' platform, one
+// process an entry instance.
+
+#include "plantainhold/base/ResultError.h"
+#include "plantainhold/entry/EntryInstance.h"
+#include "platform/Decoders.h"
+#include "platform/ExecutorClient.h"
+#include "platform/JobRequests.h"
+#include "platform/StoreClient.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+namespace plantainhold {
+
+namespace {
+
+    // Names the settings file when the command line does not.
+    constexpr const char* s_settingsVariable = "PLANTAINHOLD_BOOT";
+
+    struct Options {
+        std::string settings;
+        bool isCheck = false;
+    };
+
+    Options parse(int argc, char** argv)
+    {
+        const char* fallback = std::getenv(s_settingsVariable);
+        TCLAP::CmdLine line("Takes in jobs and schedules them on executors.", ' ', "0.1.0");
+        TCLAP::ValueArg<std::string> settings("s", "settings", std::string("the settings file; else the variable ") + s_settingsVariable, false, fallback ? fallback : "", "FILE.toml", line);
+        TCLAP::SwitchArg check("", "check", "only check the settings", line);
+        line.setExceptionHandling(false);
+        line.parse(argc, argv);
+        return { settings.getValue(), check.getValue() };
+    }
+
+    int run(int argc, char** argv)
+    {
+        Options options = parse(argc, argv);
+        EntrySettings settings = readEntrySettings(options.settings);
+        if (options.isCheck) {
+            std::cout << options.settings << ": valid\n";
+            return 0;
+        }
+        std::signal(SIGPIPE, SIG_IGN);
+        boost::asio::io_context context(1);
+        EventLog log(STDOUT_FILENO, settings.instance);
+        platform::StoreClient store(context.get_executor(), settings.storeAddress, log);
+        platform::ExecutorClient executors(context.get_executor());
+        EntryAdapters adapters { store, executors, platform::decodeExecutor, platform::decodeConfig,
+            [](JobService& service, HttpRequest request, std::shared_ptr<const FleetConfig> config) {
+                return platform::JobRequests(service).handle(std::move(request), std::move(config));
+            },
+            std::string(platform::s_operatorTopic), std::string(platform::s_configKey), std::string(platform::s_executorsTopic) };
+        EntryInstance instance(context, settings, std::move(adapters), log);
+        instance.start();
+        context.run();
+        // Calls that are still open refer to what is about to be destroyed.
+        log.flush();
+        std::_Exit(0);
+    }
+
+} // namespace
+
+} // namespace plantainhold
+
+int main(int argc, char** argv)
+{
+    using plantainhold::ResultCode;
+    try {
+        return plantainhold::run(argc, argv);
+    } catch (const TCLAP::ExitException& exit) {
+        return exit.getExitStatus();
+    } catch (const TCLAP::ArgException& error) {
+        std::cerr << plantainhold::resultLabel(ResultCode::BadUsage) << ": " << error.error() << " " << error.argId() << '\n';
+        return plantainhold::resultInfo(ResultCode::BadUsage).exitStatus;
+    } catch (const plantainhold::ResultError& error) {
+        std::cerr << error.what() << '\n';
+        return plantainhold::resultInfo(error.code()).exitStatus;
+    }
+}
--- /dev/null
+++ b/plantainhold/base/EventSink.h
@@ -0,0 +1,65 @@
+// Where decisions are told, for whoever has to explain them later. One line an
+// event: its number and name, and typed fields.
+#pragma once
+
+#include "plantainhold/base/Event.h"
+
+#include <concepts>
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace plantainhold {
+
+struct EventField {
+    std::string_view key;
+    std::variant<std::int64_t, double, bool, std::string_view> value;
+
+    EventField(std::string_view name, std::string_view text)
+        : key(name)
+        , value(text)
+    {
+    }
+    EventField(std::string_view name, const char* text)
+        : EventField(name, std::string_view(text))
+    {
+    }
+    EventField(std::string_view name, const std::string& text)
+        : EventField(name, std::string_view(text))
+    {
+    }
+    EventField(std::string_view name, bool is)
+        : key(name)
+        , value(is)
+    {
+    }
+    EventField(std::string_view name, double number)
+        : key(name)
+        , value(number)
+    {
+    }
+    template <std::integral T>
+    EventField(std::string_view name, T number)
+        : key(name)
+        , value(static_cast<std::int64_t>(number))
+    {
+    }
+};
+
+class EventSink {
+public:
+    virtual ~EventSink() = default;
+
+    // Never blocks. Views need to live only for the call. Not thread-safe.
+    virtual void note(EventId id, std::initializer_list<EventField> fields) = 0;
+};
+
+// Drops everything, for tests and tools.
+class NoEvents final : public EventSink {
+public:
+    void note(EventId, std::initializer_list<EventField>) override { }
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -0,0 +1,194 @@
+#include "plantainhold/entry/EntryInstance.h"
+
+#include "plantainhold/entry/MetricsPage.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+
+namespace plantainhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr Milliseconds s_configWait { 1'000 };
+    constexpr Milliseconds s_storeTimeout { 1'000 };
+    constexpr Milliseconds s_storeRetry { 100 };
+    // An instance that does not own reads along, so that it can take over soon.
+    constexpr Milliseconds s_recordsPause { 4'000 };
+    constexpr Milliseconds s_logPause { 200 };
+    // A balancer needs a while to see that readiness is off.
+    constexpr Milliseconds s_readinessNotice { 2'500 };
+    constexpr Milliseconds s_stopReserve { 700 };
+    constexpr Milliseconds s_stopPoll { 50 };
+    constexpr Milliseconds s_ownershipLife { 2'000 };
+
+    OwnershipOptions ownershipOptions(const EntrySettings& settings)
+    {
+        OwnershipOptions options;
+        options.member = settings.instance;
+        options.timeToLive = std::max(s_ownershipLife, settings.membershipMin);
+        options.bridge = options.timeToLive + settings.scheduler.formerOwnerGrace;
+        return options;
+    }
+
+} // namespace
+
+EntryInstance::EntryInstance(asio::io_context& context, const EntrySettings& settings, EntryAdapters adapters, EventLog& log)
+    : m_context(context)
+    , m_settings(settings)
+    , m_adapters(std::move(adapters))
+    , m_log(log)
+    , m_records(context.get_executor(), m_adapters.store, log)
+    , m_service(context.get_executor(), m_adapters.store, m_records, log)
+    , m_keeper(context.get_executor(), m_adapters.store, log, ownershipOptions(settings), [this](std::uint64_t it) { ownershipGained(it); }, [this](std::string_view) { ownershipLost(); })
+    , m_configTail(m_adapters.store, log, m_adapters.operatorTopic, 0, [this](const StoredRecord& it) { takeConfig(it); })
+    , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+{
+}
+
+EntryInstance::~EntryInstance() = default;
+
+void EntryInstance::start()
+{
+    auto executor = m_context.get_executor();
+    m_callers = std::make_unique<HttpServer>(executor, m_settings.callersAddress, [this](HttpRequest it) { return m_adapters.handle(m_service, std::move(it), m_config); });
+    m_readiness = std::make_unique<HttpServer>(executor, m_settings.readinessAddress, [this](HttpRequest) { return ready(); });
+    if (!m_settings.metricsAddress.empty())
+        m_metrics = std::make_unique<HttpServer>(executor, m_settings.metricsAddress, [this](HttpRequest) { return metrics(); });
+    m_records.onSubmission([this](std::string_view id) {
+        if (m_owner)
+            m_owner->submissionRead(id);
+    });
+    asio::co_spawn(executor, followConfig(), asio::detached);
+    asio::co_spawn(executor, keepRecords(), asio::detached);
+    asio::co_spawn(executor, flushLog(), asio::detached);
+    asio::co_spawn(executor, m_keeper.run(), asio::detached);
+    awaitSignals();
+    m_log.note(EventId::ProcessStarted, { { "data_centre", m_settings.dataCentre }, { "callers", m_settings.callersAddress }, { "store", m_settings.storeAddress }, { "lease_max_ms", m_settings.scheduler.leaseMax.count() } });
+}
+
+asio::awaitable<void> EntryInstance::sleep(Milliseconds time)
+{
+    asio::steady_timer timer(m_context, time);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+asio::awaitable<void> EntryInstance::followConfig()
+{
+    for (;;) {
+        StoreStatus status = co_await m_configTail.poll(s_configWait, s_storeTimeout);
+        if (status != StoreStatus::Ok)
+            co_await sleep(s_storeRetry);
+    }
+}
+
+void EntryInstance::takeConfig(const StoredRecord& record)
+{
+    if (record.key != m_adapters.configKey || record.value.empty())
+        return;
+    std::string fault;
+    std::optional<FleetConfig> config = m_adapters.decodeConfig(record.value, fault);
+    if (!config) {
+        m_log.note(EventId::QueuesRejected, { { "offset", record.offset }, { "fault", fault } });
+        return;
+    }
+    if (m_config && config->version <= m_config->version)
+        return;
+    m_config = std::make_shared<const FleetConfig>(std::move(*config));
+    m_callers->setLimits(m_config->limits);
+    m_log.note(EventId::QueuesInForce, { { "version", m_config->version }, { "queues", m_config->queues.size() }, { "offset", record.offset } });
+    if (m_owner)
+        m_owner->configure(m_config);
+}
+
+asio::awaitable<void> EntryInstance::keepRecords()
+{
+    for (;;) {
+        StoreStatus status = co_await m_records.catchUp(s_storeTimeout);
+        co_await sleep(status == StoreStatus::Ok ? s_recordsPause : s_storeRetry);
+    }
+}
+
+asio::awaitable<void> EntryInstance::flushLog()
+{
+    for (;;) {
+        m_log.flush();
+        co_await sleep(s_logPause);
+    }
+}
+
+void EntryInstance::ownershipGained(std::uint64_t generation)
+{
+    OwnerParts parts { m_adapters.store, m_adapters.executors, m_records, m_keeper, m_log, m_adapters.decodeExecutor, m_adapters.executorsTopic };
+    m_owner = std::make_shared<JobOwner>(m_context.get_executor(), m_settings, std::move(parts), generation);
+    m_owner->start(m_config);
+}
+
+void EntryInstance::ownershipLost()
+{
+    if (!m_owner)
+        return;
+    m_owner->stop();
+    m_owner.reset();
+    m_records.unfollow();
+}
+
+asio::awaitable<HttpResponse> EntryInstance::ready()
+{
+    bool isReady = m_config && m_records.isComplete() && !m_isStopping;
+    co_return HttpResponse { isReady ? 200u : 503u, "{}" };
+}
+
+asio::awaitable<HttpResponse> EntryInstance::metrics()
+{
+    MetricsInput input { m_service.counters(), m_records.book().size(), m_owner && m_owner->scheduler() ? m_owner->scheduler() : nullptr, m_owner ? m_owner->queuedOrders() : 0, m_config ? m_config->version : 0, m_log.droppedLines() };
+    co_return HttpResponse { 200, renderMetrics(input), "text/plain; version=0.0.4" };
+}
+
+void EntryInstance::awaitSignals()
+{
+    m_signals.async_wait([this](const boost::system::error_code& ec, int signal) {
+        if (ec)
+            return;
+        onSignal(signal);
+        awaitSignals();
+    });
+}
+
+void EntryInstance::onSignal(int signal)
+{
+    if (signal == SIGHUP) {
+        m_log.note(EventId::SettingsReloaded, { { "instance", m_settings.instance } });
+        return;
+    }
+    if (m_isStopping)
+        return;
+    m_isStopping = true;
+    asio::co_spawn(m_context, stop(), asio::detached);
+}
+
+asio::awaitable<void> EntryInstance::stop()
+{
+    TimePoint began = std::chrono::steady_clock::now();
+    m_log.note(EventId::ProcessStopping, { { "open_requests", m_callers->openRequests() }, { "owner", m_keeper.isOwner() } });
+    m_callers->drain();
+    co_await m_keeper.leave();
+    TimePoint last = began + m_settings.stopGrace - s_stopReserve;
+    while (std::chrono::steady_clock::now() < last) {
+        bool isNoticed = std::chrono::steady_clock::now() >= began + s_readinessNotice;
+        if (isNoticed && !m_callers->openRequests())
+            break;
+        co_await sleep(s_stopPoll);
+    }
+    m_log.note(EventId::ProcessStopped, { { "open_requests", m_callers->openRequests() } });
+    m_log.flush();
+    m_context.stop();
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/entry/EntryInstance.h
@@ -0,0 +1,78 @@
+// One entry instance that takes in jobs and, while it owns the partition,
+// schedules them: connects the callers' server, the records, the ownership and the
+// owner, and carries out a planned stop. Everything runs on one event loop.
+#pragma once
+
+#include "plantainhold/entry/EntrySettings.h"
+#include "plantainhold/entry/EventLog.h"
+#include "plantainhold/entry/JobOwner.h"
+#include "plantainhold/entry/JobRecords.h"
+#include "plantainhold/entry/JobService.h"
+#include "plantainhold/entry/OwnershipKeeper.h"
+#include "plantainhold/http/HttpServer.h"
+#include "plantainhold/store/TopicTail.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace plantainhold {
+
+// What the platform's adapter brings.
+struct EntryAdapters {
+    StorePort& store;
+    ExecutorPort& executors;
+    ExecutorDecoder decodeExecutor;
+    // Nothing, and the fault, for bytes that are no configuration.
+    std::function<std::optional<FleetConfig>(std::string_view bytes, std::string& fault)> decodeConfig;
+    std::function<boost::asio::awaitable<HttpResponse>(JobService&, HttpRequest, std::shared_ptr<const FleetConfig>)> handle;
+    std::string operatorTopic;
+    std::string configKey;
+    std::string executorsTopic;
+};
+
+class EntryInstance {
+public:
+    // The context, settings and log must outlive the instance. Throws ResultError
+    // when an address cannot be listened on. Not thread-safe, as the whole class.
+    EntryInstance(boost::asio::io_context& context, const EntrySettings& settings, EntryAdapters adapters, EventLog& log);
+    ~EntryInstance();
+
+    // Begins to serve; a signal to stop ends the context's run.
+    void start();
+
+private:
+    boost::asio::awaitable<void> followConfig();
+    boost::asio::awaitable<void> keepRecords();
+    boost::asio::awaitable<void> flushLog();
+    boost::asio::awaitable<void> stop();
+    boost::asio::awaitable<HttpResponse> ready();
+    boost::asio::awaitable<HttpResponse> metrics();
+    boost::asio::awaitable<void> sleep(Milliseconds time);
+    void takeConfig(const StoredRecord& record);
+    void ownershipGained(std::uint64_t generation);
+    void ownershipLost();
+    void awaitSignals();
+    void onSignal(int signal);
+
+    boost::asio::io_context& m_context;
+    const EntrySettings& m_settings;
+    EntryAdapters m_adapters;
+    EventLog& m_log;
+    std::shared_ptr<const FleetConfig> m_config;
+    JobRecords m_records;
+    JobService m_service;
+    OwnershipKeeper m_keeper;
+    TopicTail m_configTail;
+    std::shared_ptr<JobOwner> m_owner;
+    std::unique_ptr<HttpServer> m_callers;
+    std::unique_ptr<HttpServer> m_readiness;
+    std::unique_ptr<HttpServer> m_metrics;
+    boost::asio::signal_set m_signals;
+    bool m_isStopping = false;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/entry/EntrySettings.cpp
@@ -0,0 +1,85 @@
+#include "plantainhold/entry/EntrySettings.h"
+
+#include "plantainhold/base/ResultError.h"
+
+#include <charconv>
+#include <optional>
+#include <toml++/toml.h>
+
+namespace plantainhold {
+
+namespace {
+
+    std::string text(const toml::table& root, std::string_view key, bool isRequired)
+    {
+        auto node = root.at_path(key);
+        if (!node || (node.is_string() && node.value_or(std::string()).empty())) {
+            if (isRequired)
+                throw ResultError(ResultCode::MissingKey, std::string(key));
+            return {};
+        }
+        std::optional<std::string> value = node.value<std::string>();
+        if (!value)
+            throw ResultError(ResultCode::WrongType, std::string(key) + ": a string is needed");
+        return *value;
+    }
+
+    // A number, or the same as a string; an empty string stands for the default.
+    double number(const toml::table& root, std::string_view key, double fallback, double least, double most)
+    {
+        auto node = root.at_path(key);
+        double value = fallback;
+        if (node.is_string()) {
+            std::string digits = node.value_or(std::string());
+            auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+            if (!digits.empty() && (error != std::errc() || end != digits.data() + digits.size()))
+                throw ResultError(ResultCode::WrongType, std::string(key) + ": '" + digits + "' is not a number");
+        } else if (node) {
+            std::optional<double> given = node.value<double>();
+            if (!given)
+                throw ResultError(ResultCode::WrongType, std::string(key) + ": a number is needed");
+            value = *given;
+        }
+        if (value < least || value > most)
+            throw ResultError(ResultCode::OutOfRange, std::string(key) + ": " + std::to_string(value) + " is not within " + std::to_string(least) + " to " + std::to_string(most));
+        return value;
+    }
+
+    Milliseconds milliseconds(const toml::table& root, std::string_view key, Milliseconds fallback, Milliseconds least, Milliseconds most)
+    {
+        double value = number(root, key, static_cast<double>(fallback.count()), static_cast<double>(least.count()), static_cast<double>(most.count()));
+        return Milliseconds(static_cast<std::int64_t>(value));
+    }
+
+    constexpr Milliseconds s_minute { 60'000 };
+
+} // namespace
+
+EntrySettings readEntrySettings(const std::string& path)
+{
+    toml::table root;
+    try {
+        root = toml::parse_file(path);
+    } catch (const toml::parse_error& error) {
+        throw ResultError(ResultCode::SettingsSyntax, path + ": " + std::string(error.description()));
+    }
+    EntrySettings settings;
+    settings.instance = text(root, "instance", true);
+    settings.dataCentre = text(root, "data_centre", true);
+    settings.callersAddress = text(root, "listen.callers", true);
+    settings.readinessAddress = text(root, "listen.readiness", true);
+    settings.metricsAddress = text(root, "listen.metrics", false);
+    settings.storeAddress = text(root, "store.address", true);
+    settings.adviceAddress = text(root, "advice.address", false);
+    settings.machinesAddress = text(root, "machines.address", false);
+    settings.membershipMin = milliseconds(root, "store.membership_min_ms", settings.membershipMin, Milliseconds(100), s_minute);
+    settings.stopGrace = Milliseconds(static_cast<std::int64_t>(1'000 * number(root, "stop_grace_s", 6, 0.5, 600)));
+    SchedulerLimits& limits = settings.scheduler;
+    limits.leaseMax = milliseconds(root, "scheduling.lease_max_ms", limits.leaseMax, Milliseconds(500), 10 * s_minute);
+    limits.stopTimeout = milliseconds(root, "scheduling.stop_timeout_ms", limits.stopTimeout, Milliseconds(10), s_minute);
+    limits.interferenceLimit = milliseconds(root, "scheduling.interference_ms", limits.interferenceLimit, Milliseconds(100), s_minute);
+    limits.finishedKept = Milliseconds(static_cast<std::int64_t>(1'000 * number(root, "scheduling.finished_kept_s", 120, 1, 86'400)));
+    return settings;
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/entry/EntrySettings.h
@@ -0,0 +1,34 @@
+// Settings of one entry instance that schedules jobs. TOML; docs/OPERATIONS.md
+// describes each key.
+#pragma once
+
+#include "plantainhold/jobs/SchedulerLimits.h"
+#include "plantainhold/ports/Clock.h"
+
+#include <cstdint>
+#include <string>
+
+namespace plantainhold {
+
+struct EntrySettings {
+    std::string instance;
+    std::string dataCentre;
+    // IP:port.
+    std::string callersAddress;
+    std::string readinessAddress;
+    std::string metricsAddress;
+    std::string storeAddress;
+    // Empty: queues that need advice run nothing.
+    std::string adviceAddress;
+    std::string machinesAddress;
+    // Shortest life of a membership that the store grants.
+    Milliseconds membershipMin { 1'000 };
+    // From the signal to stop until the process is killed.
+    Milliseconds stopGrace { 6'000 };
+    SchedulerLimits scheduler;
+};
+
+// Reads and checks the file. Throws ResultError with the number of the first fault. Thread-safe.
+EntrySettings readEntrySettings(const std::string& path);
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/entry/JobOwner.cpp
@@ -0,0 +1,383 @@
+#include "plantainhold/entry/JobOwner.h"
+
+#include "plantainhold/entry/JobRecords.h"
+#include "plantainhold/entry/OwnershipKeeper.h"
+#include "plantainhold/util/BootClock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace plantainhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::string_view s_producer = "owner";
+    constexpr std::uint32_t s_part = 0;
+    constexpr Milliseconds s_storeTimeout { 1'000 };
+    constexpr Milliseconds s_storeRetry { 50 };
+    // Decisions that come close together are stored together.
+    constexpr Milliseconds s_commitPause { 15 };
+    constexpr Milliseconds s_orderTimeout { 1'000 };
+    constexpr Milliseconds s_reportTimeout { 1'000 };
+    // Ends that come close together are reported together.
+    constexpr Milliseconds s_reportPause { 40 };
+    constexpr Milliseconds s_reportRetry { 300 };
+    constexpr Milliseconds s_executorsWait { 2'000 };
+    constexpr Milliseconds s_executorsPause { 200 };
+    constexpr Milliseconds s_unconfirmedPause { 100 };
+    constexpr std::size_t s_ordersInFlight = 3;
+    constexpr std::size_t s_maxAppendBytes = 1 << 20;
+
+} // namespace
+
+// What is on its way to one executor.
+struct JobOwner::Link {
+    ExecutorAddress to;
+    std::deque<ExecutorOrder> queue;
+    std::size_t inFlight = 0;
+    bool isReporting = false;
+    bool isUrgentReporting = false;
+    bool isReachable = true;
+};
+
+JobOwner::JobOwner(asio::any_io_executor executor, const EntrySettings& settings, OwnerParts parts, std::uint64_t generation)
+    : m_executor(std::move(executor))
+    , m_settings(settings)
+    , m_parts(std::move(parts))
+    , m_generation(generation)
+    , m_advanceTimer(m_executor)
+    , m_commitSignal(m_executor)
+{
+}
+
+JobOwner::~JobOwner() = default;
+
+void JobOwner::start(std::shared_ptr<const FleetConfig> config)
+{
+    asio::co_spawn(m_executor, [self = shared_from_this(), config]() { return self->takeOver(config); }, asio::detached);
+}
+
+void JobOwner::stop()
+{
+    m_isStopped = true;
+    m_advanceTimer.cancel();
+    m_commitSignal.cancel();
+}
+
+asio::awaitable<void> JobOwner::sleep(Milliseconds time)
+{
+    asio::steady_timer timer(m_executor, time);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+asio::awaitable<void> JobOwner::takeOver(std::shared_ptr<const FleetConfig> config)
+{
+    TimePoint began = BootClock::now();
+    m_config = std::move(config);
+    // From here on no former owner can write; then all that they wrote is read.
+    while (!m_isStopped && !co_await claimWriter())
+        co_await sleep(s_storeRetry);
+    while (!m_isStopped && co_await m_parts.records.catchUp(s_storeTimeout) != StoreStatus::Ok)
+        co_await sleep(s_storeRetry);
+    if (m_isStopped)
+        co_return;
+    m_scheduler = std::make_unique<JobScheduler>(m_settings.scheduler, m_generation, m_parts.events, began);
+    if (m_config)
+        m_scheduler->configure(m_config);
+    m_executorTail = std::make_unique<TopicTail>(m_parts.store, m_parts.events, std::string(m_parts.executorsTopic), s_part, [this](const StoredRecord& it) { executorRecord(it); });
+    while (!m_isStopped && co_await m_executorTail->poll(Milliseconds(0), s_storeTimeout) != StoreStatus::Ok)
+        co_await sleep(s_storeRetry);
+    if (m_isStopped)
+        co_return;
+    TimePoint now = BootClock::now();
+    for (const auto& [id, job] : m_parts.records.book().jobs())
+        m_scheduler->submit(id, job, now);
+    m_parts.events.note(EventId::OwnershipRestored, { { "generation", m_generation }, { "jobs", m_scheduler->activeJobs() }, { "executors", m_scheduler->executorIds().size() }, { "ms", std::chrono::duration_cast<Milliseconds>(now - began).count() } });
+    auto self = shared_from_this();
+    asio::co_spawn(m_executor, [self]() { return self->followExecutors(); }, asio::detached);
+    asio::co_spawn(m_executor, [self]() { return self->commitLoop(); }, asio::detached);
+    m_parts.records.follow();
+    wake();
+}
+
+asio::awaitable<bool> JobOwner::claimWriter()
+{
+    AppendResult result = co_await m_parts.store.append({ JobRecords::s_progressTopic, s_part }, {}, WriterStamp { s_producer, m_generation, m_sequence }, s_storeTimeout);
+    if (result.status == StoreStatus::Fenced)
+        m_parts.keeper.fenced();
+    if (result.status == StoreStatus::OutOfSequence)
+        m_sequence = result.expectedSequence;
+    co_return result.status == StoreStatus::Ok || result.status == StoreStatus::OutOfSequence;
+}
+
+void JobOwner::executorRecord(const StoredRecord& record)
+{
+    TimePoint now = BootClock::now();
+    std::optional<ExecutorEntry> entry;
+    if (!record.value.empty())
+        entry = m_parts.decodeExecutor(record.key, record.value);
+    if (entry)
+        m_scheduler->executorSeen(*entry, now);
+    else
+        m_scheduler->executorGone(record.key, now);
+}
+
+asio::awaitable<void> JobOwner::followExecutors()
+{
+    while (!m_isStopped) {
+        StoreStatus status = co_await m_executorTail->poll(s_executorsWait, s_storeTimeout);
+        if (m_isStopped)
+            co_return;
+        wake();
+        co_await sleep(status == StoreStatus::Ok ? s_executorsPause : s_storeRetry);
+    }
+}
+
+void JobOwner::configure(std::shared_ptr<const FleetConfig> config)
+{
+    m_config = std::move(config);
+    if (!m_scheduler)
+        return;
+    m_scheduler->configure(m_config);
+    wake();
+}
+
+void JobOwner::submissionRead(std::string_view id)
+{
+    if (m_isStopped || !m_scheduler)
+        return;
+    const BookedJob* job = m_parts.records.book().find(id);
+    if (!job)
+        return;
+    TimePoint now = BootClock::now();
+    m_scheduler->submit(id, *job, now);
+    if (job->isCancelRequested)
+        m_scheduler->cancel(id, now);
+    wake();
+}
+
+void JobOwner::wake()
+{
+    if (m_isPumpPosted || m_isStopped)
+        return;
+    m_isPumpPosted = true;
+    asio::post(m_executor, [self = shared_from_this()]() {
+        self->m_isPumpPosted = false;
+        if (!self->m_isStopped && self->m_scheduler)
+            self->pump();
+    });
+}
+
+void JobOwner::pump()
+{
+    TimePoint now = BootClock::now();
+    TimePoint next = m_scheduler->advance(now, BootClock::unixMs());
+    for (ExecutorOrder& it : m_scheduler->orders())
+        dispatch(std::move(it));
+    ensureLinks();
+    m_commitSignal.cancel();
+    m_advanceTimer.expires_after(std::max<Duration>(next - now, Milliseconds(5)));
+    m_advanceTimer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+        if (!ec)
+            self->wake();
+    });
+}
+
+void JobOwner::ensureLinks()
+{
+    for (const std::string& id : m_scheduler->executorIds()) {
+        const ActiveExecutor& executor = *m_scheduler->executor(id);
+        if (executor.entry.address.empty())
+            continue;
+        auto [it, isNew] = m_links.try_emplace(id);
+        if (isNew)
+            it->second = std::make_shared<Link>();
+        std::shared_ptr<Link>& link = it->second;
+        link->to = { id, executor.entry.address };
+        if (link->isReporting)
+            continue;
+        link->isReporting = true;
+        asio::co_spawn(m_executor, [self = shared_from_this(), link]() { return self->reportLoop(link); }, asio::detached);
+    }
+}
+
+void JobOwner::dispatch(ExecutorOrder order)
+{
+    auto it = m_links.find(order.executor);
+    if (it == m_links.end())
+        return;
+    std::shared_ptr<Link> link = it->second;
+    if (order.kind == OrderKind::Fence) {
+        if (!link->isUrgentReporting) {
+            link->isUrgentReporting = true;
+            asio::co_spawn(m_executor, [self = shared_from_this(), link]() { return self->reportOnce(link, true); }, asio::detached);
+        }
+        return;
+    }
+    link->queue.push_back(std::move(order));
+    startQueued(link);
+}
+
+void JobOwner::startQueued(const std::shared_ptr<Link>& link)
+{
+    while (!link->queue.empty() && link->inFlight < s_ordersInFlight) {
+        ExecutorOrder order = std::move(link->queue.front());
+        link->queue.pop_front();
+        ++link->inFlight;
+        asio::co_spawn(m_executor, [self = shared_from_this(), link, order = std::move(order)]() mutable { return self->send(link, std::move(order)); }, asio::detached);
+    }
+}
+
+asio::awaitable<void> JobOwner::send(std::shared_ptr<Link> link, ExecutorOrder order)
+{
+    // Work is ordered only while nobody else can own the partition.
+    while (!m_isStopped && !m_parts.keeper.isConfirmed(BootClock::now()))
+        co_await sleep(s_unconfirmedPause);
+    if (!m_isStopped) {
+        TimePoint sentAt = BootClock::now();
+        if (std::optional<JobScheduler::Envelope> envelope = m_scheduler->seal(order, sentAt)) {
+            SealedOrder sealed { order, envelope->token, envelope->deadlineMs };
+            OrderOutcome outcome = co_await m_parts.executors.order(link->to, std::move(sealed), s_orderTimeout);
+            if (!m_isStopped)
+                m_scheduler->answered(order, outcome, sentAt, BootClock::now());
+        }
+        wake();
+    }
+    --link->inFlight;
+    startQueued(link);
+}
+
+asio::awaitable<void> JobOwner::reportLoop(std::shared_ptr<Link> link)
+{
+    while (!m_isStopped && m_scheduler->executor(link->to.id)) {
+        co_await reportOnce(link, false);
+        co_await sleep(link->isReachable ? s_reportPause : s_reportRetry);
+    }
+    link->isReporting = false;
+    m_parts.executors.forget(link->to);
+    if (!m_isStopped)
+        m_links.erase(link->to.id);
+}
+
+asio::awaitable<void> JobOwner::reportOnce(std::shared_ptr<Link> link, bool isUrgent)
+{
+    TimePoint sentAt = BootClock::now();
+    std::optional<ReportOrder> order;
+    if (m_parts.keeper.mayExtendLeases(sentAt))
+        order = m_scheduler->nextReport(link->to.id, sentAt);
+    if (!order) {
+        if (isUrgent)
+            link->isUrgentReporting = false;
+        co_await sleep(s_unconfirmedPause);
+        co_return;
+    }
+    if (isUrgent)
+        order->waitMs = 0;
+    ReportAnswer answer = co_await m_parts.executors.report(link->to, *order, s_reportTimeout);
+    if (isUrgent)
+        link->isUrgentReporting = false;
+    if (m_isStopped)
+        co_return;
+    TimePoint now = BootClock::now();
+    bool isOk = answer.outcome == OrderOutcome::Accepted;
+    if (isOk)
+        m_scheduler->reported(link->to.id, *order, answer.report, sentAt, now);
+    else
+        m_scheduler->reportFailed(link->to.id, *order, answer.outcome, now);
+    if (isOk != link->isReachable)
+        m_parts.events.note(isOk ? EventId::ExecutorReachable : EventId::ExecutorUnreachable, { { "executor", link->to.id }, { "outcome", static_cast<int>(answer.outcome) } });
+    link->isReachable = isOk;
+    wake();
+}
+
+asio::awaitable<void> JobOwner::commitLoop()
+{
+    while (!m_isStopped) {
+        CommitBatch batch = m_scheduler->takeBatch();
+        if (batch.isEmpty()) {
+            m_commitSignal.expires_at(TimePoint::max());
+            boost::system::error_code ec;
+            co_await m_commitSignal.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            continue;
+        }
+        bool isStored = co_await store(batch);
+        if (!isStored || m_isStopped)
+            co_return;
+        m_scheduler->committed(batch, BootClock::now());
+        if (!batch.droppedJobs.empty())
+            co_await dropSubmissions(batch.droppedJobs);
+        wake();
+        co_await sleep(s_commitPause);
+    }
+}
+
+asio::awaitable<bool> JobOwner::store(const CommitBatch& batch)
+{
+    std::vector<KeyedRecord> records;
+    std::size_t bytes = 0;
+    for (const auto& [id, value] : batch.progress) {
+        records.push_back({ id, value });
+        bytes += value.size();
+        if (bytes < s_maxAppendBytes)
+            continue;
+        if (!co_await storeRecords(records))
+            co_return false;
+        records.clear();
+        bytes = 0;
+    }
+    co_return records.empty() || co_await storeRecords(records);
+}
+
+asio::awaitable<bool> JobOwner::storeRecords(std::span<const KeyedRecord> records)
+{
+    ++m_sequence;
+    bool isUncertain = false;
+    while (!m_isStopped) {
+        AppendResult result = co_await m_parts.store.append({ JobRecords::s_progressTopic, s_part }, records, WriterStamp { s_producer, m_generation, m_sequence }, s_storeTimeout);
+        if (result.status == StoreStatus::Ok) {
+            std::uint64_t offset = result.firstOffset;
+            for (const KeyedRecord& it : records)
+                m_parts.records.applyOwnProgress(it.key, it.value, offset++);
+            co_return true;
+        }
+        if (result.status == StoreStatus::Fenced) {
+            m_parts.keeper.fenced();
+            co_return false;
+        }
+        if (result.status == StoreStatus::OutOfSequence && !isUncertain)
+            m_sequence = result.expectedSequence;
+        // The same stamp again: the store does it once, however often it is asked.
+        isUncertain = isUncertain || result.status == StoreStatus::Unknown;
+        co_await sleep(s_storeRetry);
+    }
+    co_return false;
+}
+
+asio::awaitable<void> JobOwner::dropSubmissions(std::vector<std::string> ids)
+{
+    std::vector<KeyedRecord> records;
+    for (const std::string& it : ids) {
+        records.push_back({ JobBook::submissionKey(it), {} });
+        records.push_back({ JobBook::cancelKey(it), {} });
+    }
+    // A failure leaves records that the next owner drops again.
+    AppendResult result = co_await m_parts.store.append({ JobRecords::s_submissionsTopic, s_part }, records, std::nullopt, s_storeTimeout);
+    if (result.status != StoreStatus::Ok)
+        m_parts.events.note(EventId::StoreLost, { { "call", "drop submissions" }, { "status", nameOf(result.status) } });
+}
+
+std::size_t JobOwner::queuedOrders() const
+{
+    std::size_t n = 0;
+    for (const auto& [id, link] : m_links)
+        n += link->queue.size() + link->inFlight;
+    return n;
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/entry/JobOwner.h
@@ -0,0 +1,98 @@
+// Runs the scheduler of one partition while this instance owns it: feeds it from
+// the store and the executors, stores what it decides, and sends its orders.
+// One object a term of ownership; it stays alive until its last call has returned.
+#pragma once
+
+#include "plantainhold/base/EventSink.h"
+#include "plantainhold/entry/EntrySettings.h"
+#include "plantainhold/jobs/ExecutorPort.h"
+#include "plantainhold/jobs/JobScheduler.h"
+#include "plantainhold/store/StorePort.h"
+#include "plantainhold/store/TopicTail.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace plantainhold {
+
+class JobRecords;
+class OwnershipKeeper;
+
+// Turns an entry of the executors' list into our type; nothing for one that names no executor.
+using ExecutorDecoder = std::function<std::optional<ExecutorEntry>(std::string_view key, std::string_view value)>;
+
+struct OwnerParts {
+    StorePort& store;
+    ExecutorPort& executors;
+    JobRecords& records;
+    OwnershipKeeper& keeper;
+    EventSink& events;
+    ExecutorDecoder decodeExecutor;
+    std::string_view executorsTopic;
+};
+
+class JobOwner : public std::enable_shared_from_this<JobOwner> {
+public:
+    // All parts must outlive the owner. Not thread-safe, as the whole class.
+    JobOwner(boost::asio::any_io_executor executor, const EntrySettings& settings, OwnerParts parts, std::uint64_t generation);
+    ~JobOwner();
+
+    // Begins the term. Precondition: called once, on a shared object.
+    void start(std::shared_ptr<const FleetConfig> config);
+    // Ends the term: nothing more is sent.
+    void stop();
+    void configure(std::shared_ptr<const FleetConfig> config);
+    // A submission or cancellation of this job was read.
+    void submissionRead(std::string_view id);
+
+    bool isStopped() const { return m_isStopped; }
+    // Null before everything was read.
+    const JobScheduler* scheduler() const { return m_scheduler.get(); }
+    std::size_t queuedOrders() const;
+
+private:
+    struct Link;
+
+    boost::asio::awaitable<void> takeOver(std::shared_ptr<const FleetConfig> config);
+    boost::asio::awaitable<bool> claimWriter();
+    boost::asio::awaitable<void> followExecutors();
+    boost::asio::awaitable<void> commitLoop();
+    boost::asio::awaitable<bool> store(const CommitBatch& batch);
+    boost::asio::awaitable<bool> storeRecords(std::span<const KeyedRecord> records);
+    boost::asio::awaitable<void> dropSubmissions(std::vector<std::string> ids);
+    boost::asio::awaitable<void> reportLoop(std::shared_ptr<Link> link);
+    boost::asio::awaitable<void> reportOnce(std::shared_ptr<Link> link, bool isUrgent);
+    boost::asio::awaitable<void> send(std::shared_ptr<Link> link, ExecutorOrder order);
+    boost::asio::awaitable<void> sleep(Milliseconds time);
+
+    void executorRecord(const StoredRecord& record);
+    void wake();
+    void pump();
+    void dispatch(ExecutorOrder order);
+    void startQueued(const std::shared_ptr<Link>& link);
+    void ensureLinks();
+
+    boost::asio::any_io_executor m_executor;
+    const EntrySettings& m_settings;
+    OwnerParts m_parts;
+    const std::uint64_t m_generation;
+    std::uint64_t m_sequence = 0;
+    std::unique_ptr<JobScheduler> m_scheduler;
+    std::unique_ptr<TopicTail> m_executorTail;
+    std::unordered_map<std::string, std::shared_ptr<Link>> m_links;
+    boost::asio::steady_timer m_advanceTimer;
+    boost::asio::steady_timer m_commitSignal;
+    std::shared_ptr<const FleetConfig> m_config;
+    bool m_isStopped = false;
+    bool m_isPumpPosted = false;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/entry/JobRecords.h
@@ -0,0 +1,62 @@
+// This instance's copy of all jobs, and the two topics that it is folded from:
+// what callers asked for, written by any instance, and how far each job is,
+// written by the owner.
+#pragma once
+
+#include "plantainhold/jobs/JobBook.h"
+#include "plantainhold/store/TopicTail.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace plantainhold {
+
+class JobRecords {
+public:
+    static constexpr std::string_view s_submissionsTopic = "keyed.submissions";
+    static constexpr std::string_view s_progressTopic = "keyed.progress";
+
+    // The store and the sink must outlive the records. Not thread-safe, as the whole class.
+    JobRecords(boost::asio::any_io_executor executor, StorePort& store, EventSink& events);
+
+    // Reads both topics to their end as of this call or later; calls share reads.
+    // Everything up to then is in the book when it returns Ok.
+    boost::asio::awaitable<StoreStatus> catchUp(Milliseconds timeout);
+    // From now on submissions and cancellations are read as they come, for an owner.
+    void follow();
+    // Undoes follow(), at the latest when the read on its way returns.
+    void unfollow() { m_wantsToFollow = false; }
+
+    const JobBook& book() const { return m_book; }
+    // The owner knows what it has just stored.
+    void applyOwnProgress(std::string_view id, std::string_view value, std::uint64_t offset);
+    // Both topics were read to their end once.
+    bool isComplete() const { return m_submissions.isComplete() && m_progress.isComplete(); }
+    // Called with the id of each job whose submission or cancellation was read.
+    void onSubmission(std::function<void(std::string_view id)> listener) { m_listener = std::move(listener); }
+
+private:
+    struct Round;
+
+    boost::asio::awaitable<void> readRound(std::shared_ptr<Round> round, Milliseconds timeout);
+    boost::asio::awaitable<StoreStatus> pollSubmissions(Milliseconds wait, Milliseconds timeout);
+    boost::asio::awaitable<void> followLoop();
+
+    boost::asio::any_io_executor m_executor;
+    JobBook m_book;
+    TopicTail m_submissions;
+    TopicTail m_progress;
+    bool m_isPollingSubmissions = false;
+    bool m_wantsToFollow = false;
+    bool m_isFollowing = false;
+    // The read that has not been sent yet, which later callers may share, and the one on its way.
+    std::shared_ptr<Round> m_nextRound;
+    std::shared_ptr<Round> m_currentRound;
+    std::function<void(std::string_view)> m_listener;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/entry/MetricsPage.h
@@ -0,0 +1,26 @@
+// The metrics page of one entry instance.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace plantainhold {
+
+class JobScheduler;
+struct ServiceCounters;
+
+struct MetricsInput {
+    const ServiceCounters& service;
+    std::size_t knownJobs = 0;
+    // Null while this instance does not own the partition.
+    const JobScheduler* scheduler = nullptr;
+    std::size_t queuedOrders = 0;
+    std::uint64_t configVersion = 0;
+    std::uint64_t droppedLines = 0;
+};
+
+// In the text format of Prometheus. Thread-safe for what the input refers to.
+std::string renderMetrics(const MetricsInput& input);
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/entry/OwnershipKeeper.h
@@ -0,0 +1,65 @@
+// Keeps this instance a member of the owners' group, and tells when the partition
+// becomes its own and when it no longer is. Trusts a membership only for the time
+// that was asked for, counted from before the call that renewed it.
+#pragma once
+
+#include "plantainhold/base/EventSink.h"
+#include "plantainhold/store/StorePort.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace plantainhold {
+
+struct OwnershipOptions {
+    std::string member;
+    std::uint32_t part = 0;
+    Milliseconds timeToLive { 2'000 };
+    Milliseconds renewEvery { 600 };
+    // A member that renewed no later than this may still extend leases of what runs.
+    Milliseconds bridge { 6'000 };
+};
+
+class OwnershipKeeper {
+public:
+    using Gained = std::function<void(std::uint64_t generation)>;
+    using Lost = std::function<void(std::string_view reason)>;
+
+    // The store and the sink must outlive the keeper. Not thread-safe, as the whole class.
+    OwnershipKeeper(boost::asio::any_io_executor executor, StorePort& store, EventSink& events, OwnershipOptions options, Gained gained, Lost lost);
+
+    // Joins and renews until leave().
+    boost::asio::awaitable<void> run();
+    // Hands the partition over at once.
+    boost::asio::awaitable<void> leave();
+    // The store refused a write of ours: a newer owner has begun.
+    void fenced();
+
+    bool isOwner() const { return m_ownedSince != 0; }
+    // May order new work.
+    bool isConfirmed(TimePoint now) const { return isOwner() && now < m_renewedAt + m_options.timeToLive; }
+    // May extend leases, also while the store is away.
+    bool mayExtendLeases(TimePoint now) const { return isOwner() && now < m_renewedAt + m_options.bridge; }
+
+private:
+    void take(const JoinResult& result, TimePoint sentAt);
+    void lose(std::string_view reason);
+
+    boost::asio::any_io_executor m_executor;
+    StorePort& m_store;
+    EventSink& m_events;
+    const OwnershipOptions m_options;
+    Gained m_gained;
+    Lost m_lost;
+    std::uint64_t m_generation = 0;
+    // Generation with which the partition came; 0: not owned.
+    std::uint64_t m_ownedSince = 0;
+    TimePoint m_renewedAt {};
+    bool m_isLeaving = false;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/http/HttpClient.cpp
@@ -0,0 +1,150 @@
+#include "plantainhold/http/HttpClient.h"
+
+#include "plantainhold/base/ResultError.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+
+namespace plantainhold {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr std::size_t s_maxReplyBytes = 16 << 20;
+    constexpr std::size_t s_maxIdle = 8;
+    // A connection that was idle for longer is not trusted with another call.
+    constexpr Milliseconds s_maxIdleTime { 8'000 };
+    constexpr int s_probeSeconds = 1;
+    constexpr int s_probes = 2;
+
+    http::verb verbOf(HttpMethod method)
+    {
+        constexpr http::verb s_verbs[] = { http::verb::get, http::verb::post, http::verb::delete_, http::verb::unknown };
+        return s_verbs[static_cast<std::size_t>(method)];
+    }
+
+    asio::ip::tcp::endpoint endpointOf(std::string_view address)
+    {
+        std::size_t colon = address.rfind(':');
+        boost::system::error_code ec;
+        std::uint16_t port = 0;
+        if (colon != std::string_view::npos) {
+            std::string_view digits = address.substr(colon + 1);
+            auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+            asio::ip::address ip = asio::ip::make_address(std::string(address.substr(0, colon)), ec);
+            if (!ec && error == std::errc() && end == digits.data() + digits.size())
+                return { ip, port };
+        }
+        throw ResultError(ResultCode::BadAddress, std::string(address));
+    }
+
+    // Probes an idle peer, so that a connection that went silent fails soon.
+    void tune(asio::ip::tcp::socket& socket)
+    {
+        using IdleTime = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+        using Interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+        using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+        boost::system::error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        socket.set_option(asio::socket_base::keep_alive(true), ignored);
+        socket.set_option(IdleTime(s_probeSeconds), ignored);
+        socket.set_option(Interval(s_probeSeconds), ignored);
+        socket.set_option(Count(s_probes), ignored);
+    }
+
+} // namespace
+
+struct HttpClient::Connection {
+    explicit Connection(asio::any_io_executor executor)
+        : stream(std::move(executor))
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buf;
+    TimePoint lastUsed {};
+};
+
+HttpClient::HttpClient(asio::any_io_executor executor, std::string_view address)
+    : m_executor(std::move(executor))
+    , m_address(address)
+{
+    endpointOf(address);
+}
+
+HttpClient::~HttpClient() = default;
+
+std::unique_ptr<HttpClient::Connection> HttpClient::takeIdle()
+{
+    TimePoint now = std::chrono::steady_clock::now();
+    dropOlderThan(now - s_maxIdleTime);
+    if (m_idle.empty())
+        return nullptr;
+    std::unique_ptr<Connection> connection = std::move(m_idle.back());
+    m_idle.pop_back();
+    return connection;
+}
+
+void HttpClient::dropOlderThan(TimePoint when)
+{
+    std::erase_if(m_idle, [when](const auto& it) { return it->lastUsed < when; });
+}
+
+void HttpClient::keep(std::unique_ptr<Connection> connection)
+{
+    if (m_idle.size() >= s_maxIdle)
+        return;
+    connection->lastUsed = std::chrono::steady_clock::now();
+    m_idle.push_back(std::move(connection));
+}
+
+asio::awaitable<HttpReply> HttpClient::call(HttpCall call, Milliseconds timeout)
+{
+    TimePoint began = std::chrono::steady_clock::now();
+    boost::system::error_code ec;
+    std::unique_ptr<Connection> connection = takeIdle();
+    if (!connection) {
+        connection = std::make_unique<Connection>(m_executor);
+        connection->stream.expires_after(timeout);
+        co_await connection->stream.async_connect(endpointOf(m_address), asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+            co_return HttpReply { HttpFailure::NotSent, 0, ec.message() };
+        ++m_opened;
+        tune(connection->stream.socket());
+    }
+    http::request<http::string_body> request(verbOf(call.method), call.target, 11);
+    request.set(http::field::host, m_address);
+    if (!call.body.empty() || call.method == HttpMethod::Post)
+        request.set(http::field::content_type, call.contentType);
+    for (const HttpHeader& it : call.headers)
+        request.set(it.name, it.value);
+    request.body() = std::move(call.body);
+    request.prepare_payload();
+
+    connection->stream.expires_at(began + timeout);
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(s_maxReplyBytes);
+    co_await http::async_write(connection->stream, request, asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec)
+        co_await http::async_read(connection->stream, connection->buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+        dropOlderThan(began);
+        co_return HttpReply { HttpFailure::NoAnswer, 0, ec.message() };
+    }
+    HttpReply reply { HttpFailure::None, parser.get().result_int(), std::move(parser.get().body()) };
+    connection->stream.expires_never();
+    if (parser.get().keep_alive())
+        keep(std::move(connection));
+    co_return reply;
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/http/HttpClient.h
@@ -0,0 +1,47 @@
+// Calls to one address over kept connections. A connection on which a call failed
+// is closed, and so are the idle ones older than that call: what made one silent
+// may have silenced them too.
+#pragma once
+
+#include "plantainhold/http/HttpMessages.h"
+#include "plantainhold/ports/Clock.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace plantainhold {
+
+class HttpClient {
+public:
+    // Address is IP:port. Throws ResultError for anything else. Not thread-safe, as the whole class.
+    HttpClient(boost::asio::any_io_executor executor, std::string_view address);
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    // Never throws for a failure of the network. The client must outlive the call.
+    boost::asio::awaitable<HttpReply> call(HttpCall call, Milliseconds timeout);
+
+    const std::string& address() const { return m_address; }
+    std::uint64_t connectionsOpened() const { return m_opened; }
+
+private:
+    struct Connection;
+
+    std::unique_ptr<Connection> takeIdle();
+    void keep(std::unique_ptr<Connection> connection);
+    void dropOlderThan(TimePoint when);
+
+    boost::asio::any_io_executor m_executor;
+    std::string m_address;
+    std::vector<std::unique_ptr<Connection>> m_idle;
+    std::uint64_t m_opened = 0;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -0,0 +1,73 @@
+// The owner's view of one executor: what is reserved there, the fencing token and
+// lease that it was given, how far its ends are recorded, and how it behaves.
+#pragma once
+
+#include "plantainhold/jobs/ExecutorReport.h"
+#include "plantainhold/ports/Clock.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace plantainhold {
+
+struct ActiveRun;
+
+struct ActiveExecutor {
+    ExecutorEntry entry;
+    std::string rack;
+    // In the list of executors at present.
+    bool isListed = false;
+    Resources reserved;
+    // Held for tasks that wait for others here to stop.
+    Resources nominated;
+    std::vector<ActiveRun*> runs;
+    // Of these: tasks that serve users, and tasks that may disturb them.
+    std::uint32_t servingRuns = 0;
+    std::uint32_t fillingRuns = 0;
+    // Processors that the filling tasks ask for, and those that serving tasks reserve.
+    std::int64_t fillingMillicores = 0;
+    std::int64_t servingMillicores = 0;
+    // Reports taken in.
+    std::uint64_t reports = 0;
+
+    // Token of orders from now on, and the highest that the executor has confirmed.
+    std::uint64_t token = 0;
+    std::uint64_t confirmedToken = 0;
+    bool needsFence = true;
+
+    // Its clock, as read at some moment between a call and its answer.
+    bool hasClock = false;
+    std::int64_t clockMs = 0;
+    TimePoint clockReadAt {};
+    // Nothing that we know of can run there after this moment.
+    TimePoint leaseOver {};
+
+    // Ends up to here are applied; up to there, they are in the store as well.
+    std::uint64_t endsApplied = 0;
+    std::uint64_t endsRecorded = 0;
+
+    // Since when calls fail; epoch: they do not.
+    TimePoint failingSince {};
+    std::uint32_t failedCalls = 0;
+
+    // Recent behaviour of what it ran.
+    double failureScore = 0;
+    TimePoint avoidedUntil {};
+    TimePoint drainsUntil {};
+
+    // Speed of the tasks that disturb its serving neighbours.
+    std::uint32_t fillPace = 100;
+    TimePoint fillPaceChangedAt {};
+    TimePoint servedWellSince {};
+    double worstTailRatio = 0;
+
+    Resources room() const { return entry.capacity - reserved - nominated; }
+    bool isConfirmed() const { return hasClock && confirmedToken == token && !needsFence; }
+    bool acceptsWork(TimePoint now) const
+    {
+        return isListed && isConfirmed() && !entry.isDraining && !failedCalls && now >= avoidedUntil;
+    }
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/jobs/ActiveJob.h
@@ -0,0 +1,128 @@
+// The owner's view of jobs that are not over yet: each task's place, run number,
+// failures and newest checkpoint.
+#pragma once
+
+#include "plantainhold/jobs/ExecutorReport.h"
+#include "plantainhold/jobs/JobProgress.h"
+#include "plantainhold/jobs/JobSpec.h"
+#include "plantainhold/jobs/Queue.h"
+#include "plantainhold/ports/Clock.h"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace plantainhold {
+
+struct ActiveExecutor;
+struct ActiveJob;
+struct ActiveOccurrence;
+struct ActiveStep;
+struct ActiveTask;
+
+enum class RunPhase : std::uint8_t {
+    // Chosen; the record of it is not in the store yet, so nothing was sent.
+    Recording,
+    // The order to start is on its way.
+    Starting,
+    // Whether the executor has it is not known.
+    Unconfirmed,
+    Running
+};
+
+// One run of a task that is, or may be, on an executor.
+struct ActiveRun {
+    ActiveTask* task = nullptr;
+    ActiveExecutor* executor = nullptr;
+    std::uint32_t number = 0;
+    RunPhase phase = RunPhase::Recording;
+    // The newest token that an order to start it may have carried.
+    std::uint64_t token = 0;
+    TimePoint assignedAt {};
+    // Reports sent for earlier than this say nothing about the run.
+    TimePoint confirmedAt {};
+    bool isStopWanted = false;
+    bool isStopSent = false;
+    TimePoint stopSentAt {};
+    // Of the newest report.
+    std::uint32_t percent = 0;
+    double figure = 0;
+    // Speed that was ordered last, and the one that is wanted.
+    std::uint32_t orderedPace = 100;
+    TimePoint pacedAt {};
+    // Checkpoint of the newest report, and when it last changed.
+    std::string checkpoint;
+    TimePoint progressedAt {};
+    // The executor's count of reports when this one listed the run.
+    std::uint64_t listedIn = 0;
+};
+
+struct ActiveTask {
+    ActiveStep* step = nullptr;
+    std::uint32_t index = 0;
+    std::uint32_t lastRun = 0;
+    std::uint32_t failures = 0;
+    bool isDone = false;
+    std::string checkpoint;
+    std::unique_ptr<ActiveRun> run;
+    TimePoint waitingSince {};
+    // Not placed again before this.
+    TimePoint notBefore {};
+    // Where it failed or was rejected last.
+    const ActiveExecutor* avoided = nullptr;
+    // Room is being made for it there.
+    ActiveExecutor* nominated = nullptr;
+
+    bool isWaiting() const { return !isDone && !run; }
+    TaskName name() const;
+};
+
+struct ActiveStep {
+    ActiveOccurrence* occurrence = nullptr;
+    const StepSpec* spec = nullptr;
+    std::uint32_t number = 0;
+    std::vector<ActiveTask> tasks;
+    std::uint32_t doneTasks = 0;
+    std::uint32_t placedTasks = 0;
+
+    bool isDone() const { return doneTasks == tasks.size(); }
+    std::uint32_t waitingTasks() const { return static_cast<std::uint32_t>(tasks.size()) - doneTasks - placedTasks; }
+    ActiveJob& job() const;
+};
+
+struct ActiveOccurrence {
+    ActiveJob* job = nullptr;
+    std::uint32_t number = 0;
+    std::vector<ActiveStep> steps;
+
+    bool isReady(const ActiveStep& step) const;
+    bool isDone() const;
+};
+
+struct ActiveJob {
+    std::string id;
+    std::shared_ptr<const JobSpec> spec;
+    Queue queue;
+    JobState state = JobState::Queued;
+    bool hasBegun = false;
+    // When this owner learned of it.
+    TimePoint seenAt {};
+    // Ties between jobs go by this.
+    std::uint64_t serial = 0;
+    // Only those that are due.
+    std::deque<ActiveOccurrence> occurrences;
+    // What is stored is older than this.
+    bool isDirty = false;
+
+    // Precondition: occurrences are added in order. Not thread-safe.
+    ActiveOccurrence& addOccurrence(TimePoint now);
+    // Null for a task that the job does not have, or not yet.
+    ActiveTask* find(const TaskName& name);
+    bool isDone() const;
+    // Everything that an heir needs; untouched tasks are left out.
+    JobProgress progress() const;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/jobs/JobCodec.cpp
@@ -0,0 +1,160 @@
+#include "plantainhold/jobs/JobCodec.h"
+
+#include "plantainhold/proto/jobs.pb.h"
+
+namespace plantainhold {
+
+namespace {
+
+    constexpr std::uint32_t s_lastState = static_cast<std::uint32_t>(JobState::Cancelled);
+
+    void encodeStep(const StepSpec& step, wire::StepSpecRecord& record)
+    {
+        record.set_task_count(step.taskCount);
+        record.set_millicores(step.resources.millicores);
+        record.set_memory_mib(step.resources.memoryMib);
+        record.set_accelerators(step.resources.accelerators);
+        record.set_estimate_ms(step.estimateMs);
+        record.mutable_after()->Assign(step.after.begin(), step.after.end());
+        record.set_checkpoints(step.checkpoints);
+        record.set_gang(step.isGang);
+        record.set_same_rack(step.prefersOneRack);
+        record.set_required_label(step.requiredLabel);
+        record.set_data_rack(step.dataRack);
+        record.set_max_per_executor(step.maxPerExecutor);
+        record.set_speculative(step.isSpeculative);
+        record.set_lasts(step.lasts);
+        record.set_image(step.image);
+        record.set_target_tail_ms(step.targetTailMs);
+        record.set_uses_leftover_cpu(step.usesLeftoverCpu);
+        record.set_may_miss(step.mayMiss);
+    }
+
+    StepSpec decodeStep(const wire::StepSpecRecord& record)
+    {
+        StepSpec step;
+        step.taskCount = record.task_count();
+        step.resources = { record.millicores(), record.memory_mib(), record.accelerators() };
+        step.estimateMs = record.estimate_ms();
+        step.after.assign(record.after().begin(), record.after().end());
+        step.checkpoints = record.checkpoints();
+        step.isGang = record.gang();
+        step.prefersOneRack = record.same_rack();
+        step.requiredLabel = record.required_label();
+        step.dataRack = record.data_rack();
+        step.maxPerExecutor = record.max_per_executor();
+        step.isSpeculative = record.speculative();
+        step.lasts = record.lasts();
+        step.image = record.image();
+        step.targetTailMs = record.target_tail_ms();
+        step.usesLeftoverCpu = record.uses_leftover_cpu();
+        step.mayMiss = record.may_miss();
+        return step;
+    }
+
+    void encodeTask(const TaskProgress& task, wire::TaskProgressRecord& record)
+    {
+        record.set_occurrence(task.occurrence);
+        record.set_step(task.step);
+        record.set_index(task.index);
+        record.set_run(task.run);
+        record.set_failures(task.failures);
+        record.set_done(task.isDone);
+        record.set_executor(task.executor);
+        record.set_executor_born_unix_ms(task.executorBornUnixMs);
+        record.set_checkpoint(task.checkpoint);
+    }
+
+    TaskProgress decodeTask(const wire::TaskProgressRecord& record)
+    {
+        TaskProgress task;
+        task.occurrence = record.occurrence();
+        task.step = record.step();
+        task.index = record.index();
+        task.run = record.run();
+        task.failures = record.failures();
+        task.isDone = record.done();
+        task.executor = record.executor();
+        task.executorBornUnixMs = record.executor_born_unix_ms();
+        task.checkpoint = record.checkpoint();
+        return task;
+    }
+
+    std::optional<JobProgress> summaryOf(const wire::ProgressRecord& record)
+    {
+        if (record.state() > s_lastState)
+            return std::nullopt;
+        JobProgress progress;
+        progress.state = static_cast<JobState>(record.state());
+        progress.hasBegun = record.begun();
+        return progress;
+    }
+
+} // namespace
+
+std::string encodeSubmission(const JobSpec& spec)
+{
+    wire::SubmissionRecord record;
+    record.set_queue(spec.queue);
+    record.set_payload(spec.payload);
+    for (const StepSpec& it : spec.steps)
+        encodeStep(it, *record.add_steps());
+    record.set_repeat_count(spec.repeatCount);
+    record.set_first_due_unix_ms(spec.firstDueUnixMs);
+    record.set_interval_ms(spec.intervalMs);
+    return record.SerializeAsString();
+}
+
+std::optional<JobSpec> decodeSubmission(std::string_view bytes)
+{
+    wire::SubmissionRecord record;
+    if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return std::nullopt;
+    JobSpec spec;
+    spec.queue = record.queue();
+    spec.payload = record.payload();
+    for (const auto& it : record.steps())
+        spec.steps.push_back(decodeStep(it));
+    spec.repeatCount = record.repeat_count();
+    spec.firstDueUnixMs = record.first_due_unix_ms();
+    spec.intervalMs = record.interval_ms();
+    return spec;
+}
+
+std::string encodeProgress(const JobProgress& progress)
+{
+    wire::TaskTableRecord table;
+    for (const TaskProgress& it : progress.tasks)
+        encodeTask(it, *table.add_tasks());
+    wire::ProgressRecord record;
+    record.set_state(static_cast<std::uint32_t>(progress.state));
+    record.set_begun(progress.hasBegun);
+    record.set_tasks(table.SerializeAsString());
+    return record.SerializeAsString();
+}
+
+std::optional<JobProgress> decodeProgressSummary(std::string_view bytes)
+{
+    wire::ProgressRecord record;
+    if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return std::nullopt;
+    return summaryOf(record);
+}
+
+std::optional<JobProgress> decodeProgress(std::string_view bytes)
+{
+    wire::ProgressRecord record;
+    wire::TaskTableRecord table;
+    if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return std::nullopt;
+    if (!table.ParseFromString(record.tasks()))
+        return std::nullopt;
+    std::optional<JobProgress> progress = summaryOf(record);
+    if (!progress)
+        return std::nullopt;
+    for (const auto& it : table.tasks())
+        progress->tasks.push_back(decodeTask(it));
+    return progress;
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -0,0 +1,338 @@
+// The part of the scheduler that chooses: where a task runs, what makes room for
+// it, what leaves a draining executor, and how fast tasks beside serving ones go.
+
+#include "plantainhold/jobs/JobScheduler.h"
+
+#include "plantainhold/jobs/PaceControl.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace plantainhold {
+
+namespace {
+
+    // Weights of the choice, in one arbitrary unit; lower sums are better.
+    constexpr double s_foreignRack = 1'000;
+    constexpr double s_avoidedExecutor = 500;
+    constexpr double s_otherRack = 200;
+    constexpr double s_disturbed = 20;
+    constexpr double s_sameStep = 30;
+    constexpr double s_leftRoom = 10;
+    // Tasks that disturb are not sent where they would be slowed below this.
+    constexpr std::uint32_t s_leastPace = 60;
+    constexpr Milliseconds s_preemptAfter { 40 };
+    constexpr Milliseconds s_nominationLife { 3'000 };
+    constexpr Milliseconds s_stopRepeat { 1'200 };
+    constexpr Milliseconds s_drainReserve { 1'200 };
+    // Work lost by stopping a task that saves checkpoints.
+    constexpr Milliseconds s_checkpointLoss { 300 };
+    // Part of its reservation that a serving task uses, as long as nothing else is known.
+    constexpr double s_servingUse = 0.5;
+    constexpr double s_fillLoadLimit = 1.0;
+    constexpr double s_fillLoadWeight = 100;
+    constexpr std::size_t s_stepsScanned = 400;
+
+    bool hasLabel(const ActiveExecutor& executor, const std::string& label)
+    {
+        const std::vector<std::string>& labels = executor.entry.labels;
+        return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+    }
+
+    std::uint32_t tasksOf(const ActiveExecutor& executor, const ActiveStep& step)
+    {
+        std::uint32_t n = 0;
+        for (const ActiveRun* it : executor.runs)
+            n += it->task->step == &step;
+        return n;
+    }
+
+    bool mayRun(const ActiveExecutor& executor, const ActiveStep& step, TimePoint now)
+    {
+        const StepSpec& spec = *step.spec;
+        if (!executor.acceptsWork(now) || executor.entry.service != step.job().queue.service)
+            return false;
+        if (!hasLabel(executor, spec.requiredLabel))
+            return false;
+        return !spec.maxPerExecutor || tasksOf(executor, step) < spec.maxPerExecutor;
+    }
+
+    // Part of the processors that would be asked for, if a filling task joined;
+    // serving tasks leave much of what they reserve unused.
+    double fillLoad(const ActiveExecutor& executor, const StepSpec& spec)
+    {
+        double busy = static_cast<double>(executor.reserved.millicores) - (1 - s_servingUse) * static_cast<double>(executor.servingMillicores);
+        double filling = static_cast<double>(executor.fillingMillicores + spec.resources.millicores);
+        return (busy + filling) / static_cast<double>(std::max<std::int64_t>(1, executor.entry.capacity.millicores));
+    }
+
+    double cost(const ActiveExecutor& executor, const ActiveTask& task, const Resources& room)
+    {
+        const StepSpec& spec = *task.step->spec;
+        double sum = 0;
+        if (!spec.dataRack.empty() && spec.dataRack != executor.rack)
+            sum += s_foreignRack;
+        if (task.avoided == &executor)
+            sum += s_avoidedExecutor;
+        if (spec.prefersOneRack) {
+            for (const ActiveTask& it : task.step->tasks) {
+                if (it.run && it.run->executor->rack != executor.rack) {
+                    sum += s_otherRack;
+                    break;
+                }
+            }
+        }
+        double left = static_cast<double>(room.millicores - spec.reserved().millicores) / static_cast<double>(std::max<std::int64_t>(1, executor.entry.capacity.millicores));
+        if (spec.lasts) {
+            sum += s_sameStep * tasksOf(executor, *task.step) + s_disturbed * (executor.servingRuns + executor.fillingRuns);
+            return sum - s_leftRoom * left;
+        }
+        if (spec.fills())
+            return sum + s_fillLoadWeight * fillLoad(executor, spec) + s_disturbed * executor.worstTailRatio + (100 - executor.fillPace);
+        return sum + s_leftRoom * left;
+    }
+
+    // Work that stopping the run would throw away, in core-milliseconds.
+    double lossOf(const ActiveRun& run, TimePoint now)
+    {
+        const StepSpec& spec = *run.task->step->spec;
+        auto worked = std::chrono::duration_cast<Milliseconds>(now - run.assignedAt);
+        if (spec.checkpoints)
+            worked = std::min(worked, s_checkpointLoss);
+        return static_cast<double>(worked.count() * spec.resources.millicores) / 1'000;
+    }
+
+    bool isPreemptible(const ActiveRun& run, const ActiveTask& by)
+    {
+        const ActiveStep& step = *run.task->step;
+        if (run.phase != RunPhase::Running || run.isStopWanted || step.spec->lasts || step.spec->isGang)
+            return false;
+        return by.step->spec->lasts || by.step->job().queue.priority < step.job().queue.priority;
+    }
+
+} // namespace
+
+void JobScheduler::place(TimePoint now)
+{
+    m_needsPlacement = false;
+    // The smallest request that did not fit: what asks for more need not be tried.
+    std::int64_t leastMillicores = std::numeric_limits<std::int64_t>::max();
+    std::int64_t leastMemory = std::numeric_limits<std::int64_t>::max();
+    std::size_t scanned = 0;
+    for (auto it = m_ready.begin(); it != m_ready.end() && scanned < s_stepsScanned;) {
+        ActiveStep& step = **it;
+        ++it;
+        ++scanned;
+        const StepSpec& spec = *step.spec;
+        Resources wanted = spec.reserved();
+        bool isHopeless = wanted.millicores >= leastMillicores && wanted.memoryMib >= leastMemory;
+        if (isHopeless && !spec.lasts && step.job().queue.priority > 0)
+            continue;
+        bool isPlaced = spec.isGang ? placeGang(step, now) : placeStep(step, now);
+        if (!isPlaced && spec.fills()) {
+            leastMillicores = std::min(leastMillicores, wanted.millicores);
+            leastMemory = std::min(leastMemory, wanted.memoryMib);
+        }
+    }
+}
+
+bool JobScheduler::placeStep(ActiveStep& step, TimePoint now)
+{
+    for (ActiveTask& task : step.tasks) {
+        if (!task.isWaiting())
+            continue;
+        if (task.notBefore > now) {
+            wakeAt(task.notBefore);
+            m_needsPlacement = true;
+            continue;
+        }
+        if (!placeTask(task, now) && !preemptFor(task, now))
+            return false;
+    }
+    return true;
+}
+
+bool JobScheduler::placeGang(ActiveStep& step, TimePoint now)
+{
+    // Members are placed together or not at all, under one run number.
+    std::uint32_t run = 0;
+    for (const ActiveTask& it : step.tasks) {
+        if (it.run)
+            return false;
+        run = std::max(run, it.lastRun);
+    }
+    std::string checkpoint;
+    for (const ActiveTask& it : step.tasks)
+        checkpoint = std::max(checkpoint, it.checkpoint);
+    for (ActiveTask& it : step.tasks) {
+        it.lastRun = run;
+        it.checkpoint = checkpoint;
+    }
+    for (ActiveTask& it : step.tasks) {
+        if (it.notBefore <= now && placeTask(it, now))
+            continue;
+        for (ActiveTask& placed : step.tasks) {
+            if (!placed.run)
+                continue;
+            std::erase_if(m_starts, [&](const CommitBatch::Start& start) { return start.task == placed.name(); });
+            endRun(placed, now);
+        }
+        return false;
+    }
+    return true;
+}
+
+bool JobScheduler::placeTask(ActiveTask& task, TimePoint now)
+{
+    ActiveStep& step = *task.step;
+    const StepSpec& spec = *step.spec;
+    Resources wanted = spec.reserved();
+    ActiveExecutor* best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    for (ActiveExecutor* it : m_executorList) {
+        Resources room = it->room();
+        if (task.nominated == it)
+            room += wanted;
+        if (!wanted.fitsIn(room) || !mayRun(*it, step, now))
+            continue;
+        if (spec.fills() && (it->fillPace < s_leastPace || fillLoad(*it, spec) > s_fillLoadLimit))
+            continue;
+        double sum = task.nominated == it ? -1 : cost(*it, task, room);
+        if (sum >= bestCost)
+            continue;
+        best = it;
+        bestCost = sum;
+    }
+    if (!best)
+        return false;
+    clearNomination(task);
+    ActiveJob& job = step.job();
+    addRun(task, *best, RunPhase::Recording, now);
+    task.run->number = ++task.lastRun;
+    job.hasBegun = true;
+    job.state = JobState::Running;
+    markDirty(job);
+    m_starts.push_back({ task.name(), task.lastRun });
+    ++m_counters.runsOrdered;
+    m_events.note(EventId::RunAssigned, { { "task", task.name().text() }, { "run", task.lastRun }, { "executor", best->entry.id }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(now - task.waitingSince).count() }, { "cost", bestCost } });
+    refreshReady(step);
+    return true;
+}
+
+bool JobScheduler::preemptFor(ActiveTask& task, TimePoint now)
+{
+    if (task.nominated) {
+        if (now - task.waitingSince < s_nominationLife)
+            return true;
+        clearNomination(task);
+        task.waitingSince = now;
+    }
+    if (now - task.waitingSince < s_preemptAfter) {
+        wakeAt(task.waitingSince + s_preemptAfter);
+        m_needsPlacement = true;
+        return false;
+    }
+    ActiveStep& step = *task.step;
+    Resources wanted = step.spec->reserved();
+    ActiveExecutor* best = nullptr;
+    std::vector<ActiveRun*> bestVictims;
+    double bestLoss = std::numeric_limits<double>::max();
+    for (ActiveExecutor* it : m_executorList) {
+        if (!mayRun(*it, step, now))
+            continue;
+        std::vector<ActiveRun*> victims;
+        for (ActiveRun* run : it->runs) {
+            if (isPreemptible(*run, task))
+                victims.push_back(run);
+        }
+        std::sort(victims.begin(), victims.end(), [&](const ActiveRun* a, const ActiveRun* b) { return lossOf(*a, now) < lossOf(*b, now); });
+        Resources room = it->room();
+        double loss = 0;
+        std::size_t n = 0;
+        for (; n < victims.size() && !wanted.fitsIn(room); ++n) {
+            room += victims[n]->task->step->spec->reserved();
+            loss += lossOf(*victims[n], now);
+        }
+        if (!wanted.fitsIn(room) || loss >= bestLoss)
+            continue;
+        best = it;
+        bestLoss = loss;
+        victims.resize(n);
+        bestVictims = std::move(victims);
+    }
+    if (!best)
+        return false;
+    task.nominated = best;
+    best->nominated += wanted;
+    for (ActiveRun* run : bestVictims) {
+        ++m_counters.preemptions;
+        m_events.note(EventId::RunPreempted, { { "task", run->task->name().text() }, { "run", run->number }, { "executor", best->entry.id }, { "by", task.name().text() } });
+        orderStop(*run, now);
+    }
+    return true;
+}
+
+void JobScheduler::clearNomination(ActiveTask& task)
+{
+    if (!task.nominated)
+        return;
+    task.nominated->nominated -= task.step->spec->reserved();
+    task.nominated = nullptr;
+}
+
+void JobScheduler::orderStop(ActiveRun& run, TimePoint now)
+{
+    if (run.phase == RunPhase::Recording) {
+        std::erase_if(m_starts, [&](const CommitBatch::Start& it) { return it.task == run.task->name(); });
+        endRun(*run.task, now);
+        return;
+    }
+    run.isStopWanted = true;
+    run.isStopSent = true;
+    run.stopSentAt = now;
+    m_orders.push_back({ OrderKind::Stop, run.executor->entry.id, run.task->name(), run.number, nullptr, {}, 0 });
+    wakeAt(now + s_stopRepeat);
+}
+
+void JobScheduler::evacuate(TimePoint now)
+{
+    for (ActiveExecutor* executor : m_executorList) {
+        std::vector<ActiveRun*> runs = executor->runs;
+        for (ActiveRun* run : runs) {
+            if (run->phase == RunPhase::Recording)
+                continue;
+            if (run->isStopWanted) {
+                if (!run->isStopSent || now - run->stopSentAt >= s_stopRepeat)
+                    orderStop(*run, now);
+                wakeAt(run->stopSentAt + s_stopRepeat);
+                continue;
+            }
+            if (!executor->entry.isDraining || run->phase != RunPhase::Running)
+                continue;
+            const StepSpec& spec = *run->task->step->spec;
+            bool movesCheaply = spec.lasts || spec.checkpoints;
+            if (movesCheaply || now >= executor->drainsUntil - s_drainReserve)
+                orderStop(*run, now);
+            else
+                wakeAt(executor->drainsUntil - s_drainReserve);
+        }
+    }
+}
+
+void JobScheduler::steerPaces(ActiveExecutor& executor, TimePoint now)
+{
+    bool hadRoom = executor.fillPace >= s_leastPace;
+    PaceControl(m_limits).steer(executor, now);
+    if (!hadRoom && executor.fillPace >= s_leastPace)
+        m_needsPlacement = true;
+    for (ActiveRun* run : executor.runs) {
+        if (run->phase != RunPhase::Running || run->isStopWanted || !run->task->step->spec->fills())
+            continue;
+        if (run->orderedPace == executor.fillPace)
+            continue;
+        run->orderedPace = executor.fillPace;
+        m_orders.push_back({ OrderKind::Pace, executor.entry.id, run->task->name(), run->number, nullptr, {}, executor.fillPace });
+    }
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/jobs/JobProgress.h
@@ -0,0 +1,49 @@
+// Where a job stands, as far as it has to outlive the owner's memory.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace plantainhold {
+
+// The numbers are stored.
+enum class JobState : std::uint8_t { Queued = 0,
+    Running = 1,
+    Completed = 2,
+    Failed = 3,
+    Cancelled = 4 };
+
+constexpr bool isFinal(JobState state)
+{
+    return state == JobState::Completed || state == JobState::Failed || state == JobState::Cancelled;
+}
+
+constexpr std::string_view nameOf(JobState state)
+{
+    constexpr std::string_view s_names[] = { "queued", "running", "completed", "failed", "cancelled" };
+    return s_names[static_cast<std::size_t>(state)];
+}
+
+struct TaskProgress {
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    // The highest run that may have been ordered.
+    std::uint32_t run = 0;
+    std::uint32_t failures = 0;
+    bool isDone = false;
+    // Where the run may be; empty when it has ended.
+    std::string executor;
+    std::int64_t executorBornUnixMs = 0;
+    std::string checkpoint;
+};
+
+struct JobProgress {
+    JobState state = JobState::Queued;
+    bool hasBegun = false;
+    std::vector<TaskProgress> tasks;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -0,0 +1,371 @@
+// Jobs from submission to their end, and what has to be stored of them. Placement
+// and reports are in files of their own.
+
+#include "plantainhold/jobs/JobScheduler.h"
+
+#include "plantainhold/jobs/JobBook.h"
+#include "plantainhold/jobs/JobCodec.h"
+
+#include <algorithm>
+
+namespace plantainhold {
+
+namespace {
+
+    // Tokens of one generation; more orders than that in one ownership cannot be fenced apart.
+    constexpr unsigned s_tokenBits = 24;
+    constexpr Milliseconds s_idleWake { 1'000 };
+
+} // namespace
+
+bool JobScheduler::ByUrgency::operator()(const ActiveStep* a, const ActiveStep* b) const
+{
+    if (a->spec->lasts != b->spec->lasts)
+        return a->spec->lasts;
+    const ActiveJob& x = a->job();
+    const ActiveJob& y = b->job();
+    if (x.queue.priority != y.queue.priority)
+        return x.queue.priority < y.queue.priority;
+    if (x.serial != y.serial)
+        return x.serial < y.serial;
+    if (a->occurrence->number != b->occurrence->number)
+        return a->occurrence->number < b->occurrence->number;
+    return a->number < b->number;
+}
+
+JobScheduler::JobScheduler(const SchedulerLimits& limits, std::uint64_t generation, EventSink& events, TimePoint now)
+    : m_limits(limits)
+    , m_events(events)
+    , m_generation(generation << s_tokenBits)
+    , m_ownedSince(now)
+{
+}
+
+JobScheduler::~JobScheduler() = default;
+
+void JobScheduler::configure(std::shared_ptr<const FleetConfig> config)
+{
+    m_config = std::move(config);
+    // Priorities order the set: nothing may be in it while they change.
+    m_ready.clear();
+    for (auto& [id, job] : m_jobs) {
+        for (const Queue& it : m_config->queues) {
+            if (it.name == job->queue.name)
+                job->queue = it;
+        }
+    }
+    for (auto& [id, job] : m_jobs) {
+        for (ActiveOccurrence& it : job->occurrences)
+            refreshOccurrence(it);
+    }
+    m_needsPlacement = true;
+}
+
+void JobScheduler::submit(std::string_view id, const BookedJob& booked, TimePoint now)
+{
+    if (!booked.spec || m_jobs.contains(std::string(id)))
+        return;
+    if (isFinal(booked.state)) {
+        if (m_finishedAt.try_emplace(std::string(id), now).second)
+            m_finished.emplace(now + m_limits.finishedKept, id);
+        return;
+    }
+    if (m_finishedAt.contains(std::string(id)))
+        return;
+    auto job = std::make_unique<ActiveJob>();
+    job->id = id;
+    job->spec = booked.spec;
+    job->queue.name = booked.spec->queue;
+    job->seenAt = now;
+    // The order of submission, also across owners.
+    job->serial = booked.submissionOffset << 16 | (m_nextSerial++ & 0xffff);
+    if (m_config) {
+        for (const Queue& it : m_config->queues) {
+            if (it.name == job->queue.name)
+                job->queue = it;
+        }
+    }
+    ActiveJob& added = *job;
+    m_jobs.emplace(std::string(id), std::move(job));
+    if (!booked.progress.empty()) {
+        if (std::optional<JobProgress> progress = decodeProgress(booked.progress))
+            restore(added, *progress, now);
+        else
+            m_events.note(EventId::StoredRecordMalformed, { { "job", id }, { "what", "progress" } });
+    }
+    if (added.spec->isTimed())
+        m_timed.push_back(&added);
+    else if (added.occurrences.empty())
+        added.addOccurrence(now);
+    for (ActiveOccurrence& it : added.occurrences)
+        refreshOccurrence(it);
+    if (booked.isCancelRequested)
+        cancel(id, now);
+    m_needsPlacement = true;
+}
+
+void JobScheduler::restore(ActiveJob& job, const JobProgress& progress, TimePoint now)
+{
+    job.state = progress.state;
+    job.hasBegun = progress.hasBegun;
+    for (const TaskProgress& it : progress.tasks)
+        restoreTask(job, it, now);
+}
+
+void JobScheduler::restoreTask(ActiveJob& job, const TaskProgress& progress, TimePoint now)
+{
+    while (job.occurrences.size() <= progress.occurrence && job.occurrences.size() < job.spec->occurrences())
+        job.addOccurrence(now);
+    ActiveTask* task = job.find({ job.id, progress.occurrence, progress.step, progress.index });
+    if (!task) {
+        m_events.note(EventId::StoredRecordMalformed, { { "job", job.id }, { "what", "task number" } });
+        return;
+    }
+    task->lastRun = progress.run;
+    task->failures = progress.failures;
+    task->checkpoint = progress.checkpoint;
+    if (progress.isDone) {
+        task->isDone = true;
+        ++task->step->doneTasks;
+        return;
+    }
+    if (progress.executor.empty())
+        return;
+    ActiveExecutor& executor = executorFor(progress.executor, progress.executorBornUnixMs, now);
+    // An older life of the executor took the run with it.
+    if (executor.entry.bornUnixMs != progress.executorBornUnixMs)
+        return;
+    addRun(*task, executor, RunPhase::Unconfirmed, now);
+    task->run->number = progress.run;
+}
+
+ActiveExecutor& JobScheduler::executorFor(const std::string& id, std::int64_t born, TimePoint now)
+{
+    auto [it, isNew] = m_executors.try_emplace(id);
+    if (isNew) {
+        it->second = std::make_unique<ActiveExecutor>();
+        ActiveExecutor& executor = *it->second;
+        executor.entry.id = id;
+        executor.entry.bornUnixMs = born;
+        executor.token = m_generation;
+        // A former owner may have extended leases until shortly after this ownership began.
+        Milliseconds longest { static_cast<std::int64_t>(static_cast<double>(m_limits.leaseMax.count()) / (1 - m_limits.clockDrift)) };
+        executor.leaseOver = std::max(now, m_ownedSince + m_limits.formerOwnerGrace + longest);
+        m_executorList.push_back(&executor);
+    }
+    return *it->second;
+}
+
+void JobScheduler::cancel(std::string_view id, TimePoint now)
+{
+    auto it = m_jobs.find(std::string(id));
+    if (it == m_jobs.end() || isFinal(it->second->state))
+        return;
+    m_events.note(EventId::JobEnded, { { "job", id }, { "state", "cancelled" } });
+    finish(*it->second, JobState::Cancelled, now);
+}
+
+void JobScheduler::finish(ActiveJob& job, JobState state, TimePoint now)
+{
+    for (ActiveOccurrence& occurrence : job.occurrences) {
+        for (ActiveStep& step : occurrence.steps)
+            m_ready.erase(&step);
+    }
+    job.state = state;
+    markDirty(job);
+    for (ActiveOccurrence& occurrence : job.occurrences) {
+        for (ActiveStep& step : occurrence.steps) {
+            for (ActiveTask& task : step.tasks) {
+                clearNomination(task);
+                if (task.run)
+                    orderStop(*task.run, now);
+            }
+        }
+    }
+    std::erase(m_timed, &job);
+    if (m_finishedAt.try_emplace(job.id, now).second)
+        m_finished.emplace(now + m_limits.finishedKept, job.id);
+}
+
+void JobScheduler::applyDueTimes(TimePoint now, std::int64_t nowUnixMs)
+{
+    for (ActiveJob* job : m_timed) {
+        const JobSpec& spec = *job->spec;
+        while (job->occurrences.size() < spec.occurrences()) {
+            std::int64_t due = spec.firstDueUnixMs + static_cast<std::int64_t>(job->occurrences.size()) * spec.intervalMs;
+            if (nowUnixMs < due) {
+                wakeAt(now + Milliseconds(due - nowUnixMs));
+                break;
+            }
+            refreshOccurrence(job->addOccurrence(now));
+            m_needsPlacement = true;
+        }
+    }
+}
+
+void JobScheduler::addRun(ActiveTask& task, ActiveExecutor& executor, RunPhase phase, TimePoint now)
+{
+    task.run = std::make_unique<ActiveRun>();
+    ActiveRun& run = *task.run;
+    run.task = &task;
+    run.executor = &executor;
+    run.phase = phase;
+    run.token = executor.token;
+    run.assignedAt = now;
+    run.progressedAt = now;
+    run.checkpoint = task.checkpoint;
+    const StepSpec& spec = *task.step->spec;
+    executor.reserved += spec.reserved();
+    executor.runs.push_back(&run);
+    executor.servingRuns += spec.servesUsers();
+    executor.fillingRuns += spec.fills();
+    executor.fillingMillicores += spec.fills() ? spec.resources.millicores : 0;
+    executor.servingMillicores += spec.servesUsers() ? spec.resources.millicores : 0;
+    ++task.step->placedTasks;
+}
+
+void JobScheduler::endRun(ActiveTask& task, TimePoint now)
+{
+    ActiveRun& run = *task.run;
+    ActiveExecutor& executor = *run.executor;
+    const StepSpec& spec = *task.step->spec;
+    executor.reserved -= spec.reserved();
+    executor.servingRuns -= spec.servesUsers();
+    executor.fillingRuns -= spec.fills();
+    executor.fillingMillicores -= spec.fills() ? spec.resources.millicores : 0;
+    executor.servingMillicores -= spec.servesUsers() ? spec.resources.millicores : 0;
+    std::erase(executor.runs, &run);
+    if (!run.checkpoint.empty())
+        task.checkpoint = run.checkpoint;
+    --task.step->placedTasks;
+    task.run.reset();
+    task.waitingSince = now;
+    markDirty(task.step->job());
+    refreshReady(*task.step);
+    m_needsPlacement = true;
+}
+
+void JobScheduler::refreshReady(ActiveStep& step)
+{
+    bool isReady = !isFinal(step.job().state) && step.waitingTasks() > 0 && step.occurrence->isReady(step);
+    if (isReady)
+        m_ready.insert(&step);
+    else
+        m_ready.erase(&step);
+}
+
+void JobScheduler::refreshOccurrence(ActiveOccurrence& occurrence)
+{
+    for (ActiveStep& it : occurrence.steps)
+        refreshReady(it);
+}
+
+void JobScheduler::markDirty(ActiveJob& job)
+{
+    if (job.isDirty)
+        return;
+    job.isDirty = true;
+    m_dirty.push_back(&job);
+}
+
+TimePoint JobScheduler::advance(TimePoint now, std::int64_t nowUnixMs)
+{
+    m_wakeAt = now + s_idleWake;
+    applyDueTimes(now, nowUnixMs);
+    expireLeases(now);
+    evacuate(now);
+    if (m_needsPlacement)
+        place(now);
+    while (!m_finished.empty() && m_finished.begin()->first <= now) {
+        m_dropped.push_back(m_finished.begin()->second);
+        m_finishedAt.erase(m_finished.begin()->second);
+        m_finished.erase(m_finished.begin());
+    }
+    return m_wakeAt;
+}
+
+void JobScheduler::wakeAt(TimePoint when)
+{
+    m_wakeAt = std::min(m_wakeAt, when);
+}
+
+CommitBatch JobScheduler::takeBatch()
+{
+    CommitBatch batch;
+    for (ActiveJob* job : m_dirty) {
+        job->isDirty = false;
+        batch.progress.emplace_back(job->id, encodeProgress(job->progress()));
+    }
+    m_dirty.clear();
+    for (std::string& id : m_dropped) {
+        batch.progress.emplace_back(id, std::string());
+        batch.droppedJobs.push_back(std::move(id));
+    }
+    m_dropped.clear();
+    batch.starts = std::exchange(m_starts, {});
+    for (ActiveExecutor* it : m_executorList) {
+        if (it->endsApplied > it->endsRecorded)
+            batch.acknowledgements.push_back({ it->entry.id, it->entry.bornUnixMs, it->endsApplied });
+    }
+    return batch;
+}
+
+void JobScheduler::committed(const CommitBatch& batch, TimePoint now)
+{
+    for (const CommitBatch::Acknowledgement& it : batch.acknowledgements) {
+        auto found = m_executors.find(it.executor);
+        if (found != m_executors.end() && found->second->entry.bornUnixMs == it.bornUnixMs)
+            found->second->endsRecorded = std::max(found->second->endsRecorded, it.endNumber);
+    }
+    for (const CommitBatch::Start& it : batch.starts) {
+        auto found = m_jobs.find(it.task.job);
+        ActiveTask* task = found == m_jobs.end() ? nullptr : found->second->find(it.task);
+        if (!task || !task->run || task->run->number != it.run || task->run->phase != RunPhase::Recording)
+            continue;
+        task->run->phase = RunPhase::Starting;
+        m_orders.push_back({ OrderKind::Start, task->run->executor->entry.id, it.task, it.run, found->second->spec, task->checkpoint, 100 });
+    }
+    // A job that is over and stored needs no memory once nothing of it is left anywhere.
+    for (const auto& [id, bytes] : batch.progress) {
+        auto found = m_jobs.find(id);
+        if (found == m_jobs.end() || !isFinal(found->second->state) || found->second->isDirty)
+            continue;
+        bool hasRuns = false;
+        for (const ActiveOccurrence& occurrence : found->second->occurrences) {
+            for (const ActiveStep& step : occurrence.steps)
+                hasRuns = hasRuns || step.placedTasks > 0;
+        }
+        if (!hasRuns)
+            m_jobs.erase(found);
+    }
+    wakeAt(now);
+}
+
+std::vector<ExecutorOrder> JobScheduler::orders()
+{
+    return std::exchange(m_orders, {});
+}
+
+const ActiveExecutor* JobScheduler::executor(std::string_view id) const
+{
+    auto it = m_executors.find(std::string(id));
+    return it == m_executors.end() ? nullptr : it->second.get();
+}
+
+std::vector<std::string> JobScheduler::executorIds() const
+{
+    std::vector<std::string> ids;
+    for (const ActiveExecutor* it : m_executorList)
+        ids.push_back(it->entry.id);
+    return ids;
+}
+
+std::size_t JobScheduler::waitingTasks() const
+{
+    std::size_t n = 0;
+    for (const ActiveStep* it : m_ready)
+        n += it->waitingTasks();
+    return n;
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/jobs/JobScheduler.h
@@ -0,0 +1,153 @@
+// Decides which task runs where, for one partition of jobs and executors. Pure:
+// events in, orders out; no sockets and no clock of its own.
+//
+// The one idea: nothing is sent before the store holds the record of it. A run is
+// chosen, recorded, and only then ordered; an end is applied, recorded, and only
+// then acknowledged. So an heir finds in the store every run that may exist, and a
+// fenced report from an executor settles each of them.
+//
+// Usage: restore() and submit() the jobs, tell of executors, then after each event
+// take a batch, store it, say committed(), and carry out what orders() returns.
+#pragma once
+
+#include "plantainhold/base/EventSink.h"
+#include "plantainhold/jobs/ActiveExecutor.h"
+#include "plantainhold/jobs/ActiveJob.h"
+#include "plantainhold/jobs/JobOrders.h"
+#include "plantainhold/jobs/Queue.h"
+#include "plantainhold/jobs/SchedulerLimits.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace plantainhold {
+
+struct BookedJob;
+
+struct SchedulerCounters {
+    std::uint64_t runsOrdered = 0;
+    std::uint64_t ends = 0;
+    std::uint64_t preemptions = 0;
+    std::uint64_t rejectedStarts = 0;
+    std::uint64_t unknownStarts = 0;
+    std::uint64_t lostRuns = 0;
+};
+
+class JobScheduler {
+public:
+    // The generation of ownership leads every fencing token. Not thread-safe, as the whole class.
+    JobScheduler(const SchedulerLimits& limits, std::uint64_t generation, EventSink& events, TimePoint now);
+    ~JobScheduler();
+    JobScheduler(const JobScheduler&) = delete;
+    JobScheduler& operator=(const JobScheduler&) = delete;
+
+    // Queues and services in force. Jobs of a queue that was dropped keep its last settings.
+    void configure(std::shared_ptr<const FleetConfig> config);
+    // A job was read from the store; takes up its progress, if any. Repeats change nothing.
+    void submit(std::string_view id, const BookedJob& job, TimePoint now);
+    // The job is cancelled for good. Repeats change nothing.
+    void cancel(std::string_view id, TimePoint now);
+
+    // An entry in the list of executors appeared or changed.
+    void executorSeen(const ExecutorEntry& entry, TimePoint now);
+    // The entry is gone; what runs there may go on until its lease is over.
+    void executorGone(std::string_view id, TimePoint now);
+
+    // The next report call to an executor; null when it is not known. Extends its lease.
+    std::optional<ReportOrder> nextReport(std::string_view id, TimePoint now);
+    void reported(std::string_view id, const ReportOrder& order, const ExecutorReport& report, TimePoint sentAt, TimePoint now);
+    void reportFailed(std::string_view id, const ReportOrder& order, OrderOutcome outcome, TimePoint now);
+
+    // Token and lease for an order that is about to be sent; nothing when it is no longer wanted.
+    struct Envelope {
+        std::uint64_t token = 0;
+        std::int64_t deadlineMs = 0;
+    };
+    std::optional<Envelope> seal(const ExecutorOrder& order, TimePoint now);
+    void answered(const ExecutorOrder& order, OrderOutcome outcome, TimePoint sentAt, TimePoint now);
+
+    // Places, preempts, paces, expires. Call after events, and at the time that it returns at the latest.
+    TimePoint advance(TimePoint now, std::int64_t nowUnixMs);
+
+    CommitBatch takeBatch();
+    void committed(const CommitBatch& batch, TimePoint now);
+    // Orders since the last call.
+    std::vector<ExecutorOrder> orders();
+
+    // Where each executor is, for whoever calls them.
+    const ActiveExecutor* executor(std::string_view id) const;
+    std::vector<std::string> executorIds() const;
+    std::size_t activeJobs() const { return m_jobs.size(); }
+    std::size_t waitingTasks() const;
+    const SchedulerCounters& counters() const { return m_counters; }
+
+private:
+    struct ByUrgency {
+        bool operator()(const ActiveStep* a, const ActiveStep* b) const;
+    };
+
+    void restore(ActiveJob& job, const JobProgress& progress, TimePoint now);
+    void restoreTask(ActiveJob& job, const TaskProgress& progress, TimePoint now);
+    ActiveExecutor& executorFor(const std::string& id, std::int64_t born, TimePoint now);
+    void applyDueTimes(TimePoint now, std::int64_t nowUnixMs);
+
+    void addRun(ActiveTask& task, ActiveExecutor& executor, RunPhase phase, TimePoint now);
+    // The task's run is over; it waits again unless it is done.
+    void endRun(ActiveTask& task, TimePoint now);
+    void refreshReady(ActiveStep& step);
+    void refreshOccurrence(ActiveOccurrence& occurrence);
+    void markDirty(ActiveJob& job);
+    void finish(ActiveJob& job, JobState state, TimePoint now);
+
+    void applyEnd(ActiveExecutor& executor, const EndRow& end, TimePoint now);
+    void applyTaskEnd(ActiveTask& task, ActiveExecutor& executor, const EndRow& end, TimePoint now);
+    void applyRow(ActiveExecutor& executor, const RunRow& row, TimePoint sentAt, TimePoint now);
+    void resolveAbsent(ActiveExecutor& executor, const ReportOrder& order, const ExecutorReport& report, TimePoint sentAt, TimePoint now);
+    void reborn(ActiveExecutor& executor, std::int64_t born, TimePoint now);
+    void loseRuns(ActiveExecutor& executor, std::string_view reason, TimePoint now);
+    void expireLeases(TimePoint now);
+    void forgetNominations(const ActiveExecutor& executor);
+    void noteFailure(ActiveExecutor& executor, TimePoint now);
+
+    void place(TimePoint now);
+    bool placeStep(ActiveStep& step, TimePoint now);
+    bool placeGang(ActiveStep& step, TimePoint now);
+    bool placeTask(ActiveTask& task, TimePoint now);
+    bool preemptFor(ActiveTask& task, TimePoint now);
+    void clearNomination(ActiveTask& task);
+    void evacuate(TimePoint now);
+    void steerPaces(ActiveExecutor& executor, TimePoint now);
+    void orderStop(ActiveRun& run, TimePoint now);
+    void fence(ActiveExecutor& executor);
+    std::int64_t extendLease(ActiveExecutor& executor, TimePoint now);
+    void wakeAt(TimePoint when);
+
+    const SchedulerLimits m_limits;
+    EventSink& m_events;
+    const std::uint64_t m_generation;
+    const TimePoint m_ownedSince;
+    std::shared_ptr<const FleetConfig> m_config;
+    std::unordered_map<std::string, std::unique_ptr<ActiveJob>> m_jobs;
+    // Ended jobs whose records are to be dropped, by time.
+    std::multimap<TimePoint, std::string> m_finished;
+    std::unordered_map<std::string, TimePoint> m_finishedAt;
+    std::unordered_map<std::string, std::unique_ptr<ActiveExecutor>> m_executors;
+    std::vector<ActiveExecutor*> m_executorList;
+    std::set<ActiveStep*, ByUrgency> m_ready;
+    std::vector<ActiveJob*> m_dirty;
+    std::vector<CommitBatch::Start> m_starts;
+    std::vector<std::string> m_dropped;
+    std::vector<ExecutorOrder> m_orders;
+    std::vector<ActiveJob*> m_timed;
+    std::uint64_t m_nextSerial = 1;
+    TimePoint m_wakeAt {};
+    bool m_needsPlacement = true;
+    SchedulerCounters m_counters;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/jobs/SchedulerLimits.h
@@ -0,0 +1,30 @@
+// Bounds of the scheduler, from the platform's settings and our own.
+#pragma once
+
+#include "plantainhold/ports/Clock.h"
+
+#include <cstdint>
+
+namespace plantainhold {
+
+struct SchedulerLimits {
+    // Longest lease that executors grant.
+    Milliseconds leaseMax { 6'000 };
+    // How long a former owner may go on extending leases after its membership lapsed.
+    Milliseconds formerOwnerGrace { 4'000 };
+    // An executor's clock may run this much slower than ours.
+    double clockDrift = 0.02;
+    // Longest wait of one report call.
+    Milliseconds reportWait { 1'000 };
+    Milliseconds stopTimeout { 900 };
+    // How long a serving task may miss its target.
+    Milliseconds interferenceLimit { 4'000 };
+    // How long a job's end stays known.
+    Milliseconds finishedKept { 120'000 };
+    // Interval before the same task is tried again after a rejection.
+    Milliseconds retryDelay { 100 };
+    // Ends that one report holds at most.
+    std::size_t reportedEnds = 500;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/store/GroupCommit.cpp
@@ -0,0 +1,121 @@
+#include "plantainhold/store/GroupCommit.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace plantainhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::size_t s_maxBatchBytes = 1 << 20;
+    constexpr std::size_t s_maxQueue = 4'000;
+    constexpr Milliseconds s_appendTimeout { 1'000 };
+    constexpr Milliseconds s_repeatPause { 60 };
+
+} // namespace
+
+struct GroupCommit::Pending {
+    Pending(const asio::any_io_executor& executor, KeyedRecord what, TimePoint until)
+        : record(std::move(what))
+        , signal(executor, until)
+    {
+    }
+
+    KeyedRecord record;
+    asio::steady_timer signal;
+    StoreStatus status = StoreStatus::Refused;
+    bool isDone = false;
+    // An append with it had no answer, so that it may be stored.
+    bool isUncertain = false;
+};
+
+GroupCommit::GroupCommit(asio::any_io_executor executor, StorePort& store, std::string topic, std::uint32_t part)
+    : m_executor(std::move(executor))
+    , m_store(store)
+    , m_topic(std::move(topic))
+    , m_part(part)
+{
+}
+
+GroupCommit::~GroupCommit() = default;
+
+asio::awaitable<StoreStatus> GroupCommit::put(KeyedRecord record, TimePoint deadline)
+{
+    if (m_queue.size() >= s_maxQueue)
+        co_return StoreStatus::Refused;
+    auto pending = std::make_shared<Pending>(m_executor, std::move(record), deadline);
+    m_queue.push_back(pending);
+    if (!m_isFlushing) {
+        m_isFlushing = true;
+        asio::co_spawn(m_executor, flush(), asio::detached);
+    }
+    boost::system::error_code ec;
+    co_await pending->signal.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    if (pending->isDone)
+        co_return pending->status;
+    pending->isDone = true;
+    // Still queued: no append carried it, and none will.
+    if (std::erase(m_queue, pending) && !pending->isUncertain)
+        co_return StoreStatus::Refused;
+    co_return StoreStatus::Unknown;
+}
+
+std::vector<std::shared_ptr<GroupCommit::Pending>> GroupCommit::takeBatch()
+{
+    std::vector<std::shared_ptr<Pending>> batch;
+    std::size_t bytes = 0;
+    while (!m_queue.empty() && bytes < s_maxBatchBytes) {
+        bytes += m_queue.front()->record.value.size();
+        batch.push_back(std::move(m_queue.front()));
+        m_queue.pop_front();
+    }
+    return batch;
+}
+
+void GroupCommit::finish(Pending& pending, StoreStatus status)
+{
+    if (pending.isDone)
+        return;
+    pending.isDone = true;
+    pending.status = status;
+    pending.signal.cancel();
+}
+
+asio::awaitable<void> GroupCommit::flush()
+{
+    while (!m_queue.empty()) {
+        std::vector<std::shared_ptr<Pending>> batch = takeBatch();
+        std::vector<KeyedRecord> records;
+        for (const auto& it : batch)
+            records.push_back(it->record);
+        AppendResult result = co_await m_store.append({ m_topic, m_part }, records, std::nullopt, s_appendTimeout);
+        if (result.status == StoreStatus::Ok) {
+            for (const auto& it : batch)
+                finish(*it, StoreStatus::Ok);
+            continue;
+        }
+        bool isUncertain = result.status == StoreStatus::Unknown;
+        for (const auto& it : batch) {
+            it->isUncertain = it->isUncertain || isUncertain;
+            if (!it->isUncertain)
+                finish(*it, StoreStatus::Refused);
+        }
+        // What may be stored already is tried again until its caller gives up.
+        std::erase_if(batch, [](const auto& it) { return it->isDone; });
+        m_queue.insert(m_queue.begin(), batch.begin(), batch.end());
+        if (!batch.empty()) {
+            asio::steady_timer pause(m_executor, s_repeatPause);
+            boost::system::error_code ec;
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        }
+    }
+    m_isFlushing = false;
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/store/TopicTail.cpp
@@ -0,0 +1,79 @@
+#include "plantainhold/store/TopicTail.h"
+
+#include "plantainhold/base/EventSink.h"
+
+namespace plantainhold {
+
+namespace asio = boost::asio;
+
+TopicTail::TopicTail(StorePort& store, EventSink& events, std::string topic, std::uint32_t part, Apply apply)
+    : m_store(store)
+    , m_events(events)
+    , m_topic(std::move(topic))
+    , m_part(part)
+    , m_apply(std::move(apply))
+{
+}
+
+asio::awaitable<StoreStatus> TopicTail::poll(Milliseconds wait, Milliseconds timeout)
+{
+    if (!m_isComplete)
+        co_return co_await rebuild(timeout);
+    for (;;) {
+        TimePoint asked = std::chrono::steady_clock::now();
+        ReadResult result = co_await m_store.read({ m_topic, m_part }, m_next, wait, wait + timeout);
+        if (result.status == StoreStatus::Expired) {
+            m_events.note(EventId::HistoryExpired, { { "topic", m_topic }, { "from", m_next } });
+            co_return co_await rebuild(timeout);
+        }
+        if (result.status != StoreStatus::Ok)
+            co_return result.status;
+        for (const StoredRecord& it : result.records)
+            apply(it);
+        m_next = result.nextOffset;
+        if (result.records.empty() || m_next >= result.endOffset) {
+            m_currentAsOf = asked;
+            co_return StoreStatus::Ok;
+        }
+        wait = Milliseconds(0);
+    }
+}
+
+asio::awaitable<StoreStatus> TopicTail::rebuild(Milliseconds timeout)
+{
+    TimePoint asked = std::chrono::steady_clock::now();
+    std::unordered_set<std::string> former = m_keys;
+    std::uint64_t end = 0;
+    std::string after;
+    for (bool isFirst = true, hasMore = true; hasMore; isFirst = false) {
+        NewestResult page = co_await m_store.newest({ m_topic, m_part }, after, timeout);
+        if (page.status != StoreStatus::Ok)
+            co_return page.status;
+        // Pages are no snapshot: all that came after the first one is read again.
+        if (isFirst)
+            end = page.endOffset;
+        for (const StoredRecord& it : page.records) {
+            former.erase(it.key);
+            apply(it);
+            after = it.key;
+        }
+        hasMore = page.hasMore && !page.records.empty();
+    }
+    for (const std::string& it : former)
+        apply({ end, it, {} });
+    m_next = end;
+    m_isComplete = true;
+    m_currentAsOf = asked;
+    co_return StoreStatus::Ok;
+}
+
+void TopicTail::apply(const StoredRecord& record)
+{
+    if (record.value.empty())
+        m_keys.erase(record.key);
+    else
+        m_keys.insert(record.key);
+    m_apply(record);
+}
+
+} // namespace plantainhold
