Keep the caller's handler alive, and log how full the partition is

Cause: two processes ended with a fault; the handler was a coroutine member of an object that was gone at its first suspension. It is a function now.

--- a/cmd/plantainhold_jobsd/Main.cpp
+++ b/cmd/plantainhold_jobsd/Main.cpp
@@ -51,9 +51,7 @@
         platform::StoreClient store(context.get_executor(), settings.storeAddress, log);
         platform::ExecutorClient executors(context.get_executor());
         EntryAdapters adapters { store, executors, platform::decodeExecutor, platform::decodeConfig,
-            [](JobService& service, HttpRequest request, std::shared_ptr<const FleetConfig> config) {
-                return platform::JobRequests(service).handle(std::move(request), std::move(config));
-            },
+            platform::handleJobRequest,
             std::string(platform::s_operatorTopic), std::string(platform::s_configKey), std::string(platform::s_executorsTopic) };
         EntryInstance instance(context, settings, std::move(adapters), log);
         instance.start();
--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -30,6 +30,7 @@
     constexpr Milliseconds s_executorsWait { 2'000 };
     constexpr Milliseconds s_executorsPause { 200 };
     constexpr Milliseconds s_unconfirmedPause { 100 };
+    constexpr Milliseconds s_statePause { 3'000 };
     constexpr std::size_t s_ordersInFlight = 3;
     constexpr std::size_t s_maxAppendBytes = 1 << 20;
 
@@ -102,6 +103,7 @@
     auto self = shared_from_this();
     asio::co_spawn(m_executor, [self]() { return self->followExecutors(); }, asio::detached);
     asio::co_spawn(m_executor, [self]() { return self->commitLoop(); }, asio::detached);
+    asio::co_spawn(m_executor, [self]() { return self->stateLoop(); }, asio::detached);
     m_parts.records.follow();
     wake();
 }
@@ -296,6 +298,14 @@
     wake();
 }
 
+asio::awaitable<void> JobOwner::stateLoop()
+{
+    while (!m_isStopped) {
+        m_scheduler->noteState(BootClock::now());
+        co_await sleep(s_statePause);
+    }
+}
+
 asio::awaitable<void> JobOwner::commitLoop()
 {
     while (!m_isStopped) {
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -65,6 +65,7 @@
     boost::asio::awaitable<bool> claimWriter();
     boost::asio::awaitable<void> followExecutors();
     boost::asio::awaitable<void> commitLoop();
+    boost::asio::awaitable<void> stateLoop();
     boost::asio::awaitable<bool> store(const CommitBatch& batch);
     boost::asio::awaitable<bool> storeRecords(std::span<const KeyedRecord> records);
     boost::asio::awaitable<void> dropSubmissions(std::vector<std::string> ids);
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -360,6 +360,32 @@
     return ids;
 }
 
+void JobScheduler::noteState(TimePoint now) const
+{
+    Resources capacity;
+    Resources reserved;
+    Resources nominated;
+    std::size_t open = 0;
+    std::size_t runs = 0;
+    std::uint64_t pace = 0;
+    std::uint64_t filling = 0;
+    double tail = 0;
+    for (const ActiveExecutor* it : m_executorList) {
+        capacity += it->entry.capacity;
+        reserved += it->reserved;
+        nominated += it->nominated;
+        open += it->acceptsWork(now);
+        runs += it->runs.size();
+        pace += it->fillPace;
+        filling += static_cast<std::uint64_t>(it->fillingMillicores);
+        tail = std::max(tail, it->worstTailRatio);
+    }
+    std::size_t lasting = 0;
+    for (const ActiveStep* it : m_ready)
+        lasting += it->spec->lasts ? it->waitingTasks() : 0;
+    m_events.note(EventId::PartitionState, { { "executors", m_executorList.size() }, { "accepting", open }, { "jobs", m_jobs.size() }, { "runs", runs }, { "waiting", waitingTasks() }, { "waiting_lasting", lasting }, { "capacity_millicores", capacity.millicores }, { "reserved_millicores", reserved.millicores }, { "filling_millicores", filling }, { "nominated_millicores", nominated.millicores }, { "capacity_mib", capacity.memoryMib }, { "reserved_mib", reserved.memoryMib }, { "mean_pace", m_executorList.empty() ? 0 : pace / m_executorList.size() }, { "worst_tail_ratio", tail } });
+}
+
 std::size_t JobScheduler::waitingTasks() const
 {
     std::size_t n = 0;
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -84,6 +84,8 @@
     std::vector<std::string> executorIds() const;
     std::size_t activeJobs() const { return m_jobs.size(); }
     std::size_t waitingTasks() const;
+    // Tells the sink how full the partition is.
+    void noteState(TimePoint now) const;
     const SchedulerCounters& counters() const { return m_counters; }
 
 private:
