Learn which images press on whom, and place by chance and value

Cause: all filling tasks of an executor were slowed down together whenever one serving task missed its target (mean pace 40 %), and the queue was served oldest first, so that under overload nearly every job ended late. Change: effects a pair learned by a filter, only what presses is slowed or moved; jobs that can still meet their objective first, begun before fresh, fresh ones newest first; new lasting tasks leave room for short ones; serving tasks of one image are placed together. Ruled out: a shortage of processors in the owner (0.066 of 0.1 core).

--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -45,7 +45,8 @@
     , m_log(log)
     , m_records(context.get_executor(), m_adapters.store, log)
     , m_service(context.get_executor(), m_adapters.store, m_records, log)
-    , m_keeper(context.get_executor(), m_adapters.store, log, ownershipOptions(settings), [this](std::uint64_t it) { ownershipGained(it); }, [this](std::string_view) { ownershipLost(); })
+    , m_keeper(
+          context.get_executor(), m_adapters.store, log, ownershipOptions(settings), [this](std::uint64_t it) { ownershipGained(it); }, [this](std::string_view) { ownershipLost(); })
     , m_configTail(m_adapters.store, log, m_adapters.operatorTopic, 0, [this](const StoredRecord& it) { takeConfig(it); })
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
 {
--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -60,7 +60,8 @@
 
 void JobOwner::start(std::shared_ptr<const FleetConfig> config)
 {
-    asio::co_spawn(m_executor, [self = shared_from_this(), config]() { return self->takeOver(config); }, asio::detached);
+    asio::co_spawn(
+        m_executor, [self = shared_from_this(), config]() { return self->takeOver(config); }, asio::detached);
 }
 
 void JobOwner::stop()
@@ -101,9 +102,12 @@
         m_scheduler->submit(id, job, now);
     m_parts.events.note(EventId::OwnershipRestored, { { "generation", m_generation }, { "jobs", m_scheduler->activeJobs() }, { "executors", m_scheduler->executorIds().size() }, { "ms", std::chrono::duration_cast<Milliseconds>(now - began).count() } });
     auto self = shared_from_this();
-    asio::co_spawn(m_executor, [self]() { return self->followExecutors(); }, asio::detached);
-    asio::co_spawn(m_executor, [self]() { return self->commitLoop(); }, asio::detached);
-    asio::co_spawn(m_executor, [self]() { return self->stateLoop(); }, asio::detached);
+    asio::co_spawn(
+        m_executor, [self]() { return self->followExecutors(); }, asio::detached);
+    asio::co_spawn(
+        m_executor, [self]() { return self->commitLoop(); }, asio::detached);
+    asio::co_spawn(
+        m_executor, [self]() { return self->stateLoop(); }, asio::detached);
     m_parts.records.follow();
     wake();
 }
@@ -205,7 +209,8 @@
         if (link->isReporting)
             continue;
         link->isReporting = true;
-        asio::co_spawn(m_executor, [self = shared_from_this(), link]() { return self->reportLoop(link); }, asio::detached);
+        asio::co_spawn(
+            m_executor, [self = shared_from_this(), link]() { return self->reportLoop(link); }, asio::detached);
     }
 }
 
@@ -218,7 +223,8 @@
     if (order.kind == OrderKind::Fence) {
         if (!link->isUrgentReporting) {
             link->isUrgentReporting = true;
-            asio::co_spawn(m_executor, [self = shared_from_this(), link]() { return self->reportOnce(link, true); }, asio::detached);
+            asio::co_spawn(
+                m_executor, [self = shared_from_this(), link]() { return self->reportOnce(link, true); }, asio::detached);
         }
         return;
     }
@@ -232,7 +238,8 @@
         ExecutorOrder order = std::move(link->queue.front());
         link->queue.pop_front();
         ++link->inFlight;
-        asio::co_spawn(m_executor, [self = shared_from_this(), link, order = std::move(order)]() mutable { return self->send(link, std::move(order)); }, asio::detached);
+        asio::co_spawn(
+            m_executor, [self = shared_from_this(), link, order = std::move(order)]() mutable { return self->send(link, std::move(order)); }, asio::detached);
     }
 }
 
--- a/plantainhold/entry/JobService.h
+++ b/plantainhold/entry/JobService.h
@@ -30,7 +30,8 @@
     NotFound,
     // The store cannot be asked, and this instance does not know.
     Unavailable,
-    Invalid };
+    Invalid
+};
 
 struct JobStateAnswer {
     JobVerdict verdict = JobVerdict::Unavailable;
--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -56,10 +56,7 @@
     TimePoint avoidedUntil {};
     TimePoint drainsUntil {};
 
-    // Speed of the tasks that disturb its serving neighbours.
-    std::uint32_t fillPace = 100;
-    TimePoint fillPaceChangedAt {};
-    TimePoint servedWellSince {};
+    // Worst reported tail of a serving task, over its target.
     double worstTailRatio = 0;
 
     Resources room() const { return entry.capacity - reserved - nominated; }
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -6,10 +6,12 @@
 #include "plantainhold/jobs/JobProgress.h"
 #include "plantainhold/jobs/JobSpec.h"
 #include "plantainhold/jobs/Queue.h"
+#include "plantainhold/policy/Estimate.h"
 #include "plantainhold/ports/Clock.h"
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -34,6 +36,8 @@
 
 // One run of a task that is, or may be, on an executor.
 struct ActiveRun {
+    static constexpr std::uint32_t s_noImage = std::numeric_limits<std::uint32_t>::max();
+
     ActiveTask* task = nullptr;
     ActiveExecutor* executor = nullptr;
     std::uint32_t number = 0;
@@ -51,6 +55,14 @@
     double figure = 0;
     // Speed that was ordered last, and the one that is wanted.
     std::uint32_t orderedPace = 100;
+    std::uint32_t wantedPace = 100;
+    // Since when it hardly works for the sake of its neighbours; max: it does.
+    TimePoint slowSince = TimePoint::max();
+    // Of a serving task: since when its target is missed; max: it is kept.
+    TimePoint overSince = TimePoint::max();
+    // The image's number in the table of effects, and the serving task's own part of the tail.
+    std::uint32_t image = s_noImage;
+    Estimate own;
     TimePoint pacedAt {};
     // Checkpoint of the newest report, and when it last changed.
     std::string checkpoint;
--- /dev/null
+++ b/plantainhold/jobs/FillPacer.cpp
@@ -0,0 +1,161 @@
+#include "plantainhold/jobs/FillPacer.h"
+
+#include "plantainhold/jobs/ActiveExecutor.h"
+#include "plantainhold/jobs/ActiveJob.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace plantainhold {
+
+namespace {
+
+    constexpr std::uint32_t s_full = 100;
+    constexpr double s_milli = 1'000;
+    // Serving tasks are kept below this part of their target.
+    const double s_budget = std::log(0.8);
+    // Standard deviations of caution on each effect.
+    constexpr double s_caution = 0.5;
+    // Less than this a core is taken for no effect at all.
+    constexpr double s_noEffect = 0.02;
+    // A change of the pace must be worth a call.
+    constexpr std::uint32_t s_lowerStep = 5;
+    constexpr std::uint32_t s_raiseStep = 12;
+    constexpr Milliseconds s_raiseAfter { 500 };
+    // Parts of the interference limit after which the pace of all suspects is cut.
+    struct Cut {
+        double part;
+        std::uint32_t percent;
+    };
+    constexpr Cut s_cuts[] = { { 0.55, 0 }, { 0.35, 20 }, { 0.2, 50 } };
+
+    double coresOf(const StepSpec& spec)
+    {
+        return static_cast<double>(spec.resources.millicores) / s_milli;
+    }
+
+    bool isServing(const ActiveRun& run)
+    {
+        return run.phase == RunPhase::Running && run.task->step->spec->servesUsers() && run.figure > 0;
+    }
+
+    bool isFilling(const ActiveRun& run)
+    {
+        return run.phase == RunPhase::Running && run.task->step->spec->fills();
+    }
+
+    double effectOf(const InterferenceTable& table, const ActiveRun& serving, std::uint32_t filling)
+    {
+        double bound = table.effect(serving.image, filling).upperBound(s_caution);
+        return bound < s_noEffect ? 0 : bound;
+    }
+
+} // namespace
+
+void FillPacer::steer(ActiveExecutor& executor, TimePoint now)
+{
+    learn(executor, now);
+    choosePaces(executor, now);
+}
+
+void FillPacer::learn(ActiveExecutor& executor, TimePoint now)
+{
+    std::vector<InterferenceTable::Neighbour> neighbours;
+    for (ActiveRun* it : executor.runs) {
+        const StepSpec& spec = *it->task->step->spec;
+        if (it->image == ActiveRun::s_noImage)
+            it->image = m_table.idOf(spec.image);
+        if (isFilling(*it))
+            neighbours.push_back({ it->image, it->figure / s_milli });
+    }
+    executor.worstTailRatio = 0;
+    for (ActiveRun* it : executor.runs) {
+        if (!isServing(*it))
+            continue;
+        double ratio = it->figure / it->task->step->spec->targetTailMs;
+        if (ratio <= 1)
+            it->overSince = TimePoint::max();
+        else if (it->overSince == TimePoint::max())
+            it->overSince = now;
+        executor.worstTailRatio = std::max(executor.worstTailRatio, ratio);
+        if (it->percent >= s_full)
+            m_table.learn(it->image, it->own, ratio, neighbours);
+    }
+}
+
+std::uint32_t FillPacer::ceiling(const ActiveRun& serving, TimePoint now) const
+{
+    if (serving.overSince == TimePoint::max())
+        return s_full;
+    auto over = std::chrono::duration<double>(now - serving.overSince);
+    auto limit = std::chrono::duration<double>(m_limits.interferenceLimit);
+    for (const Cut& it : s_cuts) {
+        if (over >= it.part * limit)
+            return it.percent;
+    }
+    return s_full;
+}
+
+void FillPacer::choosePaces(ActiveExecutor& executor, TimePoint now)
+{
+    std::vector<ActiveRun*> filling;
+    for (ActiveRun* it : executor.runs) {
+        if (!isFilling(*it))
+            continue;
+        it->wantedPace = s_full;
+        filling.push_back(it);
+    }
+    for (const ActiveRun* serving : executor.runs) {
+        if (!isServing(*serving))
+            continue;
+        // Those that press hardest a core are slowed down first.
+        auto effect = [&](const ActiveRun* it) { return effectOf(m_table, *serving, it->image); };
+        std::sort(filling.begin(), filling.end(), [&](const ActiveRun* a, const ActiveRun* b) { return effect(a) > effect(b); });
+        double excess = serving->own.mean - s_budget;
+        for (const ActiveRun* it : filling)
+            excess += effect(it) * coresOf(*it->task->step->spec) * it->wantedPace / s_full;
+        std::uint32_t most = ceiling(*serving, now);
+        for (ActiveRun* it : filling) {
+            double press = effect(it) * coresOf(*it->task->step->spec);
+            if (press <= 0 && most > 0)
+                break;
+            double share = it->wantedPace / static_cast<double>(s_full);
+            if (excess > 0 && press > 0) {
+                double cut = std::min(share, excess / press);
+                excess -= cut * press;
+                share -= cut;
+            }
+            it->wantedPace = std::min(static_cast<std::uint32_t>(share * s_full), most);
+        }
+    }
+    for (ActiveRun* it : filling) {
+        std::uint32_t ordered = std::min(it->orderedPace, s_full);
+        bool isLower = it->wantedPace + s_lowerStep <= ordered || (it->wantedPace == 0 && ordered > 0);
+        bool isHigher = it->wantedPace >= ordered + s_raiseStep || (it->wantedPace == s_full && ordered < s_full);
+        bool isSettled = now - it->pacedAt >= s_raiseAfter;
+        if (!isLower && !(isHigher && isSettled))
+            it->wantedPace = ordered;
+    }
+}
+
+double FillPacer::excess(const ActiveExecutor& executor, const StepSpec& spec)
+{
+    InterferenceTable::ImageId image = m_table.idOf(spec.image);
+    double worst = 0;
+    for (const ActiveRun* serving : executor.runs) {
+        if (!serving->task->step->spec->servesUsers() || serving->image == ActiveRun::s_noImage)
+            continue;
+        double press = effectOf(m_table, *serving, image) * coresOf(spec);
+        if (press <= 0)
+            continue;
+        double sum = serving->own.mean - s_budget + press;
+        for (const ActiveRun* it : executor.runs) {
+            if (it->task->step->spec->fills() && it->image != ActiveRun::s_noImage)
+                sum += effectOf(m_table, *serving, it->image) * coresOf(*it->task->step->spec);
+        }
+        worst = std::max(worst, std::min(sum, press));
+    }
+    return worst;
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/jobs/FillPacer.h
@@ -0,0 +1,42 @@
+// Chooses how fast the filling tasks beside serving ones work on one executor. The
+// learned effects say which of them press on whom: only those are slowed down, and
+// just so far that each serving task is predicted to keep its target. Where the
+// prediction fails and a target is missed all the same, everything that may be the
+// cause is slowed down step by step until the limit.
+#pragma once
+
+#include "plantainhold/jobs/InterferenceTable.h"
+#include "plantainhold/jobs/SchedulerLimits.h"
+#include "plantainhold/ports/Clock.h"
+
+namespace plantainhold {
+
+struct ActiveExecutor;
+struct ActiveRun;
+struct StepSpec;
+
+class FillPacer {
+public:
+    explicit FillPacer(const SchedulerLimits& limits)
+        : m_limits(limits)
+    {
+    }
+
+    // Learns from the newest figures of the executor's runs and sets each filling
+    // run's wanted pace. Call once a report. Not thread-safe, as the whole class.
+    void steer(ActiveExecutor& executor, TimePoint now);
+    // What a task would add to the most pressed serving task there, beyond what that
+    // one can bear, in log(tail / target); 0 when all can bear it at full pace.
+    double excess(const ActiveExecutor& executor, const StepSpec& spec);
+
+private:
+    void learn(ActiveExecutor& executor, TimePoint now);
+    void choosePaces(ActiveExecutor& executor, TimePoint now);
+    // The largest pace that the serving task's own misses allow, in percent.
+    std::uint32_t ceiling(const ActiveRun& serving, TimePoint now) const;
+
+    const SchedulerLimits& m_limits;
+    InterferenceTable m_table;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/jobs/InterferenceTable.h
@@ -0,0 +1,47 @@
+// How much the tasks of one image slow down serving tasks of another, learned from
+// reports. The model is linear in the logarithm:
+//
+//   log(tail / target) = own(run) + sum over neighbours of effect(images) * cores in use
+//
+// where own follows the run's load quickly and an effect belongs to a pair of
+// images. All are Gaussian; a sample updates them together by a Kalman filter that
+// keeps variances only, so it costs O(neighbours).
+#pragma once
+
+#include "plantainhold/policy/Estimate.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace plantainhold {
+
+class InterferenceTable {
+public:
+    using ImageId = std::uint32_t;
+
+    struct Neighbour {
+        ImageId image = 0;
+        double cores = 0;
+    };
+
+    // The same number for the same name, as long as the table lives. Not thread-safe, as the whole class.
+    ImageId idOf(std::string_view image);
+
+    // Takes in one reported tail; own is the run's state, kept by the caller. Precondition: tailRatio > 0.
+    void learn(ImageId serving, Estimate& own, double tailRatio, std::span<const Neighbour> neighbours);
+    // What one core of the image adds to log(tail / target).
+    Estimate effect(ImageId serving, ImageId filling) const;
+    // State of a run that was never measured.
+    static Estimate freshOwn();
+
+private:
+    static std::uint64_t keyOf(ImageId serving, ImageId filling);
+
+    std::unordered_map<std::string, ImageId> m_images;
+    std::unordered_map<std::uint64_t, Estimate> m_effects;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/jobs/JobOrder.h
@@ -0,0 +1,56 @@
+// In which order waiting steps are offered room. Priority goes first. Within one,
+// a lasting task that ran before comes back first; then jobs that can still meet
+// their objective, those that have begun before those that have not, and of these
+// the newest first: under overload the oldest have the least chance. Lasting tasks
+// that never ran follow, and last come jobs whose objective is out of reach.
+#pragma once
+
+#include "plantainhold/ports/Clock.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace plantainhold {
+
+struct ActiveJob;
+struct ActiveStep;
+struct JobSpec;
+
+class JobOrder {
+public:
+    // A task ran this long; the estimate was the spec's. Not thread-safe, as the whole class.
+    void learn(std::string_view queue, std::uint32_t estimateMs, Milliseconds actual);
+    // Longest chain of work of a job that has not begun.
+    Milliseconds chainOf(const JobSpec& spec) const;
+    // By the objective and the work that is left, when the job should be complete.
+    TimePoint objectiveOf(const ActiveJob& job) const;
+    // Sorts steps for placement; the most urgent first.
+    void sort(std::vector<ActiveStep*>& steps, TimePoint now) const;
+
+private:
+    enum class Chance : std::uint8_t { Returning,
+        Begun,
+        Fresh,
+        Lasting,
+        Late,
+        Hopeless };
+    struct Rank {
+        std::int32_t priority;
+        Chance chance;
+        std::int64_t order;
+        ActiveStep* step;
+    };
+
+    Rank rankOf(ActiveStep& step, TimePoint now) const;
+    Milliseconds remainingChain(const ActiveStep& step) const;
+    Milliseconds expected(std::string_view queue, std::uint32_t estimateMs) const;
+
+    // Actual time over the estimate, smoothed, by queue.
+    std::unordered_map<std::string, double> m_stretch;
+};
+
+} // namespace plantainhold
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -3,9 +3,8 @@
 
 #include "plantainhold/jobs/JobScheduler.h"
 
-#include "plantainhold/jobs/PaceControl.h"
-
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace plantainhold {
@@ -19,8 +18,15 @@
     constexpr double s_disturbed = 20;
     constexpr double s_sameStep = 30;
     constexpr double s_leftRoom = 10;
-    // Tasks that disturb are not sent where they would be slowed below this.
-    constexpr std::uint32_t s_leastPace = 60;
+    // A filling task is not sent where it would press this much beyond what can be borne.
+    constexpr double s_mostExcess = 0.25;
+    constexpr double s_excessWeight = 400;
+    constexpr double s_otherImage = 40;
+    // A filling task at less than this pace for so long goes elsewhere.
+    constexpr std::uint32_t s_slowPace = 25;
+    constexpr Milliseconds s_slowPatience { 1'500 };
+    constexpr double s_demandSeconds = 5;
+    constexpr double s_demandMargin = 1.25;
     constexpr Milliseconds s_preemptAfter { 40 };
     constexpr Milliseconds s_nominationLife { 3'000 };
     constexpr Milliseconds s_stopRepeat { 1'200 };
@@ -84,11 +90,13 @@
         }
         double left = static_cast<double>(room.millicores - spec.reserved().millicores) / static_cast<double>(std::max<std::int64_t>(1, executor.entry.capacity.millicores));
         if (spec.lasts) {
-            sum += s_sameStep * tasksOf(executor, *task.step) + s_disturbed * (executor.servingRuns + executor.fillingRuns);
-            return sum - s_leftRoom * left;
+            // Serving tasks of one image together: what presses on them has places elsewhere.
+            for (const ActiveRun* it : executor.runs)
+                sum += it->task->step->spec->servesUsers() && it->task->step->spec->image != spec.image ? s_otherImage : 0;
+            return sum + s_sameStep * tasksOf(executor, *task.step) + s_leftRoom * left;
         }
         if (spec.fills())
-            return sum + s_fillLoadWeight * fillLoad(executor, spec) + s_disturbed * executor.worstTailRatio + (100 - executor.fillPace);
+            return sum + s_fillLoadWeight * fillLoad(executor, spec);
         return sum + s_leftRoom * left;
     }
 
@@ -119,10 +127,13 @@
     std::int64_t leastMillicores = std::numeric_limits<std::int64_t>::max();
     std::int64_t leastMemory = std::numeric_limits<std::int64_t>::max();
     std::size_t scanned = 0;
-    for (auto it = m_ready.begin(); it != m_ready.end() && scanned < s_stepsScanned;) {
-        ActiveStep& step = **it;
-        ++it;
-        ++scanned;
+    followShortDemand(now);
+    std::vector<ActiveStep*> steps(m_ready.begin(), m_ready.end());
+    m_order.sort(steps, now);
+    for (ActiveStep* it : steps) {
+        ActiveStep& step = *it;
+        if (++scanned > s_stepsScanned)
+            break;
         const StepSpec& spec = *step.spec;
         Resources wanted = spec.reserved();
         bool isHopeless = wanted.millicores >= leastMillicores && wanted.memoryMib >= leastMemory;
@@ -146,6 +157,8 @@
             m_needsPlacement = true;
             continue;
         }
+        if (step.spec->lasts && !task.lastRun && !leavesShortRoom(step.spec->reserved()))
+            return false;
         if (!placeTask(task, now) && !preemptFor(task, now))
             return false;
     }
@@ -195,9 +208,15 @@
             room += wanted;
         if (!wanted.fitsIn(room) || !mayRun(*it, step, now))
             continue;
-        if (spec.fills() && (it->fillPace < s_leastPace || fillLoad(*it, spec) > s_fillLoadLimit))
+        if (spec.fills() && fillLoad(*it, spec) > s_fillLoadLimit)
             continue;
         double sum = task.nominated == it ? -1 : cost(*it, task, room);
+        if (sum >= bestCost)
+            continue;
+        double excess = spec.fills() ? m_pacer.excess(*it, spec) : 0;
+        if (excess > s_mostExcess)
+            continue;
+        sum += s_excessWeight * excess;
         if (sum >= bestCost)
             continue;
         best = it;
@@ -321,18 +340,62 @@
 
 void JobScheduler::steerPaces(ActiveExecutor& executor, TimePoint now)
 {
-    bool hadRoom = executor.fillPace >= s_leastPace;
-    PaceControl(m_limits).steer(executor, now);
-    if (!hadRoom && executor.fillPace >= s_leastPace)
-        m_needsPlacement = true;
+    m_pacer.steer(executor, now);
     for (ActiveRun* run : executor.runs) {
         if (run->phase != RunPhase::Running || run->isStopWanted || !run->task->step->spec->fills())
             continue;
-        if (run->orderedPace == executor.fillPace)
+        if (run->wantedPace >= s_slowPace)
+            run->slowSince = TimePoint::max();
+        else if (run->slowSince == TimePoint::max())
+            run->slowSince = now;
+        if (run->orderedPace == run->wantedPace)
             continue;
-        run->orderedPace = executor.fillPace;
-        m_orders.push_back({ OrderKind::Pace, executor.entry.id, run->task->name(), run->number, nullptr, {}, executor.fillPace });
+        run->orderedPace = run->wantedPace;
+        run->pacedAt = now;
+        m_orders.push_back({ OrderKind::Pace, executor.entry.id, run->task->name(), run->number, nullptr, {}, run->wantedPace });
+    }
+}
+
+void JobScheduler::displaceSlowed(TimePoint now)
+{
+    for (ActiveExecutor* executor : m_executorList) {
+        for (ActiveRun* run : executor->runs) {
+            if (run->slowSince == TimePoint::max() || now - run->slowSince < s_slowPatience || run->isStopWanted)
+                continue;
+            if (!run->task->step->spec->checkpoints)
+                continue;
+            run->task->avoided = executor;
+            run->slowSince = TimePoint::max();
+            m_events.note(EventId::RunPreempted, { { "task", run->task->name().text() }, { "run", run->number }, { "executor", executor->entry.id }, { "by", "serving neighbours" } });
+            orderStop(*run, now);
+        }
+    }
+}
+
+void JobScheduler::followShortDemand(TimePoint now)
+{
+    double demand = 0;
+    for (const ActiveExecutor* it : m_executorList)
+        demand += static_cast<double>(it->reserved.millicores - it->servingMillicores);
+    for (const ActiveStep* it : m_ready) {
+        if (!it->spec->lasts && !it->spec->fills())
+            demand += static_cast<double>(it->waitingTasks() * it->spec->resources.millicores);
+    }
+    double seconds = std::chrono::duration<double>(now - m_shortDemandAt).count();
+    double share = m_shortDemandAt == TimePoint {} ? 1 : 1 - std::exp(-seconds / s_demandSeconds);
+    m_shortDemand += share * (demand - m_shortDemand);
+    m_shortDemandAt = now;
+}
+
+bool JobScheduler::leavesShortRoom(const Resources& wanted) const
+{
+    double room = 0;
+    double inShort = 0;
+    for (const ActiveExecutor* it : m_executorList) {
+        room += static_cast<double>(std::max<std::int64_t>(0, it->room().millicores));
+        inShort += static_cast<double>(it->reserved.millicores - it->servingMillicores);
     }
+    return room + inShort - static_cast<double>(wanted.millicores) >= s_demandMargin * m_shortDemand;
 }
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -147,7 +147,6 @@
     executor.confirmedToken = 0;
     executor.endsApplied = 0;
     executor.endsRecorded = 0;
-    executor.fillPace = 100;
     executor.failureScore = 0;
     executor.leaseOver = now;
 }
@@ -213,6 +212,8 @@
     if (!end.checkpoint.empty())
         task.run->checkpoint = end.checkpoint;
     bool wasStopWanted = task.run->isStopWanted;
+    if (end.kind == EndKind::Done && task.run->orderedPace >= 100 && task.checkpoint.empty())
+        m_order.learn(job.queue.name, step.spec->estimateMs, std::chrono::duration_cast<Milliseconds>(now - task.run->assignedAt));
     if (end.kind == EndKind::Done && !lasts) {
         for (ActiveTask& it : step.tasks) {
             // One member's end stands for its whole gang.
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -18,26 +18,12 @@
 
 } // namespace
 
-bool JobScheduler::ByUrgency::operator()(const ActiveStep* a, const ActiveStep* b) const
-{
-    if (a->spec->lasts != b->spec->lasts)
-        return a->spec->lasts;
-    const ActiveJob& x = a->job();
-    const ActiveJob& y = b->job();
-    if (x.queue.priority != y.queue.priority)
-        return x.queue.priority < y.queue.priority;
-    if (x.serial != y.serial)
-        return x.serial < y.serial;
-    if (a->occurrence->number != b->occurrence->number)
-        return a->occurrence->number < b->occurrence->number;
-    return a->number < b->number;
-}
-
 JobScheduler::JobScheduler(const SchedulerLimits& limits, std::uint64_t generation, EventSink& events, TimePoint now)
     : m_limits(limits)
     , m_events(events)
     , m_generation(generation << s_tokenBits)
     , m_ownedSince(now)
+    , m_pacer(m_limits)
 {
 }
 
@@ -46,18 +32,12 @@
 void JobScheduler::configure(std::shared_ptr<const FleetConfig> config)
 {
     m_config = std::move(config);
-    // Priorities order the set: nothing may be in it while they change.
-    m_ready.clear();
     for (auto& [id, job] : m_jobs) {
         for (const Queue& it : m_config->queues) {
             if (it.name == job->queue.name)
                 job->queue = it;
         }
     }
-    for (auto& [id, job] : m_jobs) {
-        for (ActiveOccurrence& it : job->occurrences)
-            refreshOccurrence(it);
-    }
     m_needsPlacement = true;
 }
 
@@ -214,6 +194,7 @@
     run.assignedAt = now;
     run.progressedAt = now;
     run.checkpoint = task.checkpoint;
+    run.own = InterferenceTable::freshOwn();
     const StepSpec& spec = *task.step->spec;
     executor.reserved += spec.reserved();
     executor.runs.push_back(&run);
@@ -274,6 +255,7 @@
     applyDueTimes(now, nowUnixMs);
     expireLeases(now);
     evacuate(now);
+    displaceSlowed(now);
     if (m_needsPlacement)
         place(now);
     while (!m_finished.empty() && m_finished.begin()->first <= now) {
@@ -368,6 +350,7 @@
     std::size_t open = 0;
     std::size_t runs = 0;
     std::uint64_t pace = 0;
+    std::uint64_t fills = 0;
     std::uint64_t filling = 0;
     double tail = 0;
     for (const ActiveExecutor* it : m_executorList) {
@@ -376,14 +359,19 @@
         nominated += it->nominated;
         open += it->acceptsWork(now);
         runs += it->runs.size();
-        pace += it->fillPace;
+        for (const ActiveRun* run : it->runs) {
+            if (!run->task->step->spec->fills())
+                continue;
+            pace += run->orderedPace;
+            ++fills;
+        }
         filling += static_cast<std::uint64_t>(it->fillingMillicores);
         tail = std::max(tail, it->worstTailRatio);
     }
     std::size_t lasting = 0;
     for (const ActiveStep* it : m_ready)
         lasting += it->spec->lasts ? it->waitingTasks() : 0;
-    m_events.note(EventId::PartitionState, { { "executors", m_executorList.size() }, { "accepting", open }, { "jobs", m_jobs.size() }, { "runs", runs }, { "waiting", waitingTasks() }, { "waiting_lasting", lasting }, { "capacity_millicores", capacity.millicores }, { "reserved_millicores", reserved.millicores }, { "filling_millicores", filling }, { "nominated_millicores", nominated.millicores }, { "capacity_mib", capacity.memoryMib }, { "reserved_mib", reserved.memoryMib }, { "mean_pace", m_executorList.empty() ? 0 : pace / m_executorList.size() }, { "worst_tail_ratio", tail } });
+    m_events.note(EventId::PartitionState, { { "executors", m_executorList.size() }, { "accepting", open }, { "jobs", m_jobs.size() }, { "runs", runs }, { "waiting", waitingTasks() }, { "waiting_lasting", lasting }, { "capacity_millicores", capacity.millicores }, { "reserved_millicores", reserved.millicores }, { "filling_millicores", filling }, { "nominated_millicores", nominated.millicores }, { "capacity_mib", capacity.memoryMib }, { "reserved_mib", reserved.memoryMib }, { "mean_pace", fills ? pace / fills : 100 }, { "worst_tail_ratio", tail } });
 }
 
 std::size_t JobScheduler::waitingTasks() const
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -13,16 +13,18 @@
 #include "plantainhold/base/EventSink.h"
 #include "plantainhold/jobs/ActiveExecutor.h"
 #include "plantainhold/jobs/ActiveJob.h"
+#include "plantainhold/jobs/FillPacer.h"
+#include "plantainhold/jobs/JobOrder.h"
 #include "plantainhold/jobs/JobOrders.h"
 #include "plantainhold/jobs/Queue.h"
 #include "plantainhold/jobs/SchedulerLimits.h"
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace plantainhold {
@@ -89,10 +91,6 @@
     const SchedulerCounters& counters() const { return m_counters; }
 
 private:
-    struct ByUrgency {
-        bool operator()(const ActiveStep* a, const ActiveStep* b) const;
-    };
-
     void restore(ActiveJob& job, const JobProgress& progress, TimePoint now);
     void restoreTask(ActiveJob& job, const TaskProgress& progress, TimePoint now);
     ActiveExecutor& executorFor(const std::string& id, std::int64_t born, TimePoint now);
@@ -123,6 +121,10 @@
     bool preemptFor(ActiveTask& task, TimePoint now);
     void clearNomination(ActiveTask& task);
     void evacuate(TimePoint now);
+    void displaceSlowed(TimePoint now);
+    void followShortDemand(TimePoint now);
+    // Whether lasting tasks that never ran may take this much more.
+    bool leavesShortRoom(const Resources& wanted) const;
     void steerPaces(ActiveExecutor& executor, TimePoint now);
     void orderStop(ActiveRun& run, TimePoint now);
     void fence(ActiveExecutor& executor);
@@ -140,7 +142,12 @@
     std::unordered_map<std::string, TimePoint> m_finishedAt;
     std::unordered_map<std::string, std::unique_ptr<ActiveExecutor>> m_executors;
     std::vector<ActiveExecutor*> m_executorList;
-    std::set<ActiveStep*, ByUrgency> m_ready;
+    std::unordered_set<ActiveStep*> m_ready;
+    FillPacer m_pacer;
+    JobOrder m_order;
+    // Processors that short tasks use or ask for, smoothed: lasting tasks leave them room.
+    double m_shortDemand = 0;
+    TimePoint m_shortDemandAt {};
     std::vector<ActiveJob*> m_dirty;
     std::vector<CommitBatch::Start> m_starts;
     std::vector<std::string> m_dropped;
