Leave a record at the end of a term of ownership; renew shorter leases

A lasting task's executor crashed for good at 6.9 s; the partition was dealt to another instance at 13.8 s, which knew nothing of the crash and waited its own 14.2 s (grace 4 s + lease 10 s). Change: an owner that gives the partition up stores which executors are silent and how long their leases last; the next one counts on. Leases are 4.5 s, not 10 s. Ruled out: no room (a third of the executors had room for it).

--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <utility>
 
 namespace plantainhold {
 
@@ -25,6 +26,9 @@
     constexpr Milliseconds s_readinessNotice { 2'500 };
     constexpr Milliseconds s_stopReserve { 700 };
     constexpr Milliseconds s_stopPoll { 50 };
+    // For the last record of an owner that stops.
+    constexpr Milliseconds s_releaseWait { 600 };
+    constexpr Milliseconds s_releasePoll { 10 };
     constexpr Milliseconds s_ownershipLife { 2'000 };
 
     OwnershipOptions ownershipOptions(const EntrySettings& settings)
@@ -70,7 +74,7 @@
     asio::co_spawn(executor, flushLog(), asio::detached);
     asio::co_spawn(executor, m_keeper.run(), asio::detached);
     awaitSignals();
-    m_log.note(EventId::ProcessStarted, { { "data_centre", m_settings.dataCentre }, { "callers", m_settings.callersAddress }, { "store", m_settings.storeAddress }, { "lease_max_ms", m_settings.scheduler.leaseMax.count() } });
+    m_log.note(EventId::ProcessStarted, { { "data_centre", m_settings.dataCentre }, { "callers", m_settings.callersAddress }, { "store", m_settings.storeAddress }, { "lease_ms", m_settings.scheduler.lease.count() } });
 }
 
 asio::awaitable<void> EntryInstance::sleep(Milliseconds time)
@@ -135,8 +139,8 @@
 {
     if (!m_owner)
         return;
-    m_owner->stop();
-    m_owner.reset();
+    m_owner->release();
+    m_releasing = std::exchange(m_owner, nullptr);
     m_records.unfollow();
 }
 
@@ -179,6 +183,9 @@
     TimePoint began = std::chrono::steady_clock::now();
     m_log.note(EventId::ProcessStopping, { { "open_requests", m_callers->openRequests() }, { "owner", m_keeper.isOwner() } });
     m_callers->drain();
+    m_keeper.resign("this instance stops");
+    for (TimePoint last = began + s_releaseWait; m_releasing && !m_releasing->isReleased() && std::chrono::steady_clock::now() < last;)
+        co_await sleep(s_releasePoll);
     co_await m_keeper.leave();
     TimePoint last = began + m_settings.stopGrace - s_stopReserve;
     while (std::chrono::steady_clock::now() < last) {
--- a/plantainhold/entry/EntryInstance.h
+++ b/plantainhold/entry/EntryInstance.h
@@ -68,6 +68,8 @@
     OwnershipKeeper m_keeper;
     TopicTail m_configTail;
     std::shared_ptr<JobOwner> m_owner;
+    // The last term of ownership while it writes its last record.
+    std::shared_ptr<JobOwner> m_releasing;
     std::unique_ptr<HttpServer> m_callers;
     std::unique_ptr<HttpServer> m_readiness;
     std::unique_ptr<HttpServer> m_metrics;
--- a/plantainhold/entry/EntrySettings.cpp
+++ b/plantainhold/entry/EntrySettings.cpp
@@ -2,6 +2,7 @@
 
 #include "plantainhold/base/ResultError.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <toml++/toml.h>
@@ -75,7 +76,9 @@
     settings.membershipMin = milliseconds(root, "store.membership_min_ms", settings.membershipMin, Milliseconds(100), s_minute);
     settings.stopGrace = Milliseconds(static_cast<std::int64_t>(1'000 * number(root, "stop_grace_s", 6, 0.5, 600)));
     SchedulerLimits& limits = settings.scheduler;
-    limits.leaseMax = milliseconds(root, "scheduling.lease_max_ms", limits.leaseMax, Milliseconds(500), 10 * s_minute);
+    // Executors shorten what is longer, so that a longer lease would be an illusion.
+    Milliseconds longest = milliseconds(root, "scheduling.lease_max_ms", limits.lease, Milliseconds(500), 10 * s_minute);
+    limits.lease = std::min(longest, milliseconds(root, "scheduling.lease_ms", limits.lease, Milliseconds(500), 10 * s_minute));
     limits.stopTimeout = milliseconds(root, "scheduling.stop_timeout_ms", limits.stopTimeout, Milliseconds(10), s_minute);
     limits.interferenceLimit = milliseconds(root, "scheduling.interference_ms", limits.interferenceLimit, Milliseconds(100), s_minute);
     limits.finishedKept = Milliseconds(static_cast<std::int64_t>(1'000 * number(root, "scheduling.finished_kept_s", 120, 1, 86'400)));
--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -64,9 +64,10 @@
         m_executor, [self = shared_from_this(), config]() { return self->takeOver(config); }, asio::detached);
 }
 
-void JobOwner::stop()
+void JobOwner::release()
 {
     m_isStopped = true;
+    m_isReleased = !m_scheduler;
     m_advanceTimer.cancel();
     m_commitSignal.cancel();
 }
@@ -89,7 +90,7 @@
         co_await sleep(s_storeRetry);
     if (m_isStopped)
         co_return;
-    m_scheduler = std::make_unique<JobScheduler>(m_settings.scheduler, m_generation, m_parts.events, began);
+    m_scheduler = std::make_unique<JobScheduler>(m_settings.scheduler, m_generation, formerTerm(), m_parts.events, began);
     if (m_config)
         m_scheduler->configure(m_config);
     m_executorTail = std::make_unique<TopicTail>(m_parts.store, m_parts.events, std::string(m_parts.executorsTopic), s_part, [this](const StoredRecord& it) { executorRecord(it); });
@@ -112,6 +113,18 @@
     wake();
 }
 
+OwnerTerm JobOwner::formerTerm() const
+{
+    const std::string& record = m_parts.records.ownerRecord();
+    if (record.empty())
+        return { 0, true, {} };
+    std::optional<OwnerTerm> term = decodeOwnerTerm(record);
+    if (term)
+        return *term;
+    m_parts.events.note(EventId::StoredRecordMalformed, { { "what", "owner" } });
+    return {};
+}
+
 asio::awaitable<bool> JobOwner::claimWriter()
 {
     AppendResult result = co_await m_parts.store.append({ JobRecords::s_progressTopic, s_part }, {}, WriterStamp { s_producer, m_generation, m_sequence }, s_storeTimeout);
@@ -315,6 +328,9 @@
 
 asio::awaitable<void> JobOwner::commitLoop()
 {
+    // Until this is stored, the former owner's release would stand for this term too.
+    std::vector<KeyedRecord> begin { { std::string(JobRecords::s_ownerKey), encodeOwnerTerm({ m_generation, false, {} }) } };
+    co_await storeRecords(begin);
     while (!m_isStopped) {
         CommitBatch batch = m_scheduler->takeBatch();
         if (batch.isEmpty()) {
@@ -325,13 +341,26 @@
         }
         bool isStored = co_await store(batch);
         if (!isStored || m_isStopped)
-            co_return;
+            break;
         m_scheduler->committed(batch, BootClock::now());
         if (!batch.droppedJobs.empty())
             co_await dropSubmissions(batch.droppedJobs);
         wake();
         co_await sleep(s_commitPause);
     }
+    co_await storeRelease();
+    m_isReleased = true;
+}
+
+asio::awaitable<void> JobOwner::storeRelease()
+{
+    if (m_isFenced || m_isUncertain)
+        co_return;
+    // One try: a newer owner may have begun, and then this record is refused.
+    std::vector<KeyedRecord> records { { std::string(JobRecords::s_ownerKey), encodeOwnerTerm(m_scheduler->release(BootClock::now())) } };
+    ++m_sequence;
+    AppendResult result = co_await m_parts.store.append({ JobRecords::s_progressTopic, s_part }, records, WriterStamp { s_producer, m_generation, m_sequence }, s_storeTimeout);
+    m_parts.events.note(EventId::OwnershipReleased, { { "generation", m_generation }, { "status", nameOf(result.status) } });
 }
 
 asio::awaitable<bool> JobOwner::store(const CommitBatch& batch)
@@ -354,25 +383,29 @@
 asio::awaitable<bool> JobOwner::storeRecords(std::span<const KeyedRecord> records)
 {
     ++m_sequence;
-    bool isUncertain = false;
+    m_isUncertain = false;
     while (!m_isStopped) {
         AppendResult result = co_await m_parts.store.append({ JobRecords::s_progressTopic, s_part }, records, WriterStamp { s_producer, m_generation, m_sequence }, s_storeTimeout);
         if (result.status == StoreStatus::Ok) {
+            m_isUncertain = false;
             std::uint64_t offset = result.firstOffset;
             for (const KeyedRecord& it : records)
                 m_parts.records.applyOwnProgress(it.key, it.value, offset++);
             co_return true;
         }
         if (result.status == StoreStatus::Fenced) {
+            m_isFenced = true;
             m_parts.keeper.fenced();
             co_return false;
         }
-        if (result.status == StoreStatus::OutOfSequence && !isUncertain)
+        if (result.status == StoreStatus::OutOfSequence && !m_isUncertain)
             m_sequence = result.expectedSequence;
         // The same stamp again: the store does it once, however often it is asked.
-        isUncertain = isUncertain || result.status == StoreStatus::Unknown;
+        m_isUncertain = m_isUncertain || result.status == StoreStatus::Unknown;
         co_await sleep(s_storeRetry);
     }
+    // Not tried again: it may or may not be stored.
+    m_isUncertain = true;
     co_return false;
 }
 
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -47,8 +47,11 @@
 
     // Begins the term. Precondition: called once, on a shared object.
     void start(std::shared_ptr<const FleetConfig> config);
-    // Ends the term: nothing more is sent.
-    void stop();
+    // Ends the term: nothing more is ordered; what the next owner has to know is
+    // stored, if the store still takes it from this one.
+    void release();
+    // That record is stored, or never will be.
+    bool isReleased() const { return m_isReleased; }
     void configure(std::shared_ptr<const FleetConfig> config);
     // A submission or cancellation of this job was read.
     void submissionRead(std::string_view id);
@@ -68,6 +71,8 @@
     boost::asio::awaitable<void> stateLoop();
     boost::asio::awaitable<bool> store(const CommitBatch& batch);
     boost::asio::awaitable<bool> storeRecords(std::span<const KeyedRecord> records);
+    boost::asio::awaitable<void> storeRelease();
+    OwnerTerm formerTerm() const;
     boost::asio::awaitable<void> dropSubmissions(std::vector<std::string> ids);
     boost::asio::awaitable<void> reportLoop(std::shared_ptr<Link> link);
     boost::asio::awaitable<void> reportOnce(std::shared_ptr<Link> link, bool isUrgent);
@@ -92,7 +97,12 @@
     boost::asio::steady_timer m_advanceTimer;
     boost::asio::steady_timer m_commitSignal;
     std::shared_ptr<const FleetConfig> m_config;
+    // A newer owner has written.
+    bool m_isFenced = false;
+    // The newest append may or may not be stored.
+    bool m_isUncertain = false;
     bool m_isStopped = false;
+    bool m_isReleased = false;
     bool m_isPumpPosted = false;
 };
 
--- a/plantainhold/entry/JobRecords.cpp
+++ b/plantainhold/entry/JobRecords.cpp
@@ -39,7 +39,7 @@
             m_listener(id);
     })
     , m_progress(store, events, std::string(s_progressTopic), s_part, [this](const StoredRecord& it) {
-        m_book.applyProgress(it.key, it.value, it.offset);
+        applyOwnProgress(it.key, it.value, it.offset);
     })
 {
 }
@@ -109,7 +109,10 @@
 
 void JobRecords::applyOwnProgress(std::string_view id, std::string_view value, std::uint64_t offset)
 {
-    m_book.applyProgress(id, value, offset);
+    if (id == s_ownerKey)
+        m_ownerRecord.assign(value);
+    else
+        m_book.applyProgress(id, value, offset);
 }
 
 } // namespace plantainhold
--- a/plantainhold/entry/JobRecords.h
+++ b/plantainhold/entry/JobRecords.h
@@ -19,6 +19,8 @@
 public:
     static constexpr std::string_view s_submissionsTopic = "keyed.submissions";
     static constexpr std::string_view s_progressTopic = "keyed.progress";
+    // Among the progress of jobs, the record of who schedules them.
+    static constexpr std::string_view s_ownerKey = "@owner";
 
     // The store and the sink must outlive the records. Not thread-safe, as the whole class.
     JobRecords(boost::asio::any_io_executor executor, StorePort& store, EventSink& events);
@@ -32,6 +34,8 @@
     void unfollow() { m_wantsToFollow = false; }
 
     const JobBook& book() const { return m_book; }
+    // The newest record of an owner's term, undecoded; empty when there is none.
+    const std::string& ownerRecord() const { return m_ownerRecord; }
     // The owner knows what it has just stored.
     void applyOwnProgress(std::string_view id, std::string_view value, std::uint64_t offset);
     // Both topics were read to their end once.
@@ -48,6 +52,7 @@
 
     boost::asio::any_io_executor m_executor;
     JobBook m_book;
+    std::string m_ownerRecord;
     TopicTail m_submissions;
     TopicTail m_progress;
     bool m_isPollingSubmissions = false;
--- a/plantainhold/entry/OwnershipKeeper.cpp
+++ b/plantainhold/entry/OwnershipKeeper.cpp
@@ -48,13 +48,11 @@
 {
     m_generation = std::max(m_generation, result.generation);
     bool isOurs = std::find(result.parts.begin(), result.parts.end(), m_options.part) != result.parts.end();
-    bool hasLapsed = isOwner() && sentAt >= m_renewedAt + m_options.timeToLive;
     m_renewedAt = sentAt;
     if (isOwner() && !isOurs)
         return lose("the partition was dealt to another instance");
-    // Another owner may have been there while the membership had run out.
-    if (hasLapsed && result.generation != m_ownedSince)
-        lose("the membership ran out meanwhile");
+    // If the membership ran out meanwhile and another owner was there, its epoch
+    // and its tokens refuse whatever this one still sends.
     if (isOurs && !isOwner()) {
         m_ownedSince = result.generation;
         m_events.note(EventId::OwnershipGained, { { "part", m_options.part }, { "generation", result.generation } });
@@ -76,10 +74,15 @@
     lose("a newer owner has written to the store");
 }
 
+void OwnershipKeeper::resign(std::string_view reason)
+{
+    m_isLeaving = true;
+    lose(reason);
+}
+
 asio::awaitable<void> OwnershipKeeper::leave()
 {
     m_isLeaving = true;
-    lose("this instance stops");
     co_await m_store.leave({ s_group, m_options.member, s_topic, m_options.timeToLive, m_generation }, s_joinTimeout);
 }
 
--- a/plantainhold/entry/OwnershipKeeper.h
+++ b/plantainhold/entry/OwnershipKeeper.h
@@ -34,7 +34,8 @@
 
     // Joins and renews until leave().
     boost::asio::awaitable<void> run();
-    // Hands the partition over at once.
+    // Gives the partition up and stops renewing; leave() hands it over.
+    void resign(std::string_view reason);
     boost::asio::awaitable<void> leave();
     // The store refused a write of ours: a newer owner has begun.
     void fenced();
--- a/plantainhold/jobs/JobCodec.cpp
+++ b/plantainhold/jobs/JobCodec.cpp
@@ -1,5 +1,6 @@
 #include "plantainhold/jobs/JobCodec.h"
 
+#include "plantainhold/jobs/OwnerTerm.h"
 #include "plantainhold/proto/jobs.pb.h"
 
 namespace plantainhold {
@@ -157,4 +158,29 @@
     return progress;
 }
 
+std::string encodeOwnerTerm(const OwnerTerm& term)
+{
+    wire::OwnerRecord record;
+    record.set_generation(term.generation);
+    record.set_released(term.isReleased);
+    for (const SilentExecutor& it : term.silent) {
+        wire::SilentExecutorRecord& silent = *record.add_silent();
+        silent.set_id(it.id);
+        silent.set_born_unix_ms(it.bornUnixMs);
+        silent.set_lease_left_ms(it.leaseLeftMs);
+    }
+    return record.SerializeAsString();
+}
+
+std::optional<OwnerTerm> decodeOwnerTerm(std::string_view bytes)
+{
+    wire::OwnerRecord record;
+    if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return std::nullopt;
+    OwnerTerm term { record.generation(), record.released(), {} };
+    for (const auto& it : record.silent())
+        term.silent.push_back({ it.id(), it.born_unix_ms(), it.lease_left_ms() });
+    return term;
+}
+
 } // namespace plantainhold
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -36,7 +36,7 @@
 
 void JobScheduler::executorSeen(const ExecutorEntry& entry, TimePoint now)
 {
-    ActiveExecutor& executor = executorFor(entry.id, entry.bornUnixMs, now);
+    ActiveExecutor& executor = executorFor(entry.id, entry.bornUnixMs);
     if (entry.bornUnixMs < executor.entry.bornUnixMs)
         return;
     if (entry.bornUnixMs > executor.entry.bornUnixMs)
@@ -65,9 +65,9 @@
 std::int64_t JobScheduler::extendLease(ActiveExecutor& executor, TimePoint now)
 {
     auto elapsed = std::chrono::duration_cast<Milliseconds>(now - executor.clockReadAt);
-    std::int64_t deadline = executor.clockMs + (elapsed + m_limits.leaseMax).count();
+    std::int64_t deadline = executor.clockMs + (elapsed + m_limits.lease).count();
     // A slow clock reaches the deadline later.
-    double longest = static_cast<double>((elapsed + m_limits.leaseMax).count()) / (1 - m_limits.clockDrift);
+    double longest = static_cast<double>((elapsed + m_limits.lease).count()) / (1 - m_limits.clockDrift);
     executor.leaseOver = std::max(executor.leaseOver, executor.clockReadAt + Milliseconds(static_cast<std::int64_t>(longest)) + s_leaseMargin);
     return deadline;
 }
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -18,11 +18,12 @@
 
 } // namespace
 
-JobScheduler::JobScheduler(const SchedulerLimits& limits, std::uint64_t generation, EventSink& events, TimePoint now)
+JobScheduler::JobScheduler(const SchedulerLimits& limits, std::uint64_t generation, const OwnerTerm& former, EventSink& events, TimePoint now)
     : m_limits(limits)
     , m_events(events)
     , m_generation(generation << s_tokenBits)
     , m_ownedSince(now)
+    , m_former(former)
     , m_pacer(m_limits)
 {
 }
@@ -111,7 +112,7 @@
     }
     if (progress.executor.empty())
         return;
-    ActiveExecutor& executor = executorFor(progress.executor, progress.executorBornUnixMs, now);
+    ActiveExecutor& executor = executorFor(progress.executor, progress.executorBornUnixMs);
     // An older life of the executor took the run with it.
     if (executor.entry.bornUnixMs != progress.executorBornUnixMs)
         return;
@@ -119,7 +120,7 @@
     task->run->number = progress.run;
 }
 
-ActiveExecutor& JobScheduler::executorFor(const std::string& id, std::int64_t born, TimePoint now)
+ActiveExecutor& JobScheduler::executorFor(const std::string& id, std::int64_t born)
 {
     auto [it, isNew] = m_executors.try_emplace(id);
     if (isNew) {
@@ -128,14 +129,36 @@
         executor.entry.id = id;
         executor.entry.bornUnixMs = born;
         executor.token = m_generation;
-        // A former owner may have extended leases until shortly after this ownership began.
-        Milliseconds longest { static_cast<std::int64_t>(static_cast<double>(m_limits.leaseMax.count()) / (1 - m_limits.clockDrift)) };
-        executor.leaseOver = std::max(now, m_ownedSince + m_limits.formerOwnerGrace + longest);
+        executor.leaseOver = formerLeaseOver(id, born);
         m_executorList.push_back(&executor);
     }
     return *it->second;
 }
 
+TimePoint JobScheduler::formerLeaseOver(std::string_view id, std::int64_t born) const
+{
+    for (const SilentExecutor& it : m_former.silent) {
+        if (m_former.isReleased && it.id == id && it.bornUnixMs == born)
+            return m_ownedSince + Milliseconds(it.leaseLeftMs);
+    }
+    Milliseconds longest { static_cast<std::int64_t>(static_cast<double>(m_limits.lease.count()) / (1 - m_limits.clockDrift)) };
+    // An owner that did not release may have extended leases for a while after this term began.
+    return m_ownedSince + longest + (m_former.isReleased ? Milliseconds(0) : m_limits.formerOwnerGrace);
+}
+
+OwnerTerm JobScheduler::release(TimePoint now) const
+{
+    OwnerTerm term { m_generation >> s_tokenBits, true, {} };
+    for (const ActiveExecutor* it : m_executorList) {
+        bool isSilent = it->failedCalls > 0 || !it->hasClock;
+        if (!isSilent || it->runs.empty())
+            continue;
+        auto left = std::chrono::ceil<Milliseconds>(it->leaseOver - now);
+        term.silent.push_back({ it->entry.id, it->entry.bornUnixMs, std::max<std::int64_t>(0, left.count()) });
+    }
+    return term;
+}
+
 void JobScheduler::cancel(std::string_view id, TimePoint now)
 {
     auto it = m_jobs.find(std::string(id));
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -16,6 +16,7 @@
 #include "plantainhold/jobs/FillPacer.h"
 #include "plantainhold/jobs/JobOrder.h"
 #include "plantainhold/jobs/JobOrders.h"
+#include "plantainhold/jobs/OwnerTerm.h"
 #include "plantainhold/jobs/Queue.h"
 #include "plantainhold/jobs/SchedulerLimits.h"
 
@@ -42,8 +43,9 @@
 
 class JobScheduler {
 public:
-    // The generation of ownership leads every fencing token. Not thread-safe, as the whole class.
-    JobScheduler(const SchedulerLimits& limits, std::uint64_t generation, EventSink& events, TimePoint now);
+    // The generation of ownership leads every fencing token. The former owner's last
+    // record tells how long its orders may have effect. Not thread-safe, as the whole class.
+    JobScheduler(const SchedulerLimits& limits, std::uint64_t generation, const OwnerTerm& former, EventSink& events, TimePoint now);
     ~JobScheduler();
     JobScheduler(const JobScheduler&) = delete;
     JobScheduler& operator=(const JobScheduler&) = delete;
@@ -76,6 +78,9 @@
     // Places, preempts, paces, expires. Call after events, and at the time that it returns at the latest.
     TimePoint advance(TimePoint now, std::int64_t nowUnixMs);
 
+    // What the next owner has to know, if this one does nothing from now on.
+    OwnerTerm release(TimePoint now) const;
+
     CommitBatch takeBatch();
     void committed(const CommitBatch& batch, TimePoint now);
     // Orders since the last call.
@@ -93,7 +98,7 @@
 private:
     void restore(ActiveJob& job, const JobProgress& progress, TimePoint now);
     void restoreTask(ActiveJob& job, const TaskProgress& progress, TimePoint now);
-    ActiveExecutor& executorFor(const std::string& id, std::int64_t born, TimePoint now);
+    ActiveExecutor& executorFor(const std::string& id, std::int64_t born);
     void applyDueTimes(TimePoint now, std::int64_t nowUnixMs);
 
     void addRun(ActiveTask& task, ActiveExecutor& executor, RunPhase phase, TimePoint now);
@@ -128,6 +133,8 @@
     void steerPaces(ActiveExecutor& executor, TimePoint now);
     void orderStop(ActiveRun& run, TimePoint now);
     void fence(ActiveExecutor& executor);
+    // When orders of former owners have no effect any more on an executor that was not asked yet.
+    TimePoint formerLeaseOver(std::string_view id, std::int64_t born) const;
     std::int64_t extendLease(ActiveExecutor& executor, TimePoint now);
     void wakeAt(TimePoint when);
 
@@ -135,6 +142,7 @@
     EventSink& m_events;
     const std::uint64_t m_generation;
     const TimePoint m_ownedSince;
+    const OwnerTerm m_former;
     std::shared_ptr<const FleetConfig> m_config;
     std::unordered_map<std::string, std::unique_ptr<ActiveJob>> m_jobs;
     // Ended jobs whose records are to be dropped, by time.
--- a/plantainhold/jobs/SchedulerLimits.h
+++ b/plantainhold/jobs/SchedulerLimits.h
@@ -8,10 +8,11 @@
 namespace plantainhold {
 
 struct SchedulerLimits {
-    // Longest lease that executors grant.
-    Milliseconds leaseMax { 6'000 };
+    // Lease of what runs, renewed with each report. Long enough to outlive a change
+    // of owner, short enough that what ran on a lost executor soon runs elsewhere.
+    Milliseconds lease { 4'500 };
     // How long a former owner may go on extending leases after its membership lapsed.
-    Milliseconds formerOwnerGrace { 4'000 };
+    Milliseconds formerOwnerGrace { 2'000 };
     // An executor's clock may run this much slower than ours.
     double clockDrift = 0.02;
     // Longest wait of one report call.
