--- /dev/null
+++ b/plantainhold/testing/jobs/FillPacerTest.cpp
@@ -0,0 +1,160 @@
+// Interference: a world in which few pairs of images press on each other, as the
+// users' executors show it. What presses is found and slowed down; the rest is not.
+
+#include "plantainhold/jobs/FillPacer.h"
+#include "plantainhold/jobs/ActiveExecutor.h"
+#include "plantainhold/jobs/ActiveJob.h"
+
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <random>
+
+using namespace plantainhold;
+
+namespace {
+
+constexpr double s_target = 18;
+constexpr double s_alone = 7;
+constexpr double s_pressing = 0.14;
+
+class Host {
+public:
+    Host()
+        : m_pacer(m_limits)
+    {
+    }
+
+    ActiveRun* add(const std::string& image, std::int64_t millicores, bool serves)
+    {
+        auto spec = std::make_shared<JobSpec>();
+        StepSpec& step = spec->steps.emplace_back();
+        step.taskCount = 1;
+        step.image = image;
+        step.resources.millicores = millicores;
+        step.lasts = serves;
+        step.targetTailMs = serves ? s_target : 0;
+        step.usesLeftoverCpu = !serves;
+        auto job = std::make_unique<ActiveJob>();
+        job->id = std::to_string(m_jobs.size());
+        job->spec = spec;
+        job->addOccurrence(m_now);
+        ActiveTask& task = job->occurrences[0].steps[0].tasks[0];
+        task.run = std::make_unique<ActiveRun>();
+        task.run->task = &task;
+        task.run->executor = &m_executor;
+        task.run->phase = RunPhase::Running;
+        task.run->percent = 100;
+        task.run->own = InterferenceTable::freshOwn();
+        m_executor.runs.push_back(task.run.get());
+        m_jobs.push_back(std::move(job));
+        return m_executor.runs.back();
+    }
+
+    // Half a second of true tails, then a report.
+    void report()
+    {
+        m_now += Milliseconds(500);
+        std::normal_distribution<double> noise(0, 0.2);
+        for (ActiveRun* it : m_executor.runs) {
+            if (!it->task->step->spec->servesUsers())
+                it->figure = static_cast<double>(it->task->step->spec->resources.millicores) * it->orderedPace / 100;
+        }
+        for (ActiveRun* it : m_executor.runs) {
+            if (!it->task->step->spec->servesUsers())
+                continue;
+            double pressure = 0;
+            double& trueTail = m_trueTails[it];
+            for (ActiveRun* other : m_executor.runs)
+                pressure += other->task->step->spec->image == "heavy" && it->task->step->spec->image == "tender" ? s_pressing * other->figure / 1'000 : 0;
+            trueTail = s_alone * std::exp(pressure);
+            it->figure = trueTail * std::exp(noise(m_random));
+        }
+        m_pacer.steer(m_executor, m_now);
+        for (ActiveRun* it : m_executor.runs)
+            it->orderedPace = it->wantedPace;
+    }
+
+    // Without the noise of the report.
+    double trueTail(const ActiveRun* run) const { return m_trueTails.at(run); }
+    FillPacer& pacer() { return m_pacer; }
+    ActiveExecutor& executor() { return m_executor; }
+
+private:
+    SchedulerLimits m_limits;
+    FillPacer m_pacer;
+    ActiveExecutor m_executor;
+    std::vector<std::unique_ptr<ActiveJob>> m_jobs;
+    std::map<const ActiveRun*, double> m_trueTails;
+    std::mt19937_64 m_random { 5 };
+    TimePoint m_now { std::chrono::hours(1) };
+};
+
+} // namespace
+
+TEST_CASE("only the task that presses is slowed down")
+{
+    Host host;
+    ActiveRun* tender = host.add("tender", 6'000, true);
+    host.add("sturdy", 6'000, true);
+    ActiveRun* heavy = host.add("heavy", 9'000, false);
+    ActiveRun* light = host.add("light", 9'000, false);
+    double heavyPace = 0;
+    double lightPace = 0;
+    int missed = 0;
+    constexpr int s_warmUp = 60;
+    constexpr int s_rounds = 200;
+    for (int i = 0; i < s_warmUp + s_rounds; ++i) {
+        host.report();
+        if (i < s_warmUp)
+            continue;
+        heavyPace += heavy->orderedPace;
+        lightPace += light->orderedPace;
+        missed += host.trueTail(tender) > s_target;
+    }
+    CHECK(lightPace / s_rounds > 90);
+    CHECK(heavyPace / s_rounds < 70);
+    CHECK(heavyPace / s_rounds > 15);
+    CHECK(missed < s_rounds / 10);
+}
+
+TEST_CASE("what was learned on one executor says where else a task may go")
+{
+    Host host;
+    host.add("tender", 6'000, true);
+    host.add("heavy", 9'000, false);
+    ActiveRun* light = host.add("light", 9'000, false);
+    for (int i = 0; i < 160; ++i) {
+        // Tasks come and go; that is what tells their effects apart.
+        light->phase = i % 8 < 4 ? RunPhase::Running : RunPhase::Starting;
+        host.report();
+    }
+    StepSpec heavy;
+    heavy.image = "heavy";
+    heavy.resources.millicores = 9'000;
+    heavy.usesLeftoverCpu = true;
+    StepSpec lightSpec = heavy;
+    lightSpec.image = "light";
+    CHECK(host.pacer().excess(host.executor(), heavy) > 0.3);
+    CHECK(host.pacer().excess(host.executor(), lightSpec) < 0.05);
+}
+
+TEST_CASE("a target that stays missed for an unknown cause stops all suspects in time")
+{
+    Host host;
+    ActiveRun* tender = host.add("tender", 6'000, true);
+    ActiveRun* light = host.add("light", 9'000, false);
+    SchedulerLimits limits;
+    std::uint32_t pace = 100;
+    TimePoint now { std::chrono::hours(2) };
+    FillPacer pacer(limits);
+    for (Milliseconds over { 0 }; over < limits.interferenceLimit * 3 / 4; over += Milliseconds(500)) {
+        tender->figure = 3 * s_target;
+        light->figure = 9'000;
+        now += Milliseconds(500);
+        pacer.steer(host.executor(), now);
+        pace = light->orderedPace = light->wantedPace;
+    }
+    CHECK(pace == 0);
+}
--- /dev/null
+++ b/plantainhold/testing/jobs/JobBookTest.cpp
@@ -0,0 +1,127 @@
+// The book against records in any order, repeated, and malformed.
+
+#include "plantainhold/jobs/JobBook.h"
+#include "plantainhold/jobs/JobCodec.h"
+#include "plantainhold/jobs/OwnerTerm.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace plantainhold;
+
+namespace {
+
+JobSpec exampleSpec()
+{
+    JobSpec spec;
+    spec.queue = "plans";
+    spec.payload = "week 12";
+    StepSpec first;
+    first.taskCount = 3;
+    first.resources = { 1'500, 256, 1 };
+    first.estimateMs = 900;
+    first.checkpoints = true;
+    first.requiredLabel = "a";
+    first.dataRack = "r1-2";
+    first.maxPerExecutor = 2;
+    first.image = "img";
+    first.targetTailMs = 18;
+    first.mayMiss = 1;
+    StepSpec second = first;
+    second.after = { 0 };
+    second.isGang = true;
+    second.usesLeftoverCpu = true;
+    spec.steps = { first, second };
+    spec.repeatCount = 2;
+    spec.firstDueUnixMs = 1'700'000'000'000;
+    spec.intervalMs = 250;
+    return spec;
+}
+
+} // namespace
+
+TEST_CASE("a submission comes back as it was stored")
+{
+    JobSpec spec = exampleSpec();
+    std::optional<JobSpec> read = decodeSubmission(encodeSubmission(spec));
+    REQUIRE(read);
+    CHECK(read->queue == spec.queue);
+    CHECK(read->payload == spec.payload);
+    CHECK(read->intervalMs == spec.intervalMs);
+    REQUIRE(read->steps.size() == 2);
+    CHECK(read->steps[0].resources == spec.steps[0].resources);
+    CHECK(read->steps[0].dataRack == "r1-2");
+    CHECK(read->steps[0].targetTailMs == 18);
+    CHECK(read->steps[1].after == std::vector<std::uint32_t> { 0 });
+    CHECK(read->steps[1].isGang);
+    CHECK(read->steps[1].fills());
+}
+
+TEST_CASE("progress and an owner's term come back as they were stored")
+{
+    JobProgress progress { JobState::Running, true, { { 1, 2, 3, 4, 5, false, "x1", 77, "abc" } } };
+    std::optional<JobProgress> read = decodeProgress(encodeProgress(progress));
+    REQUIRE(read);
+    REQUIRE(read->tasks.size() == 1);
+    CHECK(read->tasks[0].run == 4);
+    CHECK(read->tasks[0].executorBornUnixMs == 77);
+    CHECK(decodeProgressSummary(encodeProgress(progress))->tasks.empty());
+    std::optional<OwnerTerm> term = decodeOwnerTerm(encodeOwnerTerm({ 9, true, { { "x2", 5, 1'200 } } }));
+    REQUIRE(term);
+    CHECK(term->isReleased);
+    CHECK(term->silent.at(0).leaseLeftMs == 1'200);
+}
+
+TEST_CASE("no bytes make the decoders fail otherwise than by saying so")
+{
+    std::mt19937_64 random(7);
+    std::string good = encodeSubmission(exampleSpec());
+    for (int i = 0; i < 20'000; ++i) {
+        std::string bytes = good;
+        for (int n = 0; n < 4; ++n)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        bytes.resize(random() % (bytes.size() + 1));
+        decodeSubmission(bytes);
+        decodeProgress(bytes);
+        decodeOwnerTerm(bytes);
+    }
+    SUCCEED();
+}
+
+TEST_CASE("the book shows the newest of each, in whatever order records come")
+{
+    JobBook book;
+    std::string running = encodeProgress({ JobState::Running, true, {} });
+    std::string completed = encodeProgress({ JobState::Completed, true, {} });
+    book.applyProgress("j", completed, 8);
+    CHECK(book.find("j") == nullptr);
+    book.applySubmission(JobBook::submissionKey("j"), encodeSubmission(exampleSpec()), 3);
+    REQUIRE(book.find("j"));
+    CHECK(book.find("j")->shownState() == JobState::Completed);
+    book.applyProgress("j", running, 5);
+    CHECK(book.find("j")->shownState() == JobState::Completed);
+    book.applySubmission(JobBook::cancelKey("j"), "1", 9);
+    CHECK(book.find("j")->shownState() == JobState::Completed);
+}
+
+TEST_CASE("a cancellation shows before the owner has acted, and is not pending")
+{
+    JobBook book;
+    book.applySubmission(JobBook::submissionKey("j"), encodeSubmission(exampleSpec()), 0);
+    CHECK(book.pendingJobs("plans") == 1);
+    CHECK(book.pendingJobs("other") == 0);
+    book.applySubmission(JobBook::cancelKey("j"), "1", 1);
+    CHECK(book.find("j")->shownState() == JobState::Cancelled);
+    CHECK(book.pendingJobs("plans") == 0);
+}
+
+TEST_CASE("malformed records change nothing and are counted")
+{
+    JobBook book;
+    CHECK(book.applySubmission("", "x", 0).empty());
+    CHECK(book.applySubmission("zj", "x", 0).empty());
+    CHECK(book.applySubmission(JobBook::submissionKey("j"), "\xff\xff", 1).empty());
+    book.applyProgress("j", "\xff\xff", 2);
+    CHECK(book.size() == 0);
+    CHECK(book.malformedRecords() == 4);
+}
--- /dev/null
+++ b/plantainhold/testing/jobs/JobOrderTest.cpp
@@ -0,0 +1,102 @@
+// Who comes first: patterns of load, each with what must follow.
+
+#include "plantainhold/jobs/JobOrder.h"
+#include "plantainhold/jobs/ActiveJob.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+using namespace plantainhold;
+
+namespace {
+
+constexpr TimePoint s_start { std::chrono::hours(1) };
+
+class Jobs {
+public:
+    ActiveStep* add(std::int32_t priority, std::uint32_t estimateMs, Milliseconds age, bool lasts = false)
+    {
+        auto spec = std::make_shared<JobSpec>();
+        spec->queue = "q" + std::to_string(priority);
+        StepSpec& step = spec->steps.emplace_back();
+        step.taskCount = 2;
+        step.estimateMs = estimateMs;
+        step.lasts = lasts;
+        auto job = std::make_unique<ActiveJob>();
+        job->id = std::to_string(m_jobs.size());
+        job->spec = spec;
+        job->queue.name = spec->queue;
+        job->queue.priority = priority;
+        job->queue.deadlineFactor = 2;
+        job->queue.targetLatencyMs = 250;
+        job->serial = m_jobs.size();
+        job->seenAt = s_start - age;
+        job->addOccurrence(s_start);
+        m_jobs.push_back(std::move(job));
+        return &m_jobs.back()->occurrences[0].steps[0];
+    }
+
+private:
+    std::vector<std::unique_ptr<ActiveJob>> m_jobs;
+};
+
+std::vector<ActiveStep*> sorted(std::vector<ActiveStep*> steps)
+{
+    JobOrder().sort(steps, s_start);
+    return steps;
+}
+
+} // namespace
+
+TEST_CASE("priority goes before everything else")
+{
+    Jobs jobs;
+    ActiveStep* batch = jobs.add(2, 1'000, Milliseconds(0));
+    ActiveStep* urgent = jobs.add(0, 1'000, Milliseconds(60'000));
+    CHECK(sorted({ batch, urgent }) == std::vector<ActiveStep*> { urgent, batch });
+}
+
+TEST_CASE("backlog under overload: who can still be in time goes before who cannot")
+{
+    Jobs jobs;
+    ActiveStep* hopeless = jobs.add(2, 1'000, Milliseconds(20'000));
+    ActiveStep* late = jobs.add(2, 1'000, Milliseconds(4'000));
+    ActiveStep* waiting = jobs.add(2, 1'000, Milliseconds(900));
+    ActiveStep* fresh = jobs.add(2, 1'000, Milliseconds(10));
+    CHECK(sorted({ hopeless, late, waiting, fresh }) == std::vector<ActiveStep*> { fresh, waiting, late, hopeless });
+}
+
+TEST_CASE("work that has begun is finished before more is begun")
+{
+    Jobs jobs;
+    ActiveStep* fresh = jobs.add(2, 1'000, Milliseconds(10));
+    ActiveStep* begun = jobs.add(2, 1'000, Milliseconds(500));
+    begun->job().hasBegun = true;
+    CHECK(sorted({ fresh, begun }) == std::vector<ActiveStep*> { begun, fresh });
+}
+
+TEST_CASE("a lasting task that ran before comes back first, a new one lets short work go ahead")
+{
+    Jobs jobs;
+    ActiveStep* newcomer = jobs.add(0, 500, Milliseconds(0), true);
+    ActiveStep* quote = jobs.add(0, 500, Milliseconds(0));
+    ActiveStep* returning = jobs.add(0, 500, Milliseconds(0), true);
+    returning->tasks[1].lastRun = 1;
+    CHECK(sorted({ newcomer, quote, returning }) == std::vector<ActiveStep*> { returning, quote, newcomer });
+}
+
+TEST_CASE("estimates that are always too low are corrected by what tasks took")
+{
+    JobOrder order;
+    JobSpec spec;
+    spec.queue = "q";
+    spec.steps.resize(2);
+    spec.steps[0].estimateMs = 1'000;
+    spec.steps[1].estimateMs = 500;
+    spec.steps[1].after = { 0 };
+    CHECK(order.chainOf(spec) == Milliseconds(1'500));
+    for (int i = 0; i < 200; ++i)
+        order.learn("q", 1'000, Milliseconds(1'600));
+    CHECK(order.chainOf(spec) > Milliseconds(2'300));
+    CHECK(order.chainOf(spec) < Milliseconds(2'500));
+}
--- /dev/null
+++ b/plantainhold/testing/jobs/JobWorld.h
@@ -0,0 +1,96 @@
+// A small world around the scheduler, without a network: executors that hold the
+// truth, a store, messages that are late or lost, owners that die, pause and are
+// replaced. Everything follows from a seed. Checks what the users are promised at
+// each step, from what truly ran.
+#pragma once
+
+#include "plantainhold/jobs/JobBook.h"
+#include "plantainhold/jobs/JobScheduler.h"
+#include "plantainhold/testing/jobs/FakeExecutor.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace plantainhold {
+
+struct WorldOptions {
+    std::uint64_t seed = 1;
+    std::size_t executors = 5;
+    std::size_t jobs = 14;
+    std::int64_t faultsMs = 25'000;
+    std::int64_t lengthMs = 70'000;
+    SchedulerLimits limits;
+    // Part of the orders whose answer is lost; half of them are carried out late.
+    double lostAnswers = 0.05;
+    // Leaves a guard out, to show that the checks notice.
+    bool sendsBeforeStored = false;
+    bool acknowledgesBeforeStored = false;
+    bool ignoresFencing = false;
+};
+
+class JobWorld {
+public:
+    explicit JobWorld(const WorldOptions& options);
+    ~JobWorld();
+
+    // Plays to the end; afterwards the faults found. Not thread-safe, as the class.
+    void run();
+    const std::vector<std::string>& broken() const { return m_broken; }
+    std::size_t completedJobs() const;
+    std::uint64_t starts() const { return m_starts; }
+
+private:
+    struct Owner;
+    struct Message;
+    struct Truth;
+
+    TimePoint at(std::int64_t ms) const { return TimePoint(std::chrono::milliseconds(1'000'000 + ms)); }
+    std::int64_t random(std::int64_t least, std::int64_t most);
+    bool chance(double probability);
+    void addJobs();
+    void submit(const std::string& id, const JobSpec& spec);
+    void step();
+    void faults();
+    void beginOwner();
+    void playOwner(Owner& owner);
+    void commit(Owner& owner);
+    void sendOrders(Owner& owner);
+    void sendReports(Owner& owner);
+    void deliver(const Message& message);
+    // Tells the owner now, or when its pause is over; not at all when it has ended.
+    void tell(Owner& owner, std::function<void(JobScheduler&)> what);
+    void store(const CommitBatch& batch);
+    void noteStart(std::size_t executor, const FakeExecutor::Running& run);
+    void noteEnd(const FakeExecutor::Running& run, EndKind kind);
+    void fail(const std::string& what);
+
+    const WorldOptions m_options;
+    std::mt19937_64 m_random;
+    std::int64_t m_now = 0;
+    NoEvents m_events;
+    JobBook m_book;
+    std::shared_ptr<FleetConfig> m_config;
+    std::string m_ownerRecord;
+    std::vector<std::unique_ptr<FakeExecutor>> m_executors;
+    std::vector<std::int64_t> m_cutUntil;
+    std::vector<std::int64_t> m_downUntil;
+    std::vector<std::unique_ptr<Owner>> m_owners;
+    std::uint64_t m_generation = 0;
+    std::multimap<std::int64_t, Message> m_messages;
+    std::multimap<std::int64_t, std::function<void()>> m_later;
+    std::map<std::string, Truth> m_truth;
+    std::map<std::string, std::int64_t> m_submitAt;
+    std::map<std::string, std::int64_t> m_cancelAt;
+    std::map<std::string, JobSpec> m_specs;
+    std::uint64_t m_offset = 0;
+    std::uint64_t m_starts = 0;
+    std::vector<std::string> m_broken;
+};
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/testing/platform/DecodersTest.cpp
@@ -0,0 +1,94 @@
+// Bodies from the network, as the platform's pages describe them and otherwise.
+
+#include "platform/Decoders.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace plantainhold;
+
+namespace {
+
+const std::string s_entry = R"({"service":"svc","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,"sequence":4,"born":1700000000123})";
+const std::string s_job = R"({"spec":"text","phases":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"data_rack":"r1-3"},{"count":20,"cpu":2000,"mem_mb":1024,"estimate_ms":7000,"after":[0],"checkpointing":true,"utilization":true,"image":"i"}],"repeat_count":2,"start_at_ms":5,"interval_ms":7})";
+const std::string s_config = R"({"version":7,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":250,"priority":2,"service":"svc","max_attempts":3,"deadline_factor":2.5},{"name":"s","host":"h.example","path_prefix":"/a/b/","service":"svc"}],"services":[{"name":"svc","enforces_capacity":true,"standby":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+std::string replaced(std::string text, const std::string& what, const std::string& by)
+{
+    return text.replace(text.find(what), what.size(), by);
+}
+
+} // namespace
+
+TEST_CASE("an executor's entry is decoded")
+{
+    std::optional<ExecutorEntry> entry = platform::decodeExecutor("i-1", s_entry);
+    REQUIRE(entry);
+    CHECK(entry->id == "i-1");
+    CHECK(entry->capacity == Resources { 16'000, 32'768, 0 });
+    CHECK(entry->labels == std::vector<std::string> { "a", "r1-3" });
+    CHECK(entry->bornUnixMs == 1'700'000'000'123);
+    CHECK_FALSE(entry->isDraining);
+}
+
+TEST_CASE("an entry from another writer names no executor")
+{
+    CHECK_FALSE(platform::decodeExecutor("i-1", replaced(s_entry, "\"ready\"", "\"resting\"")));
+    CHECK_FALSE(platform::decodeExecutor("i-1", replaced(s_entry, "\"10.0.0.9:80\"", "17")));
+    CHECK_FALSE(platform::decodeExecutor("i-1", replaced(s_entry, "{\"cpu\":16000,\"mem_mb\":32768,\"gpu\":0}", "[]")));
+    CHECK_FALSE(platform::decodeExecutor("i-1", replaced(s_entry, "[\"a\",\"r1-3\"]", "[1]")));
+    CHECK_FALSE(platform::decodeExecutor("", s_entry));
+    CHECK_FALSE(platform::decodeExecutor("i-1", "\x01\xff"));
+    CHECK_FALSE(platform::decodeExecutor("i-1", "[]"));
+}
+
+TEST_CASE("a job is decoded, and wrong ones are rejected with their fault")
+{
+    std::string fault;
+    std::optional<JobSpec> spec = platform::decodeJob(s_job, fault);
+    REQUIRE(spec);
+    CHECK(spec->steps.at(1).fills());
+    CHECK(spec->steps.at(1).after == std::vector<std::uint32_t> { 0 });
+    CHECK(spec->isTimed());
+    CHECK_FALSE(platform::decodeJob(replaced(s_job, "\"after\":[0]", "\"after\":[1]"), fault));
+    CHECK(fault.find("phase 1") != std::string::npos);
+    CHECK_FALSE(platform::decodeJob(replaced(s_job, "\"count\":4", "\"count\":0"), fault));
+    CHECK_FALSE(platform::decodeJob(replaced(s_job, "\"count\":4", "\"count\":99999999999"), fault));
+    CHECK_FALSE(platform::decodeJob(R"({"spec":"x","phases":[]})", fault));
+    CHECK_FALSE(platform::decodeJob("nonsense", fault));
+}
+
+TEST_CASE("a configuration routes by host and longest prefix")
+{
+    std::string fault;
+    std::optional<FleetConfig> config = platform::decodeConfig(s_config, fault);
+    REQUIRE(config);
+    CHECK(config->version == 7);
+    CHECK(config->limits.maxBodyBytes == 1'000);
+    REQUIRE(config->route("h.example", "/a/b/x"));
+    CHECK(config->route("h.example", "/a/b/x")->name == "s");
+    CHECK(config->route("h.example", "/a/x")->name == "r");
+    CHECK(config->route("h.example", "/a/x")->deadlineFactor == 2.5);
+    CHECK(config->route("other.example", "/a/x") == nullptr);
+    CHECK(config->route("h.example", "/c") == nullptr);
+    CHECK_FALSE(platform::decodeConfig(R"({"version":"7"})", fault));
+}
+
+TEST_CASE("mutated bodies are decoded or rejected, never worse")
+{
+    std::mt19937_64 random(3);
+    std::string fault;
+    for (int i = 0; i < 30'000; ++i) {
+        for (const std::string* it : { &s_entry, &s_job, &s_config }) {
+            std::string bytes = *it;
+            for (int n = 0; n < 3; ++n)
+                bytes[random() % bytes.size()] = static_cast<char>(random());
+            if (random() % 3 == 0)
+                bytes.resize(random() % bytes.size());
+            platform::decodeExecutor("i", bytes);
+            platform::decodeJob(bytes, fault);
+            platform::decodeConfig(bytes, fault);
+        }
+    }
+    SUCCEED();
+}
--- /dev/null
+++ b/plantainhold/testing/store/StoreTest.cpp
@@ -0,0 +1,119 @@
+// Following a topic, and storing together, against a store that loses answers and history.
+
+#include "plantainhold/base/EventSink.h"
+#include "plantainhold/store/GroupCommit.h"
+#include "plantainhold/store/TopicTail.h"
+#include "plantainhold/testing/store/MemoryStore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <random>
+
+using namespace plantainhold;
+namespace asio = boost::asio;
+
+namespace {
+
+class Follower {
+public:
+    explicit Follower(MemoryStore& store)
+        : m_tail(store, m_events, "keyed.topic", 0, [this](const StoredRecord& it) {
+            if (it.value.empty())
+                state.erase(it.key);
+            else
+                state[it.key] = it.value;
+        })
+    {
+    }
+
+    StoreStatus poll()
+    {
+        StoreStatus status = StoreStatus::Unknown;
+        asio::io_context context;
+        asio::co_spawn(
+            context, [&]() -> asio::awaitable<void> { status = co_await m_tail.poll(Milliseconds(0), Milliseconds(100)); }, asio::detached);
+        context.run();
+        return status;
+    }
+
+    std::map<std::string, std::string> state;
+
+private:
+    NoEvents m_events;
+    TopicTail m_tail;
+};
+
+std::map<std::string, std::string> truthOf(const MemoryStore& store)
+{
+    std::map<std::string, std::string> state;
+    for (const StoredRecord& it : store.log) {
+        if (it.value.empty())
+            state.erase(it.key);
+        else
+            state[it.key] = it.value;
+    }
+    return state;
+}
+
+StoreStatus put(MemoryStore& store, Milliseconds patience)
+{
+    asio::io_context context;
+    GroupCommit commit(context.get_executor(), store, "keyed.topic", 0);
+    StoreStatus status = StoreStatus::Invalid;
+    TimePoint deadline = std::chrono::steady_clock::now() + patience;
+    asio::co_spawn(
+        context, [&]() -> asio::awaitable<void> {
+        KeyedRecord record { "k", "v" };
+        status = co_await commit.put(std::move(record), deadline); }, asio::detached);
+    context.run();
+    return status;
+}
+
+} // namespace
+
+TEST_CASE("a follower holds what the topic holds, also when history expires unread")
+{
+    std::mt19937_64 random(11);
+    for (int round = 0; round < 200; ++round) {
+        MemoryStore store;
+        Follower follower(store);
+        for (int i = 0; i < 40; ++i) {
+            std::string value = random() % 4 ? std::to_string(random()) : std::string();
+            store.log.push_back({ store.log.size(), "k" + std::to_string(random() % 7), value });
+            if (random() % 5 == 0)
+                store.firstKept = std::min<std::uint64_t>(store.log.size(), store.firstKept + random() % 8);
+            if (random() % 3 == 0) {
+                REQUIRE(follower.poll() == StoreStatus::Ok);
+                REQUIRE(follower.state == truthOf(store));
+            }
+        }
+    }
+}
+
+TEST_CASE("a put that the store refuses is refused at once, and nothing is stored")
+{
+    MemoryStore store;
+    store.nextAppend = { StoreStatus::Refused };
+    CHECK(put(store, Milliseconds(1'000)) == StoreStatus::Refused);
+    CHECK(store.log.empty());
+    CHECK(store.appends == 1);
+}
+
+TEST_CASE("a put without an answer is repeated until it is settled")
+{
+    MemoryStore store;
+    store.nextAppend = { StoreStatus::Unknown, StoreStatus::Refused, StoreStatus::Ok };
+    CHECK(put(store, Milliseconds(2'000)) == StoreStatus::Ok);
+    CHECK(store.appends == 3);
+}
+
+TEST_CASE("a put that is never settled is unknown, not refused")
+{
+    MemoryStore store;
+    store.nextAppend.assign(100, StoreStatus::Refused);
+    store.nextAppend.front() = StoreStatus::Unknown;
+    CHECK(put(store, Milliseconds(300)) == StoreStatus::Unknown);
+}
