Keep the partition with its owner while others come and go

Change: instances wait in a standby group; its holder of the partition watches the owners' group and joins it only when nobody holds the partition there. An owner whose membership lapsed looks before it joins again.

--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -29,7 +29,7 @@
     // For the last record of an owner that stops.
     constexpr Milliseconds s_releaseWait { 600 };
     constexpr Milliseconds s_releasePoll { 10 };
-    constexpr Milliseconds s_ownershipLife { 2'000 };
+    constexpr Milliseconds s_ownershipLife { 1'200 };
 
     OwnershipOptions ownershipOptions(const EntrySettings& settings)
     {
--- a/plantainhold/entry/OwnershipKeeper.cpp
+++ b/plantainhold/entry/OwnershipKeeper.cpp
@@ -12,9 +12,10 @@
 namespace asio = boost::asio;
 
 namespace {
-    constexpr std::string_view s_group = "owners";
+    constexpr std::string_view s_ownersGroup = "owners";
+    constexpr std::string_view s_standbyGroup = "standby";
     constexpr std::string_view s_topic = "partitions";
-    constexpr Milliseconds s_joinTimeout { 1'500 };
+    constexpr Milliseconds s_callTimeout { 1'000 };
     constexpr Milliseconds s_retryPause { 150 };
 } // namespace
 
@@ -31,33 +32,83 @@
 asio::awaitable<void> OwnershipKeeper::run()
 {
     while (!m_isLeaving) {
-        TimePoint sentAt = BootClock::now();
-        JoinResult result = co_await m_store.join({ s_group, m_options.member, s_topic, m_options.timeToLive, m_generation }, s_joinTimeout);
+        bool isAnswered = m_isCandidate ? co_await own() : co_await stand();
         if (m_isLeaving)
             co_return;
-        bool isOk = result.status == StoreStatus::Ok;
-        if (isOk)
-            take(result, sentAt);
-        asio::steady_timer pause(m_executor, isOk ? m_options.renewEvery : s_retryPause);
+        asio::steady_timer pause(m_executor, isAnswered ? m_options.renewEvery : s_retryPause);
         boost::system::error_code ec;
         co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
 }
 
-void OwnershipKeeper::take(const JoinResult& result, TimePoint sentAt)
+GroupMember OwnershipKeeper::memberOf(std::string_view group, std::uint64_t generation) const
 {
-    m_generation = std::max(m_generation, result.generation);
-    bool isOurs = std::find(result.parts.begin(), result.parts.end(), m_options.part) != result.parts.end();
+    return { group, m_options.member, s_topic, m_options.timeToLive, generation };
+}
+
+bool OwnershipKeeper::holdsPart(const JoinResult& result) const
+{
+    return std::find(result.parts.begin(), result.parts.end(), m_options.part) != result.parts.end();
+}
+
+asio::awaitable<bool> OwnershipKeeper::stand()
+{
+    JoinResult standby = co_await m_store.join(memberOf(s_standbyGroup, m_standbyGeneration), s_callTimeout);
+    if (standby.status != StoreStatus::Ok || m_isLeaving)
+        co_return false;
+    m_standbyGeneration = std::max(m_standbyGeneration, standby.generation);
+    if (!holdsPart(standby))
+        co_return true;
+    HolderResult holder = co_await m_store.holder(s_ownersGroup, { s_topic, m_options.part }, s_callTimeout);
+    if (holder.status != StoreStatus::Ok || m_isLeaving)
+        co_return false;
+    if (!holder.member.empty() && holder.member != m_options.member)
+        co_return true;
+    m_isCandidate = true;
+    bool isAnswered = co_await own();
+    // Another instance watches from now on.
+    if (isOwner())
+        co_await leaveGroup(s_standbyGroup, m_standbyGeneration);
+    co_return isAnswered;
+}
+
+asio::awaitable<bool> OwnershipKeeper::own()
+{
+    TimePoint sentAt = BootClock::now();
+    // After a lapse another instance may own; joining beside it would deal the partition anew.
+    if (isOwner() && !isConfirmed(sentAt)) {
+        HolderResult holder = co_await m_store.holder(s_ownersGroup, { s_topic, m_options.part }, s_callTimeout);
+        if (holder.status != StoreStatus::Ok || m_isLeaving)
+            co_return false;
+        if (!holder.member.empty() && holder.member != m_options.member) {
+            m_isCandidate = false;
+            lose("another instance took over while the store was out of reach");
+            co_return true;
+        }
+        sentAt = BootClock::now();
+    }
+    JoinResult result = co_await m_store.join(memberOf(s_ownersGroup, m_ownerGeneration), s_callTimeout);
+    if (result.status != StoreStatus::Ok || m_isLeaving)
+        co_return false;
+    m_ownerGeneration = std::max(m_ownerGeneration, result.generation);
     m_renewedAt = sentAt;
-    if (isOwner() && !isOurs)
-        return lose("the partition was dealt to another instance");
-    // If the membership ran out meanwhile and another owner was there, its epoch
-    // and its tokens refuse whatever this one still sends.
-    if (isOurs && !isOwner()) {
+    if (!holdsPart(result)) {
+        lose("the partition was dealt to another instance");
+        co_await leaveGroup(s_ownersGroup, m_ownerGeneration);
+        m_isCandidate = false;
+    } else if (!isOwner()) {
         m_ownedSince = result.generation;
         m_events.note(EventId::OwnershipGained, { { "part", m_options.part }, { "generation", result.generation } });
         m_gained(result.generation);
     }
+    // If the membership ran out meanwhile and another owner was there, its epoch and
+    // its tokens refuse whatever this one still sends.
+    co_return true;
+}
+
+asio::awaitable<void> OwnershipKeeper::leaveGroup(std::string_view group, std::uint64_t generation)
+{
+    co_await m_store.leave(memberOf(group, generation), s_callTimeout);
 }
 
 void OwnershipKeeper::lose(std::string_view reason)
@@ -71,6 +122,7 @@
 
 void OwnershipKeeper::fenced()
 {
+    m_isCandidate = false;
     lose("a newer owner has written to the store");
 }
 
@@ -83,7 +135,8 @@
 asio::awaitable<void> OwnershipKeeper::leave()
 {
     m_isLeaving = true;
-    co_await m_store.leave({ s_group, m_options.member, s_topic, m_options.timeToLive, m_generation }, s_joinTimeout);
+    co_await leaveGroup(s_ownersGroup, m_ownerGeneration);
+    co_await leaveGroup(s_standbyGroup, m_standbyGeneration);
 }
 
 } // namespace plantainhold
--- a/plantainhold/entry/OwnershipKeeper.h
+++ b/plantainhold/entry/OwnershipKeeper.h
@@ -1,6 +1,13 @@
-// Keeps this instance a member of the owners' group, and tells when the partition
-// becomes its own and when it no longer is. Trusts a membership only for the time
-// that was asked for, counted from before the call that renewed it.
+// Decides, through two groups of the store, whether this instance owns the
+// partition, and tells when that begins and ends.
+//
+// All instances that do not own are members of the standby group; the one that
+// holds the partition there watches the owners' group, and joins it when nobody
+// holds the partition in that one. An owner is thus alone in its group, and keeps
+// the partition although other instances come and go.
+//
+// A membership is trusted only for the time that was asked for, counted from before
+// the call that renewed it.
 #pragma once
 
 #include "plantainhold/base/EventSink.h"
@@ -18,8 +25,8 @@
 struct OwnershipOptions {
     std::string member;
     std::uint32_t part = 0;
-    Milliseconds timeToLive { 2'000 };
-    Milliseconds renewEvery { 600 };
+    Milliseconds timeToLive { 1'200 };
+    Milliseconds renewEvery { 350 };
     // A member that renewed no later than this may still extend leases of what runs.
     Milliseconds bridge { 6'000 };
 };
@@ -32,7 +39,7 @@
     // The store and the sink must outlive the keeper. Not thread-safe, as the whole class.
     OwnershipKeeper(boost::asio::any_io_executor executor, StorePort& store, EventSink& events, OwnershipOptions options, Gained gained, Lost lost);
 
-    // Joins and renews until leave().
+    // Takes part until leave().
     boost::asio::awaitable<void> run();
     // Gives the partition up and stops renewing; leave() hands it over.
     void resign(std::string_view reason);
@@ -47,7 +54,12 @@
     bool mayExtendLeases(TimePoint now) const { return isOwner() && now < m_renewedAt + m_options.bridge; }
 
 private:
-    void take(const JoinResult& result, TimePoint sentAt);
+    // Each makes one round of calls and says whether the store answered.
+    boost::asio::awaitable<bool> stand();
+    boost::asio::awaitable<bool> own();
+    boost::asio::awaitable<void> leaveGroup(std::string_view group, std::uint64_t generation);
+    GroupMember memberOf(std::string_view group, std::uint64_t generation) const;
+    bool holdsPart(const JoinResult& result) const;
     void lose(std::string_view reason);
 
     boost::asio::any_io_executor m_executor;
@@ -56,10 +68,13 @@
     const OwnershipOptions m_options;
     Gained m_gained;
     Lost m_lost;
-    std::uint64_t m_generation = 0;
+    std::uint64_t m_standbyGeneration = 0;
+    std::uint64_t m_ownerGeneration = 0;
     // Generation with which the partition came; 0: not owned.
     std::uint64_t m_ownedSince = 0;
     TimePoint m_renewedAt {};
+    // A member of the owners' group, or about to be.
+    bool m_isCandidate = false;
     bool m_isLeaving = false;
 };
 
--- a/plantainhold/http/HttpServer.cpp
+++ b/plantainhold/http/HttpServer.cpp
@@ -60,6 +60,22 @@
         return 400;
     }
 
+    // Counts one thing for as long as it lives.
+    class Counted {
+    public:
+        explicit Counted(std::size_t& n)
+            : m_count(n)
+        {
+            ++m_count;
+        }
+        ~Counted() { --m_count; }
+        Counted(const Counted&) = delete;
+        Counted& operator=(const Counted&) = delete;
+
+    private:
+        std::size_t& m_count;
+    };
+
 } // namespace
 
 HttpServer::HttpServer(asio::any_io_executor executor, std::string_view address, Handler handler)
@@ -104,15 +120,6 @@
 
 asio::awaitable<void> HttpServer::serve(asio::ip::tcp::socket socket)
 {
-    struct Counted {
-        explicit Counted(std::size_t& n)
-            : m_count(n)
-        {
-            ++m_count;
-        }
-        ~Counted() { --m_count; }
-        std::size_t& m_count;
-    };
     Counted connection(m_connections);
     boost::system::error_code ec;
     socket.set_option(asio::ip::tcp::no_delay(true), ec);
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -15,7 +15,6 @@
     constexpr double s_foreignRack = 1'000;
     constexpr double s_avoidedExecutor = 500;
     constexpr double s_otherRack = 200;
-    constexpr double s_disturbed = 20;
     constexpr double s_sameStep = 30;
     constexpr double s_leftRoom = 10;
     // A filling task is not sent where it would press this much beyond what can be borne.
@@ -23,8 +22,8 @@
     constexpr double s_excessWeight = 400;
     constexpr double s_otherImage = 40;
     // A filling task at less than this pace for so long goes elsewhere.
-    constexpr std::uint32_t s_slowPace = 25;
-    constexpr Milliseconds s_slowPatience { 1'500 };
+    constexpr std::uint32_t s_slowPace = 15;
+    constexpr Milliseconds s_slowPatience { 3'000 };
     constexpr double s_demandSeconds = 5;
     constexpr double s_demandMargin = 1.25;
     constexpr Milliseconds s_preemptAfter { 40 };
@@ -34,7 +33,7 @@
     // Work lost by stopping a task that saves checkpoints.
     constexpr Milliseconds s_checkpointLoss { 300 };
     // Part of its reservation that a serving task uses, as long as nothing else is known.
-    constexpr double s_servingUse = 0.5;
+    constexpr double s_servingUse = 0.45;
     constexpr double s_fillLoadLimit = 1.0;
     constexpr double s_fillLoadWeight = 100;
     constexpr std::size_t s_stepsScanned = 400;
--- a/plantainhold/store/StorePort.h
+++ b/plantainhold/store/StorePort.h
@@ -93,6 +93,12 @@
     std::vector<std::uint32_t> parts;
 };
 
+struct HolderResult {
+    StoreStatus status = StoreStatus::Unknown;
+    // Empty: nobody holds the partition.
+    std::string member;
+};
+
 class StorePort {
 public:
     virtual ~StorePort() = default;
@@ -105,6 +111,8 @@
     // One page of the newest record of each key after `afterKey`. Pages are no snapshot.
     virtual boost::asio::awaitable<NewestResult> newest(TopicPart where, std::string_view afterKey, Milliseconds timeout) = 0;
     virtual boost::asio::awaitable<JoinResult> join(GroupMember member, Milliseconds timeout) = 0;
+    // Whether any member holds the partition now.
+    virtual boost::asio::awaitable<HolderResult> holder(std::string_view group, TopicPart part, Milliseconds timeout) = 0;
     virtual boost::asio::awaitable<void> leave(GroupMember member, Milliseconds timeout) = 0;
 };
 
--- a/plantainhold/testing/entry/EventLogTest.cpp
+++ b/plantainhold/testing/entry/EventLogTest.cpp
@@ -9,30 +9,30 @@
 #include <string>
 #include <unistd.h>
 
-using namespace plantainhold;
+namespace plantainhold {
 
 namespace {
 
-class Pipe {
-public:
-    Pipe() { REQUIRE(pipe(m_ends.data()) == 0); }
-    ~Pipe()
-    {
-        close(m_ends[0]);
-        close(m_ends[1]);
-    }
-    int writeEnd() const { return m_ends[1]; }
-    std::string read() const
-    {
-        std::string text(1 << 20, '\0');
-        ssize_t n = ::read(m_ends[0], text.data(), text.size());
-        text.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
-        return text;
-    }
+    class Pipe {
+    public:
+        Pipe() { REQUIRE(pipe(m_ends.data()) == 0); }
+        ~Pipe()
+        {
+            close(m_ends[0]);
+            close(m_ends[1]);
+        }
+        int writeEnd() const { return m_ends[1]; }
+        std::string read() const
+        {
+            std::string text(1 << 20, '\0');
+            ssize_t n = ::read(m_ends[0], text.data(), text.size());
+            text.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+            return text;
+        }
 
-private:
-    std::array<int, 2> m_ends {};
-};
+    private:
+        std::array<int, 2> m_ends {};
+    };
 
 } // namespace
 
@@ -78,3 +78,5 @@
     log.note(EventId::RunLost, { { "run", 1 } });
     CHECK(log.droppedLines() == dropped);
 }
+
+} // namespace plantainhold
--- a/plantainhold/testing/jobs/FillPacerTest.cpp
+++ b/plantainhold/testing/jobs/FillPacerTest.cpp
@@ -11,85 +11,85 @@
 #include <memory>
 #include <random>
 
-using namespace plantainhold;
+namespace plantainhold {
 
 namespace {
 
-constexpr double s_target = 18;
-constexpr double s_alone = 7;
-constexpr double s_pressing = 0.14;
+    constexpr double s_target = 18;
+    constexpr double s_alone = 7;
+    constexpr double s_pressing = 0.14;
 
-class Host {
-public:
-    Host()
-        : m_pacer(m_limits)
-    {
-    }
-
-    ActiveRun* add(const std::string& image, std::int64_t millicores, bool serves)
-    {
-        auto spec = std::make_shared<JobSpec>();
-        StepSpec& step = spec->steps.emplace_back();
-        step.taskCount = 1;
-        step.image = image;
-        step.resources.millicores = millicores;
-        step.lasts = serves;
-        step.targetTailMs = serves ? s_target : 0;
-        step.usesLeftoverCpu = !serves;
-        auto job = std::make_unique<ActiveJob>();
-        job->id = std::to_string(m_jobs.size());
-        job->spec = spec;
-        job->addOccurrence(m_now);
-        ActiveTask& task = job->occurrences[0].steps[0].tasks[0];
-        task.run = std::make_unique<ActiveRun>();
-        task.run->task = &task;
-        task.run->executor = &m_executor;
-        task.run->phase = RunPhase::Running;
-        task.run->percent = 100;
-        task.run->own = InterferenceTable::freshOwn();
-        m_executor.runs.push_back(task.run.get());
-        m_jobs.push_back(std::move(job));
-        return m_executor.runs.back();
-    }
+    class Host {
+    public:
+        Host()
+            : m_pacer(m_limits)
+        {
+        }
 
-    // Half a second of true tails, then a report.
-    void report()
-    {
-        m_now += Milliseconds(500);
-        std::normal_distribution<double> noise(0, 0.2);
-        for (ActiveRun* it : m_executor.runs) {
-            if (!it->task->step->spec->servesUsers())
-                it->figure = static_cast<double>(it->task->step->spec->resources.millicores) * it->orderedPace / 100;
+        ActiveRun* add(const std::string& image, std::int64_t millicores, bool serves)
+        {
+            auto spec = std::make_shared<JobSpec>();
+            StepSpec& step = spec->steps.emplace_back();
+            step.taskCount = 1;
+            step.image = image;
+            step.resources.millicores = millicores;
+            step.lasts = serves;
+            step.targetTailMs = serves ? s_target : 0;
+            step.usesLeftoverCpu = !serves;
+            auto job = std::make_unique<ActiveJob>();
+            job->id = std::to_string(m_jobs.size());
+            job->spec = spec;
+            job->addOccurrence(m_now);
+            ActiveTask& task = job->occurrences[0].steps[0].tasks[0];
+            task.run = std::make_unique<ActiveRun>();
+            task.run->task = &task;
+            task.run->executor = &m_executor;
+            task.run->phase = RunPhase::Running;
+            task.run->percent = 100;
+            task.run->own = InterferenceTable::freshOwn();
+            m_executor.runs.push_back(task.run.get());
+            m_jobs.push_back(std::move(job));
+            return m_executor.runs.back();
         }
-        for (ActiveRun* it : m_executor.runs) {
-            if (!it->task->step->spec->servesUsers())
-                continue;
-            double pressure = 0;
-            double& trueTail = m_trueTails[it];
-            for (ActiveRun* other : m_executor.runs)
-                pressure += other->task->step->spec->image == "heavy" && it->task->step->spec->image == "tender" ? s_pressing * other->figure / 1'000 : 0;
-            trueTail = s_alone * std::exp(pressure);
-            it->figure = trueTail * std::exp(noise(m_random));
+
+        // Half a second of true tails, then a report.
+        void report()
+        {
+            m_now += Milliseconds(500);
+            std::normal_distribution<double> noise(0, 0.2);
+            for (ActiveRun* it : m_executor.runs) {
+                if (!it->task->step->spec->servesUsers())
+                    it->figure = static_cast<double>(it->task->step->spec->resources.millicores) * it->orderedPace / 100;
+            }
+            for (ActiveRun* it : m_executor.runs) {
+                if (!it->task->step->spec->servesUsers())
+                    continue;
+                double pressure = 0;
+                double& trueTail = m_trueTails[it];
+                for (ActiveRun* other : m_executor.runs)
+                    pressure += other->task->step->spec->image == "heavy" && it->task->step->spec->image == "tender" ? s_pressing * other->figure / 1'000 : 0;
+                trueTail = s_alone * std::exp(pressure);
+                it->figure = trueTail * std::exp(noise(m_random));
+            }
+            m_pacer.steer(m_executor, m_now);
+            for (ActiveRun* it : m_executor.runs)
+                it->orderedPace = it->wantedPace;
         }
-        m_pacer.steer(m_executor, m_now);
-        for (ActiveRun* it : m_executor.runs)
-            it->orderedPace = it->wantedPace;
-    }
 
-    // Without the noise of the report.
-    double trueTail(const ActiveRun* run) const { return m_trueTails.at(run); }
-    FillPacer& pacer() { return m_pacer; }
-    ActiveExecutor& executor() { return m_executor; }
+        // Without the noise of the report.
+        double trueTail(const ActiveRun* run) const { return m_trueTails.at(run); }
+        FillPacer& pacer() { return m_pacer; }
+        ActiveExecutor& executor() { return m_executor; }
 
-private:
-    SchedulerLimits m_limits;
-    FillPacer m_pacer;
-    ActiveExecutor m_executor;
-    std::vector<std::unique_ptr<ActiveJob>> m_jobs;
-    std::map<const ActiveRun*, double> m_trueTails;
-    std::mt19937_64 m_random { 5 };
-    TimePoint m_now { std::chrono::hours(1) };
-};
+    private:
+        SchedulerLimits m_limits;
+        FillPacer m_pacer;
+        ActiveExecutor m_executor;
+        std::vector<std::unique_ptr<ActiveJob>> m_jobs;
+        std::map<const ActiveRun*, double> m_trueTails;
+        std::mt19937_64 m_random { 5 };
+        TimePoint m_now { std::chrono::hours(1) };
+    };
 
 } // namespace
 
@@ -158,3 +158,5 @@
     }
     CHECK(pace == 0);
 }
+
+} // namespace plantainhold
--- a/plantainhold/testing/jobs/JobBookTest.cpp
+++ b/plantainhold/testing/jobs/JobBookTest.cpp
@@ -7,36 +7,36 @@
 #include <catch2/catch.hpp>
 #include <random>
 
-using namespace plantainhold;
+namespace plantainhold {
 
 namespace {
 
-JobSpec exampleSpec()
-{
-    JobSpec spec;
-    spec.queue = "plans";
-    spec.payload = "week 12";
-    StepSpec first;
-    first.taskCount = 3;
-    first.resources = { 1'500, 256, 1 };
-    first.estimateMs = 900;
-    first.checkpoints = true;
-    first.requiredLabel = "a";
-    first.dataRack = "r1-2";
-    first.maxPerExecutor = 2;
-    first.image = "img";
-    first.targetTailMs = 18;
-    first.mayMiss = 1;
-    StepSpec second = first;
-    second.after = { 0 };
-    second.isGang = true;
-    second.usesLeftoverCpu = true;
-    spec.steps = { first, second };
-    spec.repeatCount = 2;
-    spec.firstDueUnixMs = 1'700'000'000'000;
-    spec.intervalMs = 250;
-    return spec;
-}
+    JobSpec exampleSpec()
+    {
+        JobSpec spec;
+        spec.queue = "plans";
+        spec.payload = "week 12";
+        StepSpec first;
+        first.taskCount = 3;
+        first.resources = { 1'500, 256, 1 };
+        first.estimateMs = 900;
+        first.checkpoints = true;
+        first.requiredLabel = "a";
+        first.dataRack = "r1-2";
+        first.maxPerExecutor = 2;
+        first.image = "img";
+        first.targetTailMs = 18;
+        first.mayMiss = 1;
+        StepSpec second = first;
+        second.after = { 0 };
+        second.isGang = true;
+        second.usesLeftoverCpu = true;
+        spec.steps = { first, second };
+        spec.repeatCount = 2;
+        spec.firstDueUnixMs = 1'700'000'000'000;
+        spec.intervalMs = 250;
+        return spec;
+    }
 
 } // namespace
 
@@ -125,3 +125,5 @@
     CHECK(book.size() == 0);
     CHECK(book.malformedRecords() == 4);
 }
+
+} // namespace plantainhold
--- a/plantainhold/testing/jobs/JobOrderTest.cpp
+++ b/plantainhold/testing/jobs/JobOrderTest.cpp
@@ -6,45 +6,45 @@
 #include <catch2/catch.hpp>
 #include <memory>
 
-using namespace plantainhold;
+namespace plantainhold {
 
 namespace {
 
-constexpr TimePoint s_start { std::chrono::hours(1) };
+    constexpr TimePoint s_start { std::chrono::hours(1) };
 
-class Jobs {
-public:
-    ActiveStep* add(std::int32_t priority, std::uint32_t estimateMs, Milliseconds age, bool lasts = false)
-    {
-        auto spec = std::make_shared<JobSpec>();
-        spec->queue = "q" + std::to_string(priority);
-        StepSpec& step = spec->steps.emplace_back();
-        step.taskCount = 2;
-        step.estimateMs = estimateMs;
-        step.lasts = lasts;
-        auto job = std::make_unique<ActiveJob>();
-        job->id = std::to_string(m_jobs.size());
-        job->spec = spec;
-        job->queue.name = spec->queue;
-        job->queue.priority = priority;
-        job->queue.deadlineFactor = 2;
-        job->queue.targetLatencyMs = 250;
-        job->serial = m_jobs.size();
-        job->seenAt = s_start - age;
-        job->addOccurrence(s_start);
-        m_jobs.push_back(std::move(job));
-        return &m_jobs.back()->occurrences[0].steps[0];
-    }
+    class Jobs {
+    public:
+        ActiveStep* add(std::int32_t priority, std::uint32_t estimateMs, Milliseconds age, bool lasts = false)
+        {
+            auto spec = std::make_shared<JobSpec>();
+            spec->queue = "q" + std::to_string(priority);
+            StepSpec& step = spec->steps.emplace_back();
+            step.taskCount = 2;
+            step.estimateMs = estimateMs;
+            step.lasts = lasts;
+            auto job = std::make_unique<ActiveJob>();
+            job->id = std::to_string(m_jobs.size());
+            job->spec = spec;
+            job->queue.name = spec->queue;
+            job->queue.priority = priority;
+            job->queue.deadlineFactor = 2;
+            job->queue.targetLatencyMs = 250;
+            job->serial = m_jobs.size();
+            job->seenAt = s_start - age;
+            job->addOccurrence(s_start);
+            m_jobs.push_back(std::move(job));
+            return &m_jobs.back()->occurrences[0].steps[0];
+        }
 
-private:
-    std::vector<std::unique_ptr<ActiveJob>> m_jobs;
-};
+    private:
+        std::vector<std::unique_ptr<ActiveJob>> m_jobs;
+    };
 
-std::vector<ActiveStep*> sorted(std::vector<ActiveStep*> steps)
-{
-    JobOrder().sort(steps, s_start);
-    return steps;
-}
+    std::vector<ActiveStep*> sorted(std::vector<ActiveStep*> steps)
+    {
+        JobOrder().sort(steps, s_start);
+        return steps;
+    }
 
 } // namespace
 
@@ -100,3 +100,5 @@
     CHECK(order.chainOf(spec) > Milliseconds(2'300));
     CHECK(order.chainOf(spec) < Milliseconds(2'500));
 }
+
+} // namespace plantainhold
--- a/plantainhold/testing/jobs/JobWorldTest.cpp
+++ b/plantainhold/testing/jobs/JobWorldTest.cpp
@@ -5,24 +5,24 @@
 
 #include <catch2/catch.hpp>
 
-using namespace plantainhold;
+namespace plantainhold {
 
 namespace {
 
-constexpr std::uint64_t s_seeds = 80;
+    constexpr std::uint64_t s_seeds = 80;
 
-// The seeds in which something broke.
-std::size_t brokenSeeds(WorldOptions options)
-{
-    std::size_t n = 0;
-    for (std::uint64_t seed = 1; seed <= s_seeds; ++seed) {
-        options.seed = seed;
-        JobWorld world(options);
-        world.run();
-        n += !world.broken().empty();
+    // The seeds in which something broke.
+    std::size_t brokenSeeds(WorldOptions options)
+    {
+        std::size_t n = 0;
+        for (std::uint64_t seed = 1; seed <= s_seeds; ++seed) {
+            options.seed = seed;
+            JobWorld world(options);
+            world.run();
+            n += !world.broken().empty();
+        }
+        return n;
     }
-    return n;
-}
 
 } // namespace
 
@@ -70,3 +70,5 @@
     options.lostAnswers = 0.3;
     CHECK(brokenSeeds(options) > 0);
 }
+
+} // namespace plantainhold
--- a/plantainhold/testing/platform/DecodersTest.cpp
+++ b/plantainhold/testing/platform/DecodersTest.cpp
@@ -5,18 +5,18 @@
 #include <catch2/catch.hpp>
 #include <random>
 
-using namespace plantainhold;
+namespace plantainhold {
 
 namespace {
 
-const std::string s_entry = R"({"service":"svc","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,"sequence":4,"born":1700000000123})";
-const std::string s_job = R"({"spec":"text","phases":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"data_rack":"r1-3"},{"count":20,"cpu":2000,"mem_mb":1024,"estimate_ms":7000,"after":[0],"checkpointing":true,"utilization":true,"image":"i"}],"repeat_count":2,"start_at_ms":5,"interval_ms":7})";
-const std::string s_config = R"({"version":7,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":250,"priority":2,"service":"svc","max_attempts":3,"deadline_factor":2.5},{"name":"s","host":"h.example","path_prefix":"/a/b/","service":"svc"}],"services":[{"name":"svc","enforces_capacity":true,"standby":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+    const std::string s_entry = R"({"service":"svc","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"clock_ms":482113,"sequence":4,"born":1700000000123})";
+    const std::string s_job = R"({"spec":"text","phases":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"data_rack":"r1-3"},{"count":20,"cpu":2000,"mem_mb":1024,"estimate_ms":7000,"after":[0],"checkpointing":true,"utilization":true,"image":"i"}],"repeat_count":2,"start_at_ms":5,"interval_ms":7})";
+    const std::string s_config = R"({"version":7,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":250,"priority":2,"service":"svc","max_attempts":3,"deadline_factor":2.5},{"name":"s","host":"h.example","path_prefix":"/a/b/","service":"svc"}],"services":[{"name":"svc","enforces_capacity":true,"standby":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 
-std::string replaced(std::string text, const std::string& what, const std::string& by)
-{
-    return text.replace(text.find(what), what.size(), by);
-}
+    std::string replaced(std::string text, const std::string& what, const std::string& by)
+    {
+        return text.replace(text.find(what), what.size(), by);
+    }
 
 } // namespace
 
@@ -92,3 +92,5 @@
     }
     SUCCEED();
 }
+
+} // namespace plantainhold
--- a/plantainhold/testing/store/MemoryStore.h
+++ b/plantainhold/testing/store/MemoryStore.h
@@ -69,6 +69,11 @@
         co_return JoinResult { joinStatus, generation, member.member == owner ? std::vector<std::uint32_t> { 0 } : std::vector<std::uint32_t> {} };
     }
 
+    boost::asio::awaitable<HolderResult> holder(std::string_view, TopicPart, Milliseconds) override
+    {
+        co_return HolderResult { joinStatus, owner };
+    }
+
     boost::asio::awaitable<void> leave(GroupMember, Milliseconds) override
     {
         owner.clear();
--- a/plantainhold/testing/store/StoreTest.cpp
+++ b/plantainhold/testing/store/StoreTest.cpp
@@ -12,66 +12,66 @@
 #include <functional>
 #include <random>
 
-using namespace plantainhold;
+namespace plantainhold {
 namespace asio = boost::asio;
 
 namespace {
 
-class Follower {
-public:
-    explicit Follower(MemoryStore& store)
-        : m_tail(store, m_events, "keyed.topic", 0, [this](const StoredRecord& it) {
+    class Follower {
+    public:
+        explicit Follower(MemoryStore& store)
+            : m_tail(store, m_events, "keyed.topic", 0, [this](const StoredRecord& it) {
+                if (it.value.empty())
+                    state.erase(it.key);
+                else
+                    state[it.key] = it.value;
+            })
+        {
+        }
+
+        StoreStatus poll()
+        {
+            StoreStatus status = StoreStatus::Unknown;
+            asio::io_context context;
+            asio::co_spawn(
+                context, [&]() -> asio::awaitable<void> { status = co_await m_tail.poll(Milliseconds(0), Milliseconds(100)); }, asio::detached);
+            context.run();
+            return status;
+        }
+
+        std::map<std::string, std::string> state;
+
+    private:
+        NoEvents m_events;
+        TopicTail m_tail;
+    };
+
+    std::map<std::string, std::string> truthOf(const MemoryStore& store)
+    {
+        std::map<std::string, std::string> state;
+        for (const StoredRecord& it : store.log) {
             if (it.value.empty())
                 state.erase(it.key);
             else
                 state[it.key] = it.value;
-        })
-    {
+        }
+        return state;
     }
 
-    StoreStatus poll()
+    StoreStatus put(MemoryStore& store, Milliseconds patience)
     {
-        StoreStatus status = StoreStatus::Unknown;
         asio::io_context context;
+        GroupCommit commit(context.get_executor(), store, "keyed.topic", 0);
+        StoreStatus status = StoreStatus::Invalid;
+        TimePoint deadline = std::chrono::steady_clock::now() + patience;
         asio::co_spawn(
-            context, [&]() -> asio::awaitable<void> { status = co_await m_tail.poll(Milliseconds(0), Milliseconds(100)); }, asio::detached);
+            context, [&]() -> asio::awaitable<void> {
+        KeyedRecord record { "k", "v" };
+        status = co_await commit.put(std::move(record), deadline); }, asio::detached);
         context.run();
         return status;
     }
 
-    std::map<std::string, std::string> state;
-
-private:
-    NoEvents m_events;
-    TopicTail m_tail;
-};
-
-std::map<std::string, std::string> truthOf(const MemoryStore& store)
-{
-    std::map<std::string, std::string> state;
-    for (const StoredRecord& it : store.log) {
-        if (it.value.empty())
-            state.erase(it.key);
-        else
-            state[it.key] = it.value;
-    }
-    return state;
-}
-
-StoreStatus put(MemoryStore& store, Milliseconds patience)
-{
-    asio::io_context context;
-    GroupCommit commit(context.get_executor(), store, "keyed.topic", 0);
-    StoreStatus status = StoreStatus::Invalid;
-    TimePoint deadline = std::chrono::steady_clock::now() + patience;
-    asio::co_spawn(
-        context, [&]() -> asio::awaitable<void> {
-        KeyedRecord record { "k", "v" };
-        status = co_await commit.put(std::move(record), deadline); }, asio::detached);
-    context.run();
-    return status;
-}
-
 } // namespace
 
 TEST_CASE("a follower holds what the topic holds, also when history expires unread")
@@ -117,3 +117,5 @@
     store.nextAppend.front() = StoreStatus::Unknown;
     CHECK(put(store, Milliseconds(300)) == StoreStatus::Unknown);
 }
+
+} // namespace plantainhold
