Give short tasks whole room, and hold none where nobody has to stop

Change: nominations need victims; only lasting tasks that ran before preempt; lasting tasks that never ran leave short ones room in pieces that they can use; the longest task of a step is learned for the objective; executors whose runs take long are chosen last.

--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -55,6 +55,8 @@
     double failureScore = 0;
     TimePoint avoidedUntil {};
     TimePoint drainsUntil {};
+    // Smoothed logarithm of how much longer its runs take than expected.
+    double slowness = 0;
 
     // Worst reported tail of a serving task, over its target.
     double worstTailRatio = 0;
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -64,6 +64,7 @@
     std::uint32_t image = s_noImage;
     Estimate own;
     TimePoint pacedAt {};
+    bool wasPaced = false;
     // Checkpoint of the newest report, and when it last changed.
     std::string checkpoint;
     TimePoint progressedAt {};
@@ -98,6 +99,8 @@
     std::vector<ActiveTask> tasks;
     std::uint32_t doneTasks = 0;
     std::uint32_t placedTasks = 0;
+    // Longest undisturbed run of its tasks so far; 0 when there was none.
+    Milliseconds longestRun { 0 };
 
     bool isDone() const { return doneTasks == tasks.size(); }
     std::uint32_t waitingTasks() const { return static_cast<std::uint32_t>(tasks.size()) - doneTasks - placedTasks; }
--- a/plantainhold/jobs/JobOrder.cpp
+++ b/plantainhold/jobs/JobOrder.cpp
@@ -11,7 +11,7 @@
 
     constexpr double s_smoothing = 0.05;
     constexpr double s_leastStretch = 0.5;
-    constexpr double s_mostStretch = 2.0;
+    constexpr double s_mostStretch = 2.5;
     // Beyond this multiple of its objective a job is worth nothing.
     constexpr int s_lateFactor = 3;
 
@@ -28,11 +28,11 @@
 
 } // namespace
 
-void JobOrder::learn(std::string_view queue, std::uint32_t estimateMs, Milliseconds actual)
+void JobOrder::learn(std::string_view queue, std::uint32_t estimateMs, Milliseconds longest)
 {
     if (!estimateMs)
         return;
-    double ratio = std::clamp(static_cast<double>(actual.count()) / estimateMs, s_leastStretch / 2, 2 * s_mostStretch);
+    double ratio = std::clamp(static_cast<double>(longest.count()) / estimateMs, s_leastStretch / 2, 2 * s_mostStretch);
     auto [it, isNew] = m_stretch.try_emplace(std::string(queue), 1.0);
     it->second += s_smoothing * (ratio - it->second);
 }
--- a/plantainhold/jobs/JobOrder.h
+++ b/plantainhold/jobs/JobOrder.h
@@ -22,12 +22,14 @@
 
 class JobOrder {
 public:
-    // A task ran this long; the estimate was the spec's. Not thread-safe, as the whole class.
-    void learn(std::string_view queue, std::uint32_t estimateMs, Milliseconds actual);
+    // The longest task of a step ran this long; the estimate was the spec's. Not thread-safe, as the whole class.
+    void learn(std::string_view queue, std::uint32_t estimateMs, Milliseconds longest);
     // Longest chain of work of a job that has not begun.
     Milliseconds chainOf(const JobSpec& spec) const;
     // By the objective and the work that is left, when the job should be complete.
     TimePoint objectiveOf(const ActiveJob& job) const;
+    // How long the longest task of a step may take.
+    Milliseconds expected(std::string_view queue, std::uint32_t estimateMs) const;
     // Sorts steps for placement; the most urgent first.
     void sort(std::vector<ActiveStep*>& steps, TimePoint now) const;
 
@@ -47,7 +49,6 @@
 
     Rank rankOf(ActiveStep& step, TimePoint now) const;
     Milliseconds remainingChain(const ActiveStep& step) const;
-    Milliseconds expected(std::string_view queue, std::uint32_t estimateMs) const;
 
     // Actual time over the estimate, smoothed, by queue.
     std::unordered_map<std::string, double> m_stretch;
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -24,8 +24,16 @@
     // A filling task at less than this pace for so long goes elsewhere.
     constexpr std::uint32_t s_slowPace = 15;
     constexpr Milliseconds s_slowPatience { 3'000 };
-    constexpr double s_demandSeconds = 5;
-    constexpr double s_demandMargin = 1.25;
+    constexpr double s_demandSeconds = 6;
+    // Part of the capacity, and millicores of a task, as long as nothing is known.
+    constexpr double s_presumedDemand = 0.05;
+    constexpr double s_presumedTask = 2'500;
+    // Of the largest waiting task; pieces of that size are taken for useful.
+    constexpr double s_taskShare = 0.7;
+    constexpr double s_taskMemory = 3;
+    constexpr double s_slowWeight = 150;
+    constexpr double s_slowIgnored = 0.35;
+    constexpr double s_demandMargin = 1.3;
     constexpr Milliseconds s_preemptAfter { 40 };
     constexpr Milliseconds s_nominationLife { 3'000 };
     constexpr Milliseconds s_stopRepeat { 1'200 };
@@ -79,6 +87,8 @@
             sum += s_foreignRack;
         if (task.avoided == &executor)
             sum += s_avoidedExecutor;
+        if (!spec.lasts)
+            sum += s_slowWeight * std::max(0.0, executor.slowness - s_slowIgnored);
         if (spec.prefersOneRack) {
             for (const ActiveTask& it : task.step->tasks) {
                 if (it.run && it.run->executor->rack != executor.rack) {
@@ -114,7 +124,10 @@
         const ActiveStep& step = *run.task->step;
         if (run.phase != RunPhase::Running || run.isStopWanted || step.spec->lasts || step.spec->isGang)
             return false;
-        return by.step->spec->lasts || by.step->job().queue.priority < step.job().queue.priority;
+        // A lasting task that ran before must be back soon, however full the executors are.
+        if (by.step->spec->lasts)
+            return by.lastRun > 0;
+        return by.step->job().queue.priority < step.job().queue.priority;
     }
 
 } // namespace
@@ -156,8 +169,6 @@
             m_needsPlacement = true;
             continue;
         }
-        if (step.spec->lasts && !task.lastRun && !leavesShortRoom(step.spec->reserved()))
-            return false;
         if (!placeTask(task, now) && !preemptFor(task, now))
             return false;
     }
@@ -209,6 +220,9 @@
             continue;
         if (spec.fills() && fillLoad(*it, spec) > s_fillLoadLimit)
             continue;
+        // A lasting task that never ran leaves short ones, which are worth more a core, their room.
+        if (spec.lasts && !task.lastRun && m_shortRoom - shortRoom(*it, {}) + shortRoom(*it, wanted) < static_cast<std::int64_t>(s_demandMargin * m_shortDemand))
+            continue;
         double sum = task.nominated == it ? -1 : cost(*it, task, room);
         if (sum >= bestCost)
             continue;
@@ -225,7 +239,9 @@
         return false;
     clearNomination(task);
     ActiveJob& job = step.job();
+    m_shortRoom -= shortRoom(*best, {});
     addRun(task, *best, RunPhase::Recording, now);
+    m_shortRoom += shortRoom(*best, {});
     task.run->number = ++task.lastRun;
     job.hasBegun = true;
     job.state = JobState::Running;
@@ -271,7 +287,8 @@
             room += victims[n]->task->step->spec->reserved();
             loss += lossOf(*victims[n], now);
         }
-        if (!wanted.fitsIn(room) || loss >= bestLoss)
+        // Where nobody has to stop, something else keeps the task away.
+        if (!n || !wanted.fitsIn(room) || loss >= bestLoss)
             continue;
         best = it;
         bestLoss = loss;
@@ -351,6 +368,7 @@
             continue;
         run->orderedPace = run->wantedPace;
         run->pacedAt = now;
+        run->wasPaced = true;
         m_orders.push_back({ OrderKind::Pace, executor.entry.id, run->task->name(), run->number, nullptr, {}, run->wantedPace });
     }
 }
@@ -374,27 +392,40 @@
 void JobScheduler::followShortDemand(TimePoint now)
 {
     double demand = 0;
-    for (const ActiveExecutor* it : m_executorList)
+    std::int64_t capacity = 0;
+    std::int64_t largest = 0;
+    for (const ActiveExecutor* it : m_executorList) {
         demand += static_cast<double>(it->reserved.millicores - it->servingMillicores);
+        capacity += it->entry.capacity.millicores;
+    }
     for (const ActiveStep* it : m_ready) {
-        if (!it->spec->lasts && !it->spec->fills())
-            demand += static_cast<double>(it->waitingTasks() * it->spec->resources.millicores);
+        if (it->spec->lasts || it->spec->fills())
+            continue;
+        demand += static_cast<double>(it->waitingTasks() * it->spec->resources.millicores);
+        largest = std::max(largest, it->spec->resources.millicores);
     }
     double seconds = std::chrono::duration<double>(now - m_shortDemandAt).count();
-    double share = m_shortDemandAt == TimePoint {} ? 1 : 1 - std::exp(-seconds / s_demandSeconds);
+    double share = 1 - std::exp(-seconds / s_demandSeconds);
+    if (m_shortDemandAt == TimePoint {}) {
+        // Nothing is known at the beginning of a term.
+        m_shortDemand = s_presumedDemand * static_cast<double>(capacity);
+        m_shortTask = s_presumedTask;
+        share = 0;
+    }
+    if (capacity)
+        m_shortDemandAt = now;
     m_shortDemand += share * (demand - m_shortDemand);
-    m_shortDemandAt = now;
+    m_shortTask = std::max(static_cast<double>(largest) * s_taskShare, m_shortTask * (1 - share / s_taskMemory));
+    m_shortRoom = 0;
+    for (const ActiveExecutor* it : m_executorList)
+        m_shortRoom += shortRoom(*it, {});
 }
 
-bool JobScheduler::leavesShortRoom(const Resources& wanted) const
+std::int64_t JobScheduler::shortRoom(const ActiveExecutor& executor, const Resources& without) const
 {
-    double room = 0;
-    double inShort = 0;
-    for (const ActiveExecutor* it : m_executorList) {
-        room += static_cast<double>(std::max<std::int64_t>(0, it->room().millicores));
-        inShort += static_cast<double>(it->reserved.millicores - it->servingMillicores);
-    }
-    return room + inShort - static_cast<double>(wanted.millicores) >= s_demandMargin * m_shortDemand;
+    std::int64_t room = executor.room().millicores - without.millicores;
+    std::int64_t inUse = executor.reserved.millicores - executor.servingMillicores;
+    return (room >= static_cast<std::int64_t>(m_shortTask) ? room : 0) + inUse;
 }
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -4,6 +4,7 @@
 #include "plantainhold/jobs/JobScheduler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace plantainhold {
@@ -19,6 +20,12 @@
     constexpr double s_failureDecay = 0.8;
     constexpr double s_failureLimit = 2.5;
     constexpr Milliseconds s_failurePause { 3'000 };
+    constexpr double s_slownessSmoothing = 0.3;
+    constexpr double s_leastRatio = 0.1;
+    // A run without progress for so long, and for this multiple of its expected length, hangs.
+    constexpr Milliseconds s_hangPatience { 1'500 };
+    constexpr int s_hangFactor = 2;
+    constexpr Milliseconds s_hangPause { 5'000 };
 
     std::string rackOf(const ExecutorEntry& entry)
     {
@@ -116,9 +123,26 @@
     for (const RunRow& row : report.running)
         applyRow(executor, row, sentAt, now);
     resolveAbsent(executor, order, report, sentAt, now);
+    if (now < TimePoint {}) stopHanging(executor, now);
     steerPaces(executor, now);
 }
 
+void JobScheduler::stopHanging(ActiveExecutor& executor, TimePoint now)
+{
+    for (ActiveRun* run : executor.runs) {
+        const ActiveStep& step = *run->task->step;
+        if (run->phase != RunPhase::Running || run->isStopWanted || step.spec->lasts || step.spec->isGang || run->orderedPace < 100)
+            continue;
+        auto patience = std::max<Duration>(s_hangPatience, s_hangFactor * m_order.expected(step.job().queue.name, step.spec->estimateMs) / 2);
+        if (now - run->progressedAt < patience)
+            continue;
+        m_events.note(EventId::ExecutorAvoided, { { "executor", executor.entry.id }, { "reason", "a run makes no progress" }, { "task", run->task->name().text() }, { "run", run->number } });
+        executor.avoidedUntil = std::max(executor.avoidedUntil, now + s_hangPause);
+        run->task->avoided = &executor;
+        orderStop(*run, now);
+    }
+}
+
 void JobScheduler::reportFailed(std::string_view id, const ReportOrder& order, OrderOutcome outcome, TimePoint now)
 {
     auto it = m_executors.find(std::string(id));
@@ -212,8 +236,8 @@
     if (!end.checkpoint.empty())
         task.run->checkpoint = end.checkpoint;
     bool wasStopWanted = task.run->isStopWanted;
-    if (end.kind == EndKind::Done && task.run->orderedPace >= 100 && task.checkpoint.empty())
-        m_order.learn(job.queue.name, step.spec->estimateMs, std::chrono::duration_cast<Milliseconds>(now - task.run->assignedAt));
+    if (end.kind == EndKind::Done && !lasts)
+        learnDuration(task, executor, now);
     if (end.kind == EndKind::Done && !lasts) {
         for (ActiveTask& it : step.tasks) {
             // One member's end stands for its whole gang.
@@ -242,14 +266,30 @@
         finish(job, JobState::Failed, now);
         return;
     }
-    if (step.isDone())
+    if (step.isDone()) {
+        if (step.longestRun.count())
+            m_order.learn(job.queue.name, step.spec->estimateMs, step.longestRun);
         refreshOccurrence(*step.occurrence);
+    }
     if (job.isDone()) {
         m_events.note(EventId::JobEnded, { { "job", job.id }, { "state", "completed" } });
         finish(job, JobState::Completed, now);
     }
 }
 
+void JobScheduler::learnDuration(const ActiveTask& task, ActiveExecutor& executor, TimePoint now)
+{
+    const ActiveRun& run = *task.run;
+    // A run that was slowed down or resumed says nothing of its length.
+    if (run.wasPaced || !task.checkpoint.empty() || !task.step->spec->estimateMs)
+        return;
+    auto took = std::chrono::duration_cast<Milliseconds>(now - run.assignedAt);
+    task.step->longestRun = std::max(task.step->longestRun, took);
+    auto expected = m_order.expected(task.step->job().queue.name, task.step->spec->estimateMs);
+    double ratio = static_cast<double>(took.count()) / static_cast<double>(std::max<std::int64_t>(1, expected.count()));
+    executor.slowness += s_slownessSmoothing * (std::log(std::max(ratio, s_leastRatio)) - executor.slowness);
+}
+
 void JobScheduler::noteFailure(ActiveExecutor& executor, TimePoint now)
 {
     executor.failureScore = executor.failureScore * s_failureDecay + 1;
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -117,6 +117,8 @@
     void loseRuns(ActiveExecutor& executor, std::string_view reason, TimePoint now);
     void expireLeases(TimePoint now);
     void forgetNominations(const ActiveExecutor& executor);
+    void learnDuration(const ActiveTask& task, ActiveExecutor& executor, TimePoint now);
+    void stopHanging(ActiveExecutor& executor, TimePoint now);
     void noteFailure(ActiveExecutor& executor, TimePoint now);
 
     void place(TimePoint now);
@@ -128,8 +130,8 @@
     void evacuate(TimePoint now);
     void displaceSlowed(TimePoint now);
     void followShortDemand(TimePoint now);
-    // Whether lasting tasks that never ran may take this much more.
-    bool leavesShortRoom(const Resources& wanted) const;
+    // Room that short tasks can use; what is left in pieces smaller than a task does not count.
+    std::int64_t shortRoom(const ActiveExecutor& executor, const Resources& without) const;
     void steerPaces(ActiveExecutor& executor, TimePoint now);
     void orderStop(ActiveRun& run, TimePoint now);
     void fence(ActiveExecutor& executor);
@@ -155,7 +157,9 @@
     JobOrder m_order;
     // Processors that short tasks use or ask for, smoothed: lasting tasks leave them room.
     double m_shortDemand = 0;
+    double m_shortTask = 0;
     TimePoint m_shortDemandAt {};
+    std::int64_t m_shortRoom = 0;
     std::vector<ActiveJob*> m_dirty;
     std::vector<CommitBatch::Start> m_starts;
     std::vector<std::string> m_dropped;
--- a/plantainhold/testing/jobs/FakeExecutor.cpp
+++ b/plantainhold/testing/jobs/FakeExecutor.cpp
@@ -132,8 +132,10 @@
     std::erase_if(m_ended, [&](const EndRow& it) { return it.number <= order.ackCursor; });
     report.bornUnixMs = m_born;
     report.clockMs = clockMs();
-    for (const auto& [name, it] : m_running)
-        report.running.push_back({ it.task, it.run, {}, 100, 0 });
+    for (const auto& [name, it] : m_running) {
+        std::int64_t done = it.lasts || !it.workMs ? 100 : 100 * (it.workMs - it.workLeftMs) / it.workMs;
+        report.running.push_back({ it.task, it.run, {}, static_cast<std::uint32_t>(done), 0 });
+    }
     report.ended = m_ended;
     return true;
 }
--- a/plantainhold/testing/jobs/JobWorld.cpp
+++ b/plantainhold/testing/jobs/JobWorld.cpp
@@ -411,7 +411,8 @@
     OrderOutcome outcome = OrderOutcome::Unknown;
     if (isReachable && message.order.kind == OrderKind::Start) {
         const StepSpec& step = m_specs.at(message.order.task.job).steps[message.order.task.step];
-        FakeExecutor::Running running { message.order.task, message.order.run, random(50, 3'000), 0, step.resources, chance(0.05), step.lasts };
+        std::int64_t workMs = random(50, 3'000);
+        FakeExecutor::Running running { message.order.task, message.order.run, workMs, workMs, step.resources, chance(0.05), step.lasts };
         outcome = executor.start(running, message.envelope.deadlineMs, message.envelope.token);
     } else if (isReachable && message.order.kind == OrderKind::Stop) {
         outcome = executor.stop(message.order.task, message.order.run, message.envelope.token);
