Skip by image, keep quiet executors for those that press, place cheaply

Change: requests that do not fit are remembered by image; a place without serving tasks costs more for what does not press; chains are measured once a job and loads kept an executor; one placement in 10 ms.

--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -58,6 +58,14 @@
     // Smoothed logarithm of how much longer its runs take than expected.
     double slowness = 0;
 
+    // By image of the serving tasks here, how much of what they can bear is used up,
+    // in log(tail / target) beyond it, with all filling tasks at full pace.
+    struct ServingLoad {
+        std::uint32_t image = 0;
+        double beyond = 0;
+    };
+    std::vector<ServingLoad> servingLoads;
+    bool areLoadsStale = true;
     // Worst reported tail of a serving task, over its target.
     double worstTailRatio = 0;
 
--- a/plantainhold/jobs/ActiveJob.cpp
+++ b/plantainhold/jobs/ActiveJob.cpp
@@ -26,6 +26,18 @@
     return std::all_of(steps.begin(), steps.end(), [](const ActiveStep& it) { return it.isDone(); });
 }
 
+void ActiveJob::measureChains()
+{
+    chains.clear();
+    for (const StepSpec& it : spec->steps)
+        chains.push_back(it.estimateMs);
+    for (std::size_t i = chains.size(); i-- > 0;) {
+        for (std::uint32_t before : spec->steps[i].after)
+            chains[before] = std::max(chains[before], spec->steps[before].estimateMs + chains[i]);
+    }
+    longestChain = chains.empty() ? 0 : *std::max_element(chains.begin(), chains.end());
+}
+
 ActiveOccurrence& ActiveJob::addOccurrence(TimePoint now)
 {
     ActiveOccurrence& occurrence = occurrences.emplace_back();
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -126,11 +126,16 @@
     TimePoint seenAt {};
     // Ties between jobs go by this.
     std::uint64_t serial = 0;
+    // Longest way from each step through those that wait for it, in estimated ms.
+    std::vector<double> chains;
+    double longestChain = 0;
     // Only those that are due.
     std::deque<ActiveOccurrence> occurrences;
     // What is stored is older than this.
     bool isDirty = false;
 
+    // Works out the chains. Precondition: the spec is set. Not thread-safe.
+    void measureChains();
     // Precondition: occurrences are added in order. Not thread-safe.
     ActiveOccurrence& addOccurrence(TimePoint now);
     // Null for a task that the job does not have, or not yet.
--- a/plantainhold/jobs/FillPacer.cpp
+++ b/plantainhold/jobs/FillPacer.cpp
@@ -44,9 +44,9 @@
         return run.phase == RunPhase::Running && run.task->step->spec->fills();
     }
 
-    double effectOf(const InterferenceTable& table, const ActiveRun& serving, std::uint32_t filling)
+    double effectOf(const InterferenceTable& table, std::uint32_t serving, std::uint32_t filling)
     {
-        double bound = table.effect(serving.image, filling).upperBound(s_caution);
+        double bound = table.effect(serving, filling).upperBound(s_caution);
         return bound < s_noEffect ? 0 : bound;
     }
 
@@ -55,6 +55,7 @@
 void FillPacer::steer(ActiveExecutor& executor, TimePoint now)
 {
     learn(executor, now);
+    executor.areLoadsStale = true;
     choosePaces(executor, now);
 }
 
@@ -65,6 +66,8 @@
         const StepSpec& spec = *it->task->step->spec;
         if (it->image == ActiveRun::s_noImage)
             it->image = m_table.idOf(spec.image);
+        if (spec.servesUsers() && std::find(m_servingImages.begin(), m_servingImages.end(), it->image) == m_servingImages.end())
+            m_servingImages.push_back(it->image);
         if (isFilling(*it))
             neighbours.push_back({ it->image, it->figure / s_milli });
     }
@@ -109,7 +112,7 @@
         if (!isServing(*serving))
             continue;
         // Those that press hardest a core are slowed down first.
-        auto effect = [&](const ActiveRun* it) { return effectOf(m_table, *serving, it->image); };
+        auto effect = [&](const ActiveRun* it) { return effectOf(m_table, serving->image, it->image); };
         std::sort(filling.begin(), filling.end(), [&](const ActiveRun* a, const ActiveRun* b) { return effect(a) > effect(b); });
         double excess = serving->own.mean - s_budget;
         for (const ActiveRun* it : filling)
@@ -138,22 +141,53 @@
     }
 }
 
-double FillPacer::excess(const ActiveExecutor& executor, const StepSpec& spec)
+double FillPacer::meanPress(const StepSpec& spec)
 {
+    if (m_servingImages.empty())
+        return 0;
     InterferenceTable::ImageId image = m_table.idOf(spec.image);
-    double worst = 0;
+    double sum = 0;
+    for (InterferenceTable::ImageId it : m_servingImages)
+        sum += effectOf(m_table, it, image) * coresOf(spec);
+    return sum / static_cast<double>(m_servingImages.size());
+}
+
+void FillPacer::refreshLoads(ActiveExecutor& executor)
+{
+    executor.areLoadsStale = false;
+    executor.servingLoads.clear();
     for (const ActiveRun* serving : executor.runs) {
         if (!serving->task->step->spec->servesUsers() || serving->image == ActiveRun::s_noImage)
             continue;
-        double press = effectOf(m_table, *serving, image) * coresOf(spec);
-        if (press <= 0)
+        auto same = [&](const ActiveExecutor::ServingLoad& it) { return it.image == serving->image; };
+        auto found = std::find_if(executor.servingLoads.begin(), executor.servingLoads.end(), same);
+        if (found == executor.servingLoads.end())
+            executor.servingLoads.push_back({ serving->image, serving->own.mean - s_budget });
+        else
+            found->beyond = std::max(found->beyond, serving->own.mean - s_budget);
+    }
+    for (const ActiveRun* it : executor.runs) {
+        const StepSpec& spec = *it->task->step->spec;
+        if (!spec.fills())
             continue;
-        double sum = serving->own.mean - s_budget + press;
-        for (const ActiveRun* it : executor.runs) {
-            if (it->task->step->spec->fills() && it->image != ActiveRun::s_noImage)
-                sum += effectOf(m_table, *serving, it->image) * coresOf(*it->task->step->spec);
-        }
-        worst = std::max(worst, std::min(sum, press));
+        InterferenceTable::ImageId image = it->image == ActiveRun::s_noImage ? m_table.idOf(spec.image) : it->image;
+        for (ActiveExecutor::ServingLoad& load : executor.servingLoads)
+            load.beyond += effectOf(m_table, load.image, image) * coresOf(spec);
+    }
+}
+
+double FillPacer::excess(ActiveExecutor& executor, const StepSpec& spec)
+{
+    if (executor.areLoadsStale)
+        refreshLoads(executor);
+    if (executor.servingLoads.empty())
+        return 0;
+    InterferenceTable::ImageId image = m_table.idOf(spec.image);
+    double cores = coresOf(spec);
+    double worst = 0;
+    for (const ActiveExecutor::ServingLoad& it : executor.servingLoads) {
+        double press = effectOf(m_table, it.image, image) * cores;
+        worst = std::max(worst, std::min(it.beyond + press, press));
     }
     return worst;
 }
--- a/plantainhold/jobs/FillPacer.h
+++ b/plantainhold/jobs/FillPacer.h
@@ -9,6 +9,8 @@
 #include "plantainhold/jobs/SchedulerLimits.h"
 #include "plantainhold/ports/Clock.h"
 
+#include <vector>
+
 namespace plantainhold {
 
 struct ActiveExecutor;
@@ -27,16 +29,21 @@
     void steer(ActiveExecutor& executor, TimePoint now);
     // What a task would add to the most pressed serving task there, beyond what that
     // one can bear, in log(tail / target); 0 when all can bear it at full pace.
-    double excess(const ActiveExecutor& executor, const StepSpec& spec);
+    double excess(ActiveExecutor& executor, const StepSpec& spec);
+    // What a task adds to serving tasks of the known images on average, in log(tail / target).
+    double meanPress(const StepSpec& spec);
 
 private:
     void learn(ActiveExecutor& executor, TimePoint now);
+    void refreshLoads(ActiveExecutor& executor);
     void choosePaces(ActiveExecutor& executor, TimePoint now);
     // The largest pace that the serving task's own misses allow, in percent.
     std::uint32_t ceiling(const ActiveRun& serving, TimePoint now) const;
 
     const SchedulerLimits& m_limits;
     InterferenceTable m_table;
+    // Images of the serving tasks that were seen.
+    std::vector<InterferenceTable::ImageId> m_servingImages;
 };
 
 } // namespace plantainhold
--- a/plantainhold/jobs/InterferenceTable.cpp
+++ b/plantainhold/jobs/InterferenceTable.cpp
@@ -21,13 +21,24 @@
     constexpr Estimate s_freshEffect { 0.03, square(0.06) };
     constexpr double s_leastEffectVariance = square(0.004);
     constexpr double s_largestEffect = 1.0;
-    constexpr std::size_t s_pairLimit = 16'384;
+    // Images beyond these are taken for unknown.
+    constexpr std::size_t s_imageLimit = 256;
+    constexpr std::size_t s_firstSide = 16;
 
 } // namespace
 
 InterferenceTable::ImageId InterferenceTable::idOf(std::string_view image)
 {
-    return m_images.try_emplace(std::string(image), static_cast<ImageId>(m_images.size())).first->second;
+    auto [it, isNew] = m_images.try_emplace(std::string(image), static_cast<ImageId>(m_images.size()));
+    if (isNew && m_images.size() > m_side && m_side < s_imageLimit) {
+        std::size_t side = std::max(s_firstSide, 2 * m_side);
+        std::vector<Estimate> effects(side * side, s_freshEffect);
+        for (std::size_t row = 0; row < m_side; ++row)
+            std::copy_n(m_effects.begin() + static_cast<std::ptrdiff_t>(row * m_side), m_side, effects.begin() + static_cast<std::ptrdiff_t>(row * side));
+        m_effects = std::move(effects);
+        m_side = side;
+    }
+    return it->second;
 }
 
 Estimate InterferenceTable::freshOwn()
@@ -35,15 +46,17 @@
     return s_freshOwn;
 }
 
-std::uint64_t InterferenceTable::keyOf(ImageId serving, ImageId filling)
+const Estimate* InterferenceTable::find(ImageId serving, ImageId filling) const
 {
-    return std::uint64_t(serving) << 32 | filling;
+    if (serving >= m_side || filling >= m_side)
+        return nullptr;
+    return &m_effects[serving * m_side + filling];
 }
 
 Estimate InterferenceTable::effect(ImageId serving, ImageId filling) const
 {
-    auto it = m_effects.find(keyOf(serving, filling));
-    return it == m_effects.end() ? s_freshEffect : it->second;
+    const Estimate* found = find(serving, filling);
+    return found ? *found : s_freshEffect;
 }
 
 void InterferenceTable::learn(ImageId serving, Estimate& own, double tailRatio, std::span<const Neighbour> neighbours)
@@ -58,15 +71,12 @@
     coordinates.push_back({ &own, 1 });
     double predicted = own.mean;
     for (const Neighbour& it : neighbours) {
-        auto found = m_effects.find(keyOf(serving, it.image));
-        if (found == m_effects.end()) {
-            if (m_effects.size() >= s_pairLimit)
-                continue;
-            found = m_effects.emplace(keyOf(serving, it.image), s_freshEffect).first;
-        }
-        found->second.variance += square(s_effectDrift);
-        predicted += found->second.mean * it.cores;
-        coordinates.push_back({ &found->second, it.cores });
+        auto* effect = const_cast<Estimate*>(find(serving, it.image));
+        if (!effect)
+            continue;
+        effect->variance += square(s_effectDrift);
+        predicted += effect->mean * it.cores;
+        coordinates.push_back({ effect, it.cores });
     }
     double total = square(s_sampleNoise);
     for (const Coordinate& it : coordinates)
--- a/plantainhold/jobs/InterferenceTable.h
+++ b/plantainhold/jobs/InterferenceTable.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace plantainhold {
 
@@ -38,10 +39,13 @@
     static Estimate freshOwn();
 
 private:
-    static std::uint64_t keyOf(ImageId serving, ImageId filling);
+    // Null for images beyond those that effects are kept for.
+    const Estimate* find(ImageId serving, ImageId filling) const;
 
     std::unordered_map<std::string, ImageId> m_images;
-    std::unordered_map<std::uint64_t, Estimate> m_effects;
+    // A square of rows by serving image; looked up for each pair of neighbours.
+    std::vector<Estimate> m_effects;
+    std::size_t m_side = 0;
 };
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobOrder.cpp
+++ b/plantainhold/jobs/JobOrder.cpp
@@ -15,17 +15,6 @@
     // Beyond this multiple of its objective a job is worth nothing.
     constexpr int s_lateFactor = 3;
 
-    // Longest way from each step through those that wait for it.
-    std::vector<Milliseconds> chainsFrom(const JobSpec& spec, const std::vector<Milliseconds>& times)
-    {
-        std::vector<Milliseconds> chains = times;
-        for (std::size_t i = spec.steps.size(); i-- > 0;) {
-            for (std::uint32_t before : spec.steps[i].after)
-                chains[before] = std::max(chains[before], times[before] + chains[i]);
-        }
-        return chains;
-    }
-
 } // namespace
 
 void JobOrder::learn(std::string_view queue, std::uint32_t estimateMs, Milliseconds longest)
@@ -37,37 +26,23 @@
     it->second += s_smoothing * (ratio - it->second);
 }
 
-Milliseconds JobOrder::expected(std::string_view queue, std::uint32_t estimateMs) const
+double JobOrder::stretchOf(const std::string& queue) const
 {
-    auto it = m_stretch.find(std::string(queue));
-    double stretch = it == m_stretch.end() ? 1.0 : std::clamp(it->second, s_leastStretch, s_mostStretch);
-    return Milliseconds(static_cast<std::int64_t>(estimateMs * stretch));
+    auto it = m_stretch.find(queue);
+    return it == m_stretch.end() ? 1.0 : std::clamp(it->second, s_leastStretch, s_mostStretch);
 }
 
-Milliseconds JobOrder::chainOf(const JobSpec& spec) const
+Milliseconds JobOrder::expected(const std::string& queue, std::uint32_t estimateMs) const
 {
-    std::vector<Milliseconds> times;
-    for (const StepSpec& it : spec.steps)
-        times.push_back(expected(spec.queue, it.estimateMs));
-    std::vector<Milliseconds> chains = chainsFrom(spec, times);
-    return chains.empty() ? Milliseconds(0) : *std::max_element(chains.begin(), chains.end());
+    return Milliseconds(static_cast<std::int64_t>(estimateMs * stretchOf(queue)));
 }
 
 TimePoint JobOrder::objectiveOf(const ActiveJob& job) const
 {
-    double allowed = job.queue.deadlineFactor * static_cast<double>(chainOf(*job.spec).count()) + job.queue.targetLatencyMs;
+    double allowed = job.queue.deadlineFactor * job.longestChain * stretchOf(job.queue.name) + job.queue.targetLatencyMs;
     return job.seenAt + Milliseconds(static_cast<std::int64_t>(allowed));
 }
 
-Milliseconds JobOrder::remainingChain(const ActiveStep& step) const
-{
-    const JobSpec& spec = *step.job().spec;
-    std::vector<Milliseconds> times;
-    for (const StepSpec& it : spec.steps)
-        times.push_back(expected(spec.queue, it.estimateMs));
-    return chainsFrom(spec, times)[step.number];
-}
-
 JobOrder::Rank JobOrder::rankOf(ActiveStep& step, TimePoint now) const
 {
     const ActiveJob& job = step.job();
@@ -77,7 +52,7 @@
     }
     auto serial = static_cast<std::int64_t>(job.serial);
     TimePoint objective = objectiveOf(job);
-    TimePoint end = now + remainingChain(step);
+    TimePoint end = now + Milliseconds(static_cast<std::int64_t>(job.chains[step.number] * stretchOf(job.queue.name)));
     if (end <= objective)
         return { job.queue.priority, job.hasBegun ? Chance::Begun : Chance::Fresh, job.hasBegun ? serial : -serial, &step };
     bool isLate = end <= job.seenAt + s_lateFactor * (objective - job.seenAt);
--- a/plantainhold/jobs/JobOrder.h
+++ b/plantainhold/jobs/JobOrder.h
@@ -18,18 +18,15 @@
 
 struct ActiveJob;
 struct ActiveStep;
-struct JobSpec;
 
 class JobOrder {
 public:
     // The longest task of a step ran this long; the estimate was the spec's. Not thread-safe, as the whole class.
     void learn(std::string_view queue, std::uint32_t estimateMs, Milliseconds longest);
-    // Longest chain of work of a job that has not begun.
-    Milliseconds chainOf(const JobSpec& spec) const;
-    // By the objective and the work that is left, when the job should be complete.
+    // When the job should be complete. Precondition, here and below: its chains are measured.
     TimePoint objectiveOf(const ActiveJob& job) const;
     // How long the longest task of a step may take.
-    Milliseconds expected(std::string_view queue, std::uint32_t estimateMs) const;
+    Milliseconds expected(const std::string& queue, std::uint32_t estimateMs) const;
     // Sorts steps for placement; the most urgent first.
     void sort(std::vector<ActiveStep*>& steps, TimePoint now) const;
 
@@ -48,7 +45,7 @@
     };
 
     Rank rankOf(ActiveStep& step, TimePoint now) const;
-    Milliseconds remainingChain(const ActiveStep& step) const;
+    double stretchOf(const std::string& queue) const;
 
     // Actual time over the estimate, smoothed, by queue.
     std::unordered_map<std::string, double> m_stretch;
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <string_view>
+#include <unordered_map>
 
 namespace plantainhold {
 
@@ -21,6 +23,12 @@
     constexpr double s_mostExcess = 0.25;
     constexpr double s_excessWeight = 400;
     constexpr double s_otherImage = 40;
+    // A lasting task on an executor that had none.
+    constexpr double s_openedExecutor = 90;
+    // A task that presses on nobody, where there is nobody to press on.
+    constexpr double s_quietPlace = 120;
+    // What counts as pressing hard, in log(tail / target).
+    constexpr double s_heavyPress = 0.25;
     // A filling task at less than this pace for so long goes elsewhere.
     constexpr std::uint32_t s_slowPace = 15;
     constexpr Milliseconds s_slowPatience { 3'000 };
@@ -79,7 +87,7 @@
         return (busy + filling) / static_cast<double>(std::max<std::int64_t>(1, executor.entry.capacity.millicores));
     }
 
-    double cost(const ActiveExecutor& executor, const ActiveTask& task, const Resources& room)
+    double cost(const ActiveExecutor& executor, const ActiveTask& task, const Resources& room, double press)
     {
         const StepSpec& spec = *task.step->spec;
         double sum = 0;
@@ -102,8 +110,12 @@
             // Serving tasks of one image together: what presses on them has places elsewhere.
             for (const ActiveRun* it : executor.runs)
                 sum += it->task->step->spec->servesUsers() && it->task->step->spec->image != spec.image ? s_otherImage : 0;
+            sum += executor.servingRuns ? 0 : s_openedExecutor;
             return sum + s_sameStep * tasksOf(executor, *task.step) + s_leftRoom * left;
         }
+        // Executors without serving tasks are left to those that would press on them.
+        if (spec.fills() && !executor.servingRuns)
+            sum += s_quietPlace * std::max(0.0, 1 - press / s_heavyPress);
         if (spec.fills())
             return sum + s_fillLoadWeight * fillLoad(executor, spec);
         return sum + s_leftRoom * left;
@@ -135,9 +147,8 @@
 void JobScheduler::place(TimePoint now)
 {
     m_needsPlacement = false;
-    // The smallest request that did not fit: what asks for more need not be tried.
-    std::int64_t leastMillicores = std::numeric_limits<std::int64_t>::max();
-    std::int64_t leastMemory = std::numeric_limits<std::int64_t>::max();
+    // By image, the smallest request that did not fit: what asks for more need not be tried.
+    std::unordered_map<std::string_view, Resources> rejected;
     std::size_t scanned = 0;
     followShortDemand(now);
     std::vector<ActiveStep*> steps(m_ready.begin(), m_ready.end());
@@ -147,15 +158,13 @@
         if (++scanned > s_stepsScanned)
             break;
         const StepSpec& spec = *step.spec;
-        Resources wanted = spec.reserved();
-        bool isHopeless = wanted.millicores >= leastMillicores && wanted.memoryMib >= leastMemory;
-        if (isHopeless && !spec.lasts && step.job().queue.priority > 0)
+        auto least = rejected.find(spec.image);
+        if (spec.fills() && least != rejected.end() && least->second.fitsIn(spec.resources))
             continue;
         bool isPlaced = spec.isGang ? placeGang(step, now) : placeStep(step, now);
-        if (!isPlaced && spec.fills()) {
-            leastMillicores = std::min(leastMillicores, wanted.millicores);
-            leastMemory = std::min(leastMemory, wanted.memoryMib);
-        }
+        bool isPlain = spec.requiredLabel.empty() && !spec.maxPerExecutor;
+        if (!isPlaced && spec.fills() && isPlain)
+            rejected[spec.image] = spec.resources;
     }
 }
 
@@ -210,6 +219,7 @@
     ActiveStep& step = *task.step;
     const StepSpec& spec = *step.spec;
     Resources wanted = spec.reserved();
+    double press = spec.fills() ? m_pacer.meanPress(spec) : 0;
     ActiveExecutor* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     for (ActiveExecutor* it : m_executorList) {
@@ -223,7 +233,7 @@
         // A lasting task that never ran leaves short ones, which are worth more a core, their room.
         if (spec.lasts && !task.lastRun && m_shortRoom - shortRoom(*it, {}) + shortRoom(*it, wanted) < static_cast<std::int64_t>(s_demandMargin * m_shortDemand))
             continue;
-        double sum = task.nominated == it ? -1 : cost(*it, task, room);
+        double sum = task.nominated == it ? -1 : cost(*it, task, room, press);
         if (sum >= bestCost)
             continue;
         double excess = spec.fills() ? m_pacer.excess(*it, spec) : 0;
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -123,7 +123,8 @@
     for (const RunRow& row : report.running)
         applyRow(executor, row, sentAt, now);
     resolveAbsent(executor, order, report, sentAt, now);
-    if (now < TimePoint {}) stopHanging(executor, now);
+    if (now < TimePoint {})
+        stopHanging(executor, now);
     steerPaces(executor, now);
 }
 
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -15,6 +15,8 @@
     // Tokens of one generation; more orders than that in one ownership cannot be fenced apart.
     constexpr unsigned s_tokenBits = 24;
     constexpr Milliseconds s_idleWake { 1'000 };
+    // What changes close together is placed together.
+    constexpr Milliseconds s_placePause { 10 };
 
 } // namespace
 
@@ -56,6 +58,7 @@
     auto job = std::make_unique<ActiveJob>();
     job->id = id;
     job->spec = booked.spec;
+    job->measureChains();
     job->queue.name = booked.spec->queue;
     job->seenAt = now;
     // The order of submission, also across owners.
@@ -226,6 +229,7 @@
     executor.fillingMillicores += spec.fills() ? spec.resources.millicores : 0;
     executor.servingMillicores += spec.servesUsers() ? spec.resources.millicores : 0;
     ++task.step->placedTasks;
+    executor.areLoadsStale = true;
 }
 
 void JobScheduler::endRun(ActiveTask& task, TimePoint now)
@@ -239,6 +243,7 @@
     executor.fillingMillicores -= spec.fills() ? spec.resources.millicores : 0;
     executor.servingMillicores -= spec.servesUsers() ? spec.resources.millicores : 0;
     std::erase(executor.runs, &run);
+    executor.areLoadsStale = true;
     if (!run.checkpoint.empty())
         task.checkpoint = run.checkpoint;
     --task.step->placedTasks;
@@ -279,8 +284,12 @@
     expireLeases(now);
     evacuate(now);
     displaceSlowed(now);
-    if (m_needsPlacement)
+    if (m_needsPlacement && now >= m_placedAt + s_placePause) {
+        m_placedAt = now;
         place(now);
+    } else if (m_needsPlacement) {
+        wakeAt(m_placedAt + s_placePause);
+    }
     while (!m_finished.empty() && m_finished.begin()->first <= now) {
         m_dropped.push_back(m_finished.begin()->second);
         m_finishedAt.erase(m_finished.begin()->second);
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -168,6 +168,7 @@
     std::uint64_t m_nextSerial = 1;
     TimePoint m_wakeAt {};
     bool m_needsPlacement = true;
+    TimePoint m_placedAt {};
     SchedulerCounters m_counters;
 };
 
--- a/plantainhold/testing/jobs/JobOrderTest.cpp
+++ b/plantainhold/testing/jobs/JobOrderTest.cpp
@@ -25,6 +25,7 @@
             auto job = std::make_unique<ActiveJob>();
             job->id = std::to_string(m_jobs.size());
             job->spec = spec;
+            job->measureChains();
             job->queue.name = spec->queue;
             job->queue.priority = priority;
             job->queue.deadlineFactor = 2;
@@ -88,17 +89,13 @@
 TEST_CASE("estimates that are always too low are corrected by what tasks took")
 {
     JobOrder order;
-    JobSpec spec;
-    spec.queue = "q";
-    spec.steps.resize(2);
-    spec.steps[0].estimateMs = 1'000;
-    spec.steps[1].estimateMs = 500;
-    spec.steps[1].after = { 0 };
-    CHECK(order.chainOf(spec) == Milliseconds(1'500));
+    Jobs jobs;
+    const ActiveJob& job = jobs.add(0, 1'000, Milliseconds(0))->job();
+    CHECK(order.objectiveOf(job) == s_start + Milliseconds(2'250));
     for (int i = 0; i < 200; ++i)
-        order.learn("q", 1'000, Milliseconds(1'600));
-    CHECK(order.chainOf(spec) > Milliseconds(2'300));
-    CHECK(order.chainOf(spec) < Milliseconds(2'500));
+        order.learn("q0", 1'000, Milliseconds(1'600));
+    CHECK(order.objectiveOf(job) > s_start + Milliseconds(3'400));
+    CHECK(order.objectiveOf(job) < s_start + Milliseconds(3'500));
 }
 
 } // namespace plantainhold
