--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -25,7 +25,7 @@
     constexpr Milliseconds s_orderTimeout { 1'000 };
     constexpr Milliseconds s_reportTimeout { 1'000 };
     // Ends that come close together are reported together.
-    constexpr Milliseconds s_reportPause { 40 };
+    constexpr Milliseconds s_reportPause { 90 };
     constexpr Milliseconds s_reportRetry { 300 };
     constexpr Milliseconds s_executorsWait { 2'000 };
     constexpr Milliseconds s_executorsPause { 200 };
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -23,10 +23,8 @@
     constexpr double s_mostExcess = 0.25;
     constexpr double s_excessWeight = 400;
     constexpr double s_otherImage = 40;
-    // A lasting task on an executor that had none.
-    constexpr double s_openedExecutor = 90;
     // A task that presses on nobody, where there is nobody to press on.
-    constexpr double s_quietPlace = 120;
+    constexpr double s_quietPlace = 50;
     // What counts as pressing hard, in log(tail / target).
     constexpr double s_heavyPress = 0.25;
     // A filling task at less than this pace for so long goes elsewhere.
@@ -110,7 +108,6 @@
             // Serving tasks of one image together: what presses on them has places elsewhere.
             for (const ActiveRun* it : executor.runs)
                 sum += it->task->step->spec->servesUsers() && it->task->step->spec->image != spec.image ? s_otherImage : 0;
-            sum += executor.servingRuns ? 0 : s_openedExecutor;
             return sum + s_sameStep * tasksOf(executor, *task.step) + s_leftRoom * left;
         }
         // Executors without serving tasks are left to those that would press on them.
