Ask for advice where a queue needs it; test single decisions

Queues with a recommendation ran nothing: orders to start without a ticket are rejected. A step asks about up to 30 executors with most room, one call at a time; orders carry the ticket; a lapsed one or no answer is asked for again. Tested without a network. Also tests of the patterns mended before: nominations, preemption, the release of a term, unanswered starts.

--- a/cmd/plantainhold_jobsd/Main.cpp
+++ b/cmd/plantainhold_jobsd/Main.cpp
@@ -3,6 +3,7 @@
 
 #include "plantainhold/base/ResultError.h"
 #include "plantainhold/entry/EntryInstance.h"
+#include "platform/AdviceClient.h"
 #include "platform/Decoders.h"
 #include "platform/ExecutorClient.h"
 #include "platform/JobRequests.h"
@@ -11,6 +12,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <tclap/CmdLine.h>
 #include <unistd.h>
 
@@ -50,9 +52,12 @@
         EventLog log(STDOUT_FILENO, settings.instance);
         platform::StoreClient store(context.get_executor(), settings.storeAddress, log);
         platform::ExecutorClient executors(context.get_executor());
+        std::optional<platform::AdviceClient> advice;
+        if (!settings.adviceAddress.empty())
+            advice.emplace(context.get_executor(), settings.adviceAddress);
         EntryAdapters adapters { store, executors, platform::decodeExecutor, platform::decodeConfig,
             platform::handleJobRequest,
-            std::string(platform::s_operatorTopic), std::string(platform::s_configKey), std::string(platform::s_executorsTopic) };
+            std::string(platform::s_operatorTopic), std::string(platform::s_configKey), std::string(platform::s_executorsTopic), advice ? &*advice : nullptr };
         EntryInstance instance(context, settings, std::move(adapters), log);
         instance.start();
         context.run();
--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -130,7 +130,7 @@
 
 void EntryInstance::ownershipGained(std::uint64_t generation)
 {
-    OwnerParts parts { m_adapters.store, m_adapters.executors, m_records, m_keeper, m_log, m_adapters.decodeExecutor, m_adapters.executorsTopic };
+    OwnerParts parts { m_adapters.store, m_adapters.executors, m_records, m_keeper, m_log, m_adapters.decodeExecutor, m_adapters.executorsTopic, m_adapters.advice };
     m_owner = std::make_shared<JobOwner>(m_context.get_executor(), m_settings, std::move(parts), generation);
     m_owner->start(m_config);
 }
--- a/plantainhold/entry/EntryInstance.h
+++ b/plantainhold/entry/EntryInstance.h
@@ -32,6 +32,8 @@
     std::string operatorTopic;
     std::string configKey;
     std::string executorsTopic;
+    // Null where no advice is to be had.
+    AdvicePort* advice = nullptr;
 };
 
 class EntryInstance {
--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -24,6 +24,7 @@
     constexpr Milliseconds s_commitPause { 15 };
     constexpr Milliseconds s_orderTimeout { 1'000 };
     constexpr Milliseconds s_reportTimeout { 1'000 };
+    constexpr Milliseconds s_adviceTimeout { 3'000 };
     // Ends that come close together are reported together.
     constexpr Milliseconds s_reportPause { 90 };
     constexpr Milliseconds s_reportRetry { 300 };
@@ -199,6 +200,13 @@
     TimePoint next = m_scheduler->advance(now, BootClock::unixMs());
     for (ExecutorOrder& it : m_scheduler->orders())
         dispatch(std::move(it));
+    for (AdviceRequest& it : m_scheduler->adviceRequests())
+        m_adviceQueue.push_back(std::move(it));
+    if (!m_adviceQueue.empty() && !m_isAsking) {
+        m_isAsking = true;
+        asio::co_spawn(
+            m_executor, [self = shared_from_this()]() { return self->adviceLoop(); }, asio::detached);
+    }
     ensureLinks();
     m_commitSignal.cancel();
     m_advanceTimer.expires_after(std::max<Duration>(next - now, Milliseconds(5)));
@@ -318,6 +326,23 @@
     wake();
 }
 
+asio::awaitable<void> JobOwner::adviceLoop()
+{
+    // The service takes one call at a time from each caller; more would only wait there.
+    while (!m_isStopped && !m_adviceQueue.empty()) {
+        AdviceRequest request = std::move(m_adviceQueue.front());
+        m_adviceQueue.pop_front();
+        Advice advice;
+        if (m_parts.advice)
+            advice = co_await m_parts.advice->advise(request, s_adviceTimeout);
+        if (m_isStopped)
+            break;
+        m_scheduler->advised(request, advice, BootClock::now());
+        wake();
+    }
+    m_isAsking = false;
+}
+
 asio::awaitable<void> JobOwner::stateLoop()
 {
     while (!m_isStopped) {
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -37,6 +37,8 @@
     EventSink& events;
     ExecutorDecoder decodeExecutor;
     std::string_view executorsTopic;
+    // Null where no advice is to be had.
+    AdvicePort* advice = nullptr;
 };
 
 class JobOwner : public std::enable_shared_from_this<JobOwner> {
@@ -76,6 +78,7 @@
     boost::asio::awaitable<void> dropSubmissions(std::vector<std::string> ids);
     boost::asio::awaitable<void> reportLoop(std::shared_ptr<Link> link);
     boost::asio::awaitable<void> reportOnce(std::shared_ptr<Link> link, bool isUrgent);
+    boost::asio::awaitable<void> adviceLoop();
     boost::asio::awaitable<void> send(std::shared_ptr<Link> link, ExecutorOrder order);
     boost::asio::awaitable<void> sleep(Milliseconds time);
 
@@ -104,6 +107,8 @@
     bool m_isStopped = false;
     bool m_isReleased = false;
     bool m_isPumpPosted = false;
+    std::deque<AdviceRequest> m_adviceQueue;
+    bool m_isAsking = false;
 };
 
 } // namespace plantainhold
--- a/plantainhold/jobs/ActiveJob.cpp
+++ b/plantainhold/jobs/ActiveJob.cpp
@@ -16,6 +16,17 @@
     return *occurrence->job;
 }
 
+std::string ActiveStep::ticketFor(const std::string& executor) const
+{
+    auto it = tickets.find(executor);
+    return it == tickets.end() ? std::string() : it->second;
+}
+
+bool ActiveStep::lacksAdvice(TimePoint now) const
+{
+    return job().queue.needsAdvice && now >= ticketsUntil;
+}
+
 bool ActiveOccurrence::isReady(const ActiveStep& step) const
 {
     return std::all_of(step.spec->after.begin(), step.spec->after.end(), [this](std::uint32_t it) { return steps[it].isDone(); });
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -14,6 +14,7 @@
 #include <limits>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace plantainhold {
@@ -99,12 +100,22 @@
     std::vector<ActiveTask> tasks;
     std::uint32_t doneTasks = 0;
     std::uint32_t placedTasks = 0;
+    // Of a queue that needs advice: tickets by executor, until when they hold, and
+    // whether a request for them is on its way.
+    std::unordered_map<std::string, std::string> tickets;
+    TimePoint ticketsUntil {};
+    bool isAdviceAsked = false;
+    TimePoint askAdviceAfter {};
     // Longest undisturbed run of its tasks so far; 0 when there was none.
     Milliseconds longestRun { 0 };
 
     bool isDone() const { return doneTasks == tasks.size(); }
     std::uint32_t waitingTasks() const { return static_cast<std::uint32_t>(tasks.size()) - doneTasks - placedTasks; }
     ActiveJob& job() const;
+    // Empty where there is none.
+    std::string ticketFor(const std::string& executor) const;
+    // The queue needs advice and none is in force.
+    bool lacksAdvice(TimePoint now) const;
 };
 
 struct ActiveOccurrence {
--- a/plantainhold/jobs/JobOrders.h
+++ b/plantainhold/jobs/JobOrders.h
@@ -28,6 +28,8 @@
     // Start only: holds the payload, and where to resume from.
     std::shared_ptr<const JobSpec> spec;
     std::string checkpoint;
+    // Start only, on a queue that needs advice.
+    std::string ticket;
     // Pace only.
     std::uint32_t percent = 100;
 };
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -8,6 +8,7 @@
 #include <limits>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 
 namespace plantainhold {
 
@@ -50,6 +51,10 @@
     constexpr double s_servingUse = 0.45;
     constexpr double s_fillLoadLimit = 1.0;
     constexpr double s_fillLoadWeight = 100;
+    constexpr std::size_t s_advisedExecutors = 30;
+    constexpr Milliseconds s_adviceRetry { 300 };
+    // An order takes a while from here to the executor.
+    constexpr Milliseconds s_ticketReserve { 500 };
     constexpr std::size_t s_stepsScanned = 400;
 
     bool hasLabel(const ActiveExecutor& executor, const std::string& label)
@@ -73,6 +78,8 @@
             return false;
         if (!hasLabel(executor, spec.requiredLabel))
             return false;
+        if (step.job().queue.needsAdvice && !step.tickets.contains(executor.entry.id))
+            return false;
         return !spec.maxPerExecutor || tasksOf(executor, step) < spec.maxPerExecutor;
     }
 
@@ -158,6 +165,10 @@
         auto least = rejected.find(spec.image);
         if (spec.fills() && least != rejected.end() && least->second.fitsIn(spec.resources))
             continue;
+        if (step.lacksAdvice(now)) {
+            askAdvice(step, now);
+            continue;
+        }
         bool isPlaced = spec.isGang ? placeGang(step, now) : placeStep(step, now);
         bool isPlain = spec.requiredLabel.empty() && !spec.maxPerExecutor;
         if (!isPlaced && spec.fills() && isPlain)
@@ -165,6 +176,58 @@
     }
 }
 
+void JobScheduler::askAdvice(ActiveStep& step, TimePoint now)
+{
+    if (step.isAdviceAsked)
+        return;
+    if (now < step.askAdviceAfter) {
+        m_needsPlacement = true;
+        wakeAt(step.askAdviceAfter);
+        return;
+    }
+    AdviceRequest request { step.job().id, step.occurrence->number, step.number, {} };
+    std::vector<const ActiveExecutor*> open;
+    for (const ActiveExecutor* it : m_executorList) {
+        bool fits = step.spec->reserved().fitsIn(it->entry.capacity) && hasLabel(*it, step.spec->requiredLabel);
+        if (fits && it->acceptsWork(now) && it->entry.service == step.job().queue.service)
+            open.push_back(it);
+    }
+    // Each executor that is named costs time, so those with most room are asked about.
+    std::sort(open.begin(), open.end(), [](const ActiveExecutor* a, const ActiveExecutor* b) { return a->room().millicores > b->room().millicores; });
+    for (const ActiveExecutor* it : open) {
+        if (request.executors.size() < s_advisedExecutors)
+            request.executors.push_back(it->entry.id);
+    }
+    if (request.executors.empty())
+        return;
+    step.isAdviceAsked = true;
+    m_adviceRequests.push_back(std::move(request));
+}
+
+std::vector<AdviceRequest> JobScheduler::adviceRequests()
+{
+    return std::exchange(m_adviceRequests, {});
+}
+
+void JobScheduler::advised(const AdviceRequest& request, const Advice& advice, TimePoint now)
+{
+    auto found = m_jobs.find(request.job);
+    ActiveTask* task = found == m_jobs.end() ? nullptr : found->second->find({ request.job, request.occurrence, request.step, 0 });
+    if (!task)
+        return;
+    ActiveStep& step = *task->step;
+    step.isAdviceAsked = false;
+    // Without an answer, or without an approved executor, the question is put again later.
+    step.askAdviceAfter = now + s_adviceRetry;
+    step.tickets.clear();
+    for (const auto& [executor, ticket] : advice.approved)
+        step.tickets[executor] = ticket;
+    step.ticketsUntil = step.tickets.empty() ? now : now + std::max(advice.validity - s_ticketReserve, advice.validity / 2);
+    m_events.note(EventId::AdviceTaken, { { "job", request.job }, { "step", request.step }, { "asked", request.executors.size() }, { "approved", step.tickets.size() }, { "answered", advice.isAnswered }, { "valid_ms", advice.validity.count() } });
+    m_needsPlacement = true;
+    wakeAt(now);
+}
+
 bool JobScheduler::placeStep(ActiveStep& step, TimePoint now)
 {
     for (ActiveTask& task : step.tasks) {
@@ -332,7 +395,7 @@
     run.isStopWanted = true;
     run.isStopSent = true;
     run.stopSentAt = now;
-    m_orders.push_back({ OrderKind::Stop, run.executor->entry.id, run.task->name(), run.number, nullptr, {}, 0 });
+    m_orders.push_back({ OrderKind::Stop, run.executor->entry.id, run.task->name(), run.number, nullptr, {}, {}, 0 });
     wakeAt(now + s_stopRepeat);
 }
 
@@ -376,7 +439,7 @@
         run->orderedPace = run->wantedPace;
         run->pacedAt = now;
         run->wasPaced = true;
-        m_orders.push_back({ OrderKind::Pace, executor.entry.id, run->task->name(), run->number, nullptr, {}, run->wantedPace });
+        m_orders.push_back({ OrderKind::Pace, executor.entry.id, run->task->name(), run->number, nullptr, {}, {}, run->wantedPace });
     }
 }
 
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -308,7 +308,7 @@
     ActiveTask* task = it == m_jobs.end() ? nullptr : it->second->find(row.task);
     if (!task || !task->run || task->run->executor != &executor || task->run->number != row.run) {
         // Left by a former owner or by a run that was given up.
-        m_orders.push_back({ OrderKind::Stop, executor.entry.id, row.task, row.run, nullptr, {}, 0 });
+        m_orders.push_back({ OrderKind::Stop, executor.entry.id, row.task, row.run, nullptr, {}, {}, 0 });
         return;
     }
     ActiveRun& run = *task->run;
@@ -351,7 +351,7 @@
     if (executor.needsFence)
         return;
     executor.needsFence = true;
-    m_orders.push_back({ OrderKind::Fence, executor.entry.id, {}, 0, nullptr, {}, 0 });
+    m_orders.push_back({ OrderKind::Fence, executor.entry.id, {}, 0, nullptr, {}, {}, 0 });
 }
 
 std::optional<JobScheduler::Envelope> JobScheduler::seal(const ExecutorOrder& order, TimePoint now)
@@ -420,6 +420,9 @@
         executor.avoidedUntil = std::max(executor.avoidedUntil, now + s_noRoomPause);
     if (outcome == OrderOutcome::Unavailable)
         executor.avoidedUntil = std::max(executor.avoidedUntil, now + s_unavailablePause);
+    // The ticket had lapsed, or was for another life of the executor.
+    if (outcome == OrderOutcome::NoTicket)
+        task->step->ticketsUntil = now;
     if (outcome == OrderOutcome::Invalid)
         pause = s_invalidPause;
     task->avoided = &executor;
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -337,7 +337,7 @@
         if (!task || !task->run || task->run->number != it.run || task->run->phase != RunPhase::Recording)
             continue;
         task->run->phase = RunPhase::Starting;
-        m_orders.push_back({ OrderKind::Start, task->run->executor->entry.id, it.task, it.run, found->second->spec, task->checkpoint, 100 });
+        m_orders.push_back({ OrderKind::Start, task->run->executor->entry.id, it.task, it.run, found->second->spec, task->checkpoint, task->step->ticketFor(task->run->executor->entry.id), 100 });
     }
     // A job that is over and stored needs no memory once nothing of it is left anywhere.
     for (const auto& [id, bytes] : batch.progress) {
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -13,6 +13,7 @@
 #include "plantainhold/base/EventSink.h"
 #include "plantainhold/jobs/ActiveExecutor.h"
 #include "plantainhold/jobs/ActiveJob.h"
+#include "plantainhold/jobs/AdvicePort.h"
 #include "plantainhold/jobs/FillPacer.h"
 #include "plantainhold/jobs/JobOrder.h"
 #include "plantainhold/jobs/JobOrders.h"
@@ -83,6 +84,9 @@
 
     CommitBatch takeBatch();
     void committed(const CommitBatch& batch, TimePoint now);
+    // Questions for advice since the last call; each is answered by advised().
+    std::vector<AdviceRequest> adviceRequests();
+    void advised(const AdviceRequest& request, const Advice& advice, TimePoint now);
     // Orders since the last call.
     std::vector<ExecutorOrder> orders();
 
@@ -122,6 +126,7 @@
     void noteFailure(ActiveExecutor& executor, TimePoint now);
 
     void place(TimePoint now);
+    void askAdvice(ActiveStep& step, TimePoint now);
     bool placeStep(ActiveStep& step, TimePoint now);
     bool placeGang(ActiveStep& step, TimePoint now);
     bool placeTask(ActiveTask& task, TimePoint now);
@@ -164,6 +169,7 @@
     std::vector<CommitBatch::Start> m_starts;
     std::vector<std::string> m_dropped;
     std::vector<ExecutorOrder> m_orders;
+    std::vector<AdviceRequest> m_adviceRequests;
     std::vector<ActiveJob*> m_timed;
     std::uint64_t m_nextSerial = 1;
     TimePoint m_wakeAt {};
--- /dev/null
+++ b/plantainhold/testing/jobs/JobSchedulerTest.cpp
@@ -0,0 +1,271 @@
+// Single decisions of the scheduler, each a pattern of load or of messages.
+
+#include "plantainhold/jobs/JobScheduler.h"
+#include "plantainhold/jobs/JobBook.h"
+#include "plantainhold/jobs/JobCodec.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace plantainhold {
+
+namespace {
+
+    constexpr std::uint64_t s_generation = 3;
+
+    // A scheduler whose batches are stored at once and whose executors answer as told.
+    class Bench {
+    public:
+        explicit Bench(OwnerTerm former = { 0, true, {} }, bool needsAdvice = false)
+            : m_scheduler(m_limits, s_generation, former, m_events, m_now)
+        {
+            auto config = std::make_shared<FleetConfig>();
+            for (std::int32_t priority : { 0, 2 }) {
+                Queue queue;
+                queue.name = "q" + std::to_string(priority);
+                queue.service = "service";
+                queue.priority = priority;
+                queue.maxAttempts = 2;
+                queue.needsAdvice = needsAdvice;
+                config->queues.push_back(queue);
+            }
+            m_scheduler.configure(config);
+        }
+
+        void addExecutor(const std::string& id, std::int64_t millicores)
+        {
+            ExecutorEntry entry;
+            entry.id = id;
+            entry.service = "service";
+            entry.address = "10.0.0.1:80";
+            entry.capacity = { millicores, 64'000, 0 };
+            entry.labels = { "a", "r1" };
+            entry.bornUnixMs = 1;
+            m_scheduler.executorSeen(entry, m_now);
+            report(id, {}, {});
+        }
+
+        static StepSpec step(std::uint32_t tasks, std::int64_t millicores)
+        {
+            StepSpec spec;
+            spec.taskCount = tasks;
+            spec.resources = { millicores, 100, 0 };
+            spec.estimateMs = 500;
+            return spec;
+        }
+
+        void submit(const std::string& id, std::int32_t priority, std::vector<StepSpec> steps)
+        {
+            JobSpec spec;
+            spec.queue = "q" + std::to_string(priority);
+            spec.steps = std::move(steps);
+            m_book.applySubmission(JobBook::submissionKey(id), encodeSubmission(spec), m_offset++);
+            m_scheduler.submit(id, *m_book.find(id), m_now);
+        }
+
+        // Some time passes; what is decided is stored, and the orders are returned.
+        std::vector<ExecutorOrder> pass(Milliseconds time = Milliseconds(20))
+        {
+            m_now += time;
+            m_scheduler.advance(m_now, 0);
+            CommitBatch batch = m_scheduler.takeBatch();
+            m_scheduler.committed(batch, m_now);
+            return m_scheduler.orders();
+        }
+
+        void accept(const std::vector<ExecutorOrder>& orders)
+        {
+            for (const ExecutorOrder& it : orders) {
+                if (it.kind == OrderKind::Start && m_scheduler.seal(it, m_now))
+                    m_scheduler.answered(it, OrderOutcome::Accepted, m_now, m_now);
+            }
+        }
+
+        void report(const std::string& id, std::vector<RunRow> running, std::vector<EndRow> ended)
+        {
+            std::optional<ReportOrder> order = m_scheduler.nextReport(id, m_now);
+            ExecutorReport report { 1, 1'000, std::move(running), std::move(ended), false };
+            m_scheduler.reported(id, *order, report, m_now, m_now);
+        }
+
+        JobScheduler& scheduler() { return m_scheduler; }
+        TimePoint now() const { return m_now; }
+
+    private:
+        SchedulerLimits m_limits;
+        NoEvents m_events;
+        TimePoint m_now { std::chrono::hours(1) };
+        JobBook m_book;
+        std::uint64_t m_offset = 0;
+        JobScheduler m_scheduler;
+    };
+
+    std::size_t starts(const std::vector<ExecutorOrder>& orders)
+    {
+        return static_cast<std::size_t>(std::count_if(orders.begin(), orders.end(), [](const ExecutorOrder& it) { return it.kind == OrderKind::Start; }));
+    }
+
+    std::size_t stops(const std::vector<ExecutorOrder>& orders)
+    {
+        return static_cast<std::size_t>(std::count_if(orders.begin(), orders.end(), [](const ExecutorOrder& it) { return it.kind == OrderKind::Stop; }));
+    }
+
+} // namespace
+
+TEST_CASE("a job starts within one step, and its next step when the first is done")
+{
+    Bench bench;
+    bench.addExecutor("x", 8'000);
+    StepSpec second = Bench::step(1, 1'000);
+    second.after = { 0 };
+    bench.submit("j", 0, { Bench::step(2, 1'000), second });
+    std::vector<ExecutorOrder> orders = bench.pass();
+    REQUIRE(starts(orders) == 2);
+    bench.accept(orders);
+    bench.report("x", { { { "j", 0, 0, 1 }, 1, {}, 50, 0 } }, { { 1, { "j", 0, 0, 0 }, 1, EndKind::Done, {} } });
+    CHECK(starts(bench.pass()) == 0);
+    bench.report("x", {}, { { 2, { "j", 0, 0, 1 }, 1, EndKind::Done, {} } });
+    orders = bench.pass();
+    REQUIRE(starts(orders) == 1);
+    CHECK(orders.back().task.step == 1);
+}
+
+TEST_CASE("lasting tasks that cannot be placed hold no room that short tasks could use")
+{
+    // One executor with room, many lasting tasks that are kept away to leave short ones room.
+    Bench bench;
+    bench.addExecutor("x", 32'000);
+    StepSpec lasting = Bench::step(10, 6'000);
+    lasting.lasts = true;
+    bench.submit("service", 0, { lasting });
+    for (int i = 0; i < 20; ++i)
+        bench.accept(bench.pass(Milliseconds(100)));
+    bench.submit("quote", 0, { Bench::step(1, 1'500) });
+    CHECK(starts(bench.pass(Milliseconds(100))) >= 1);
+}
+
+TEST_CASE("a lasting task that never ran stops nobody; one that ran gets its place back")
+{
+    Bench bench;
+    bench.addExecutor("x", 8'000);
+    bench.submit("batch", 2, { Bench::step(8, 1'000) });
+    std::vector<ExecutorOrder> orders = bench.pass();
+    REQUIRE(starts(orders) == 8);
+    bench.accept(orders);
+    StepSpec lasting = Bench::step(1, 6'000);
+    lasting.lasts = true;
+    bench.submit("service", 0, { lasting });
+    for (int i = 0; i < 20; ++i)
+        CHECK(stops(bench.pass(Milliseconds(100))) == 0);
+}
+
+TEST_CASE("an urgent task that does not fit makes less urgent ones stop, as few as it takes")
+{
+    Bench bench;
+    bench.addExecutor("x", 8'000);
+    bench.submit("batch", 2, { Bench::step(8, 1'000) });
+    bench.accept(bench.pass());
+    bench.submit("quote", 0, { Bench::step(1, 2'000) });
+    std::size_t stopped = 0;
+    for (int i = 0; i < 10; ++i)
+        stopped += stops(bench.pass(Milliseconds(50)));
+    CHECK(stopped == 2);
+}
+
+TEST_CASE("a queue that needs advice starts where it was approved, with the ticket")
+{
+    Bench bench({ 0, true, {} }, true);
+    bench.addExecutor("x", 8'000);
+    bench.addExecutor("y", 8'000);
+    bench.submit("j", 0, { Bench::step(2, 1'000) });
+    CHECK(starts(bench.pass()) == 0);
+    std::vector<AdviceRequest> requests = bench.scheduler().adviceRequests();
+    REQUIRE(requests.size() == 1);
+    CHECK(requests[0].executors.size() == 2);
+    CHECK(bench.scheduler().adviceRequests().empty());
+    bench.scheduler().advised(requests[0], { true, { { "y", "t-1" } }, Milliseconds(3'000) }, bench.now());
+    std::vector<ExecutorOrder> orders = bench.pass();
+    REQUIRE(starts(orders) == 2);
+    CHECK(orders[0].executor == "y");
+    CHECK(orders[0].ticket == "t-1");
+}
+
+TEST_CASE("advice that gives no answer is asked for again, after a pause")
+{
+    Bench bench({ 0, true, {} }, true);
+    bench.addExecutor("x", 8'000);
+    bench.submit("j", 0, { Bench::step(1, 1'000) });
+    bench.pass();
+    AdviceRequest request = bench.scheduler().adviceRequests().at(0);
+    bench.scheduler().advised(request, {}, bench.now());
+    bench.pass();
+    CHECK(bench.scheduler().adviceRequests().empty());
+    bench.pass(Milliseconds(500));
+    CHECK(bench.scheduler().adviceRequests().size() == 1);
+}
+
+TEST_CASE("a start without an answer is settled by a report under a higher token")
+{
+    Bench bench;
+    bench.addExecutor("x", 8'000);
+    bench.submit("j", 0, { Bench::step(1, 1'000) });
+    std::vector<ExecutorOrder> orders = bench.pass();
+    REQUIRE(starts(orders) == 1);
+    std::uint64_t before = bench.scheduler().seal(orders[0], bench.now())->token;
+    bench.scheduler().answered(orders[0], OrderOutcome::Unknown, bench.now(), bench.now());
+    CHECK(starts(bench.pass()) == 0);
+    std::optional<ReportOrder> order = bench.scheduler().nextReport("x", bench.now());
+    CHECK(order->token > before);
+    bench.scheduler().reported("x", *order, { 1, 2'000, {}, {}, false }, bench.now(), bench.now());
+    orders = bench.pass();
+    REQUIRE(starts(orders) == 1);
+    CHECK(orders[0].run == 2);
+}
+
+TEST_CASE("an owner that released tells how long silent executors keep their tasks")
+{
+    // Without the record, the next owner waits for the longest lease and a grace.
+    for (bool isReleased : { true, false }) {
+        OwnerTerm former { 2, isReleased, { { "gone", 1, 500 } } };
+        Bench bench(former);
+        bench.addExecutor("x", 8'000);
+        JobBook book;
+        JobSpec spec;
+        spec.queue = "q0";
+        spec.steps = { Bench::step(1, 1'000) };
+        book.applySubmission(JobBook::submissionKey("j"), encodeSubmission(spec), 0);
+        book.applyProgress("j", encodeProgress({ JobState::Running, true, { { 0, 0, 0, 1, 0, false, "gone", 1, {} } } }), 1);
+        bench.scheduler().submit("j", *book.find("j"), bench.now());
+        CHECK(starts(bench.pass(Milliseconds(300))) == 0);
+        std::size_t soon = 0;
+        for (int i = 0; i < 5; ++i)
+            soon += starts(bench.pass(Milliseconds(100)));
+        CHECK(soon == (isReleased ? 1 : 0));
+        std::size_t later = soon;
+        for (int i = 0; i < 80; ++i)
+            later += starts(bench.pass(Milliseconds(100)));
+        CHECK(later == 1);
+    }
+}
+
+TEST_CASE("after its attempts a job has failed; ends that are not failures do not count")
+{
+    Bench bench;
+    bench.addExecutor("x", 8'000);
+    bench.submit("j", 0, { Bench::step(1, 1'000) });
+    EndKind kinds[] = { EndKind::LeaseLapsed, EndKind::Failed, EndKind::Stopped, EndKind::Failed };
+    std::uint32_t run = 0;
+    for (EndKind it : kinds) {
+        std::vector<ExecutorOrder> orders;
+        for (int i = 0; i < 50 && !starts(orders); ++i)
+            orders = bench.pass(Milliseconds(100));
+        REQUIRE(starts(orders) == 1);
+        bench.accept(orders);
+        ++run;
+        bench.report("x", {}, { { run, { "j", 0, 0, 0 }, run, it, {} } });
+    }
+    CHECK(starts(bench.pass(Milliseconds(5'000))) == 0);
+    CHECK(bench.scheduler().activeJobs() == 0);
+}
+
+} // namespace plantainhold
