--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -20,6 +20,8 @@
     constexpr std::uint32_t s_part = 0;
     constexpr Milliseconds s_storeTimeout { 1'000 };
     constexpr Milliseconds s_storeRetry { 50 };
+    constexpr Milliseconds s_leastAppendTimeout { 800 };
+    constexpr Milliseconds s_mostAppendTimeout { 2'500 };
     // Decisions that come close together are stored together.
     constexpr Milliseconds s_commitPause { 15 };
     constexpr Milliseconds s_orderTimeout { 1'000 };
@@ -52,6 +54,7 @@
     , m_settings(settings)
     , m_parts(std::move(parts))
     , m_generation(generation)
+    , m_appendTimeout(s_leastAppendTimeout, s_mostAppendTimeout)
     , m_advanceTimer(m_executor)
     , m_commitSignal(m_executor)
 {
@@ -410,7 +413,12 @@
     ++m_sequence;
     m_isUncertain = false;
     while (!m_isStopped) {
-        AppendResult result = co_await m_parts.store.append({ JobRecords::s_progressTopic, s_part }, records, WriterStamp { s_producer, m_generation, m_sequence }, s_storeTimeout);
+        TimePoint sentAt = BootClock::now();
+        AppendResult result = co_await m_parts.store.append({ JobRecords::s_progressTopic, s_part }, records, WriterStamp { s_producer, m_generation, m_sequence }, m_appendTimeout.current());
+        if (result.status == StoreStatus::Unknown)
+            m_appendTimeout.timedOut();
+        else
+            m_appendTimeout.answered(BootClock::now() - sentAt);
         if (result.status == StoreStatus::Ok) {
             m_isUncertain = false;
             std::uint64_t offset = result.firstOffset;
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -7,6 +7,7 @@
 #include "plantainhold/entry/EntrySettings.h"
 #include "plantainhold/jobs/ExecutorPort.h"
 #include "plantainhold/jobs/JobScheduler.h"
+#include "plantainhold/store/AdaptiveTimeout.h"
 #include "plantainhold/store/StorePort.h"
 #include "plantainhold/store/TopicTail.h"
 
@@ -94,6 +95,7 @@
     OwnerParts m_parts;
     const std::uint64_t m_generation;
     std::uint64_t m_sequence = 0;
+    AdaptiveTimeout m_appendTimeout;
     std::unique_ptr<JobScheduler> m_scheduler;
     std::unique_ptr<TopicTail> m_executorTail;
     std::unordered_map<std::string, std::shared_ptr<Link>> m_links;
--- a/plantainhold/store/GroupCommit.cpp
+++ b/plantainhold/store/GroupCommit.cpp
@@ -15,7 +15,8 @@
 
     constexpr std::size_t s_maxBatchBytes = 1 << 20;
     constexpr std::size_t s_maxQueue = 4'000;
-    constexpr Milliseconds s_appendTimeout { 1'000 };
+    constexpr Milliseconds s_leastTimeout { 800 };
+    constexpr Milliseconds s_mostTimeout { 2'500 };
     constexpr Milliseconds s_repeatPause { 60 };
 
 } // namespace
@@ -40,6 +41,7 @@
     , m_store(store)
     , m_topic(std::move(topic))
     , m_part(part)
+    , m_timeout(s_leastTimeout, s_mostTimeout)
 {
 }
 
@@ -94,7 +96,12 @@
         std::vector<KeyedRecord> records;
         for (const auto& it : batch)
             records.push_back(it->record);
-        AppendResult result = co_await m_store.append({ m_topic, m_part }, records, std::nullopt, s_appendTimeout);
+        TimePoint sentAt = std::chrono::steady_clock::now();
+        AppendResult result = co_await m_store.append({ m_topic, m_part }, records, std::nullopt, m_timeout.current());
+        if (result.status == StoreStatus::Unknown)
+            m_timeout.timedOut();
+        else
+            m_timeout.answered(std::chrono::steady_clock::now() - sentAt);
         if (result.status == StoreStatus::Ok) {
             for (const auto& it : batch)
                 finish(*it, StoreStatus::Ok);
--- a/plantainhold/store/GroupCommit.h
+++ b/plantainhold/store/GroupCommit.h
@@ -3,6 +3,7 @@
 // here, as equal keys carry equal values.
 #pragma once
 
+#include "plantainhold/store/AdaptiveTimeout.h"
 #include "plantainhold/store/StorePort.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -35,6 +36,7 @@
     const std::uint32_t m_part;
     std::deque<std::shared_ptr<Pending>> m_queue;
     bool m_isFlushing = false;
+    AdaptiveTimeout m_timeout;
 };
 
 } // namespace plantainhold
--- a/plantainhold/testing/store/StoreTest.cpp
+++ b/plantainhold/testing/store/StoreTest.cpp
@@ -1,6 +1,7 @@
 // Following a topic, and storing together, against a store that loses answers and history.
 
 #include "plantainhold/base/EventSink.h"
+#include "plantainhold/store/AdaptiveTimeout.h"
 #include "plantainhold/store/GroupCommit.h"
 #include "plantainhold/store/TopicTail.h"
 #include "plantainhold/testing/store/MemoryStore.h"
@@ -118,4 +119,23 @@
     CHECK(put(store, Milliseconds(300)) == StoreStatus::Unknown);
 }
 
+TEST_CASE("waits follow the store: short while it is quick, long while it is slow")
+{
+    AdaptiveTimeout timeout(Milliseconds(800), Milliseconds(2'500));
+    for (int i = 0; i < 20; ++i)
+        timeout.answered(Milliseconds(15));
+    CHECK(timeout.current() == Milliseconds(800));
+    timeout.timedOut();
+    CHECK(timeout.current() == Milliseconds(1'600));
+    for (int i = 0; i < 20; ++i)
+        timeout.answered(Milliseconds(1'400));
+    CHECK(timeout.current() > Milliseconds(1'400));
+    timeout.timedOut();
+    timeout.timedOut();
+    CHECK(timeout.current() == Milliseconds(2'500));
+    for (int i = 0; i < 60; ++i)
+        timeout.answered(Milliseconds(15));
+    CHECK(timeout.current() == Milliseconds(800));
+}
+
 } // namespace plantainhold
