--- a/plantainhold/jobs/FillPacer.cpp
+++ b/plantainhold/jobs/FillPacer.cpp
@@ -14,6 +14,8 @@
     constexpr double s_milli = 1'000;
     // Serving tasks are kept below this part of their target.
     const double s_budget = std::log(0.8);
+    // A serving task is over a miss below this part of its target.
+    constexpr double s_recovered = 0.8;
     // Standard deviations of caution on each effect.
     constexpr double s_caution = 0.5;
     // Less than this a core is taken for no effect at all.
@@ -76,9 +78,10 @@
         if (!isServing(*it))
             continue;
         double ratio = it->figure / it->task->step->spec->targetTailMs;
-        if (ratio <= 1)
+        // Readings are rough: one just below the target does not end a miss.
+        if (ratio <= s_recovered)
             it->overSince = TimePoint::max();
-        else if (it->overSince == TimePoint::max())
+        else if (ratio > 1 && it->overSince == TimePoint::max())
             it->overSince = now;
         executor.worstTailRatio = std::max(executor.worstTailRatio, ratio);
         if (it->percent >= s_full)
--- a/plantainhold/testing/jobs/FillPacerTest.cpp
+++ b/plantainhold/testing/jobs/FillPacerTest.cpp
@@ -159,4 +159,23 @@
     CHECK(pace == 0);
 }
 
+TEST_CASE("a reading that dips below the target by chance does not begin the count anew")
+{
+    Host host;
+    ActiveRun* tender = host.add("tender", 6'000, true);
+    ActiveRun* light = host.add("light", 9'000, false);
+    SchedulerLimits limits;
+    std::uint32_t pace = 100;
+    TimePoint now { std::chrono::hours(2) };
+    FillPacer pacer(limits);
+    for (int i = 0; i < 7; ++i) {
+        tender->figure = (i % 2 ? 0.93 : 1.25) * s_target;
+        light->figure = 9'000;
+        now += Milliseconds(500);
+        pacer.steer(host.executor(), now);
+        pace = light->orderedPace = light->wantedPace;
+    }
+    CHECK(pace == 0);
+}
+
 } // namespace plantainhold
