Hand on what an owner has learned

Change: every 3 s the owner stores what it has learned with its progress, and the next one begins with that.

--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -95,6 +95,8 @@
     if (m_isStopped)
         co_return;
     m_scheduler = std::make_unique<JobScheduler>(m_settings.scheduler, m_generation, formerTerm(), m_parts.events, began);
+    if (std::optional<LearnedState> learned = decodeLearned(m_parts.records.learnedRecord()))
+        m_scheduler->restoreLearned(*learned);
     if (m_config)
         m_scheduler->configure(m_config);
     m_executorTail = std::make_unique<TopicTail>(m_parts.store, m_parts.events, std::string(m_parts.executorsTopic), s_part, [this](const StoredRecord& it) { executorRecord(it); });
@@ -360,7 +362,7 @@
     std::vector<KeyedRecord> begin { { std::string(JobRecords::s_ownerKey), encodeOwnerTerm({ m_generation, false, {} }) } };
     co_await storeRecords(begin);
     while (!m_isStopped) {
-        CommitBatch batch = m_scheduler->takeBatch();
+        CommitBatch batch = m_scheduler->takeBatch(BootClock::now());
         if (batch.isEmpty()) {
             m_commitSignal.expires_at(TimePoint::max());
             boost::system::error_code ec;
--- a/plantainhold/entry/JobRecords.cpp
+++ b/plantainhold/entry/JobRecords.cpp
@@ -1,5 +1,7 @@
 #include "plantainhold/entry/JobRecords.h"
 
+#include "plantainhold/jobs/JobScheduler.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -111,6 +113,8 @@
 {
     if (id == s_ownerKey)
         m_ownerRecord.assign(value);
+    else if (id == JobScheduler::s_learnedKey)
+        m_learnedRecord.assign(value);
     else
         m_book.applyProgress(id, value, offset);
 }
--- a/plantainhold/entry/JobRecords.h
+++ b/plantainhold/entry/JobRecords.h
@@ -36,6 +36,8 @@
     const JobBook& book() const { return m_book; }
     // The newest record of an owner's term, undecoded; empty when there is none.
     const std::string& ownerRecord() const { return m_ownerRecord; }
+    // What the last owner had learned, undecoded; empty when there is nothing.
+    const std::string& learnedRecord() const { return m_learnedRecord; }
     // The owner knows what it has just stored.
     void applyOwnProgress(std::string_view id, std::string_view value, std::uint64_t offset);
     // Both topics were read to their end once.
@@ -53,6 +55,7 @@
     boost::asio::any_io_executor m_executor;
     JobBook m_book;
     std::string m_ownerRecord;
+    std::string m_learnedRecord;
     TopicTail m_submissions;
     TopicTail m_progress;
     bool m_isPollingSubmissions = false;
--- a/plantainhold/jobs/FillPacer.h
+++ b/plantainhold/jobs/FillPacer.h
@@ -9,6 +9,7 @@
 #include "plantainhold/jobs/SchedulerLimits.h"
 #include "plantainhold/ports/Clock.h"
 
+#include <span>
 #include <vector>
 
 namespace plantainhold {
@@ -30,6 +31,8 @@
     // What a task would add to the most pressed serving task there, beyond what that
     // one can bear, in log(tail / target); 0 when all can bear it at full pace.
     double excess(ActiveExecutor& executor, const StepSpec& spec);
+    std::vector<LearnedEffect> learned() const { return m_table.learned(); }
+    void restore(std::span<const LearnedEffect> effects) { m_table.restore(effects); }
     // What a task adds to serving tasks of the known images on average, in log(tail / target).
     double meanPress(const StepSpec& spec);
 
--- a/plantainhold/jobs/InterferenceTable.cpp
+++ b/plantainhold/jobs/InterferenceTable.cpp
@@ -21,6 +21,8 @@
     constexpr Estimate s_freshEffect { 0.03, square(0.06) };
     constexpr double s_leastEffectVariance = square(0.004);
     constexpr double s_largestEffect = 1.0;
+    // An effect is handed on once its variance is below this part of the first one.
+    constexpr double s_learnedPart = 0.7;
     // Images beyond these are taken for unknown.
     constexpr std::size_t s_imageLimit = 256;
     constexpr std::size_t s_firstSide = 16;
@@ -94,4 +96,27 @@
     }
 }
 
+std::vector<LearnedEffect> InterferenceTable::learned() const
+{
+    std::vector<LearnedEffect> effects;
+    for (const auto& [serving, servingId] : m_images) {
+        for (const auto& [filling, fillingId] : m_images) {
+            const Estimate* it = find(servingId, fillingId);
+            if (it && it->variance < s_learnedPart * s_freshEffect.variance)
+                effects.push_back({ serving, filling, *it });
+        }
+    }
+    return effects;
+}
+
+void InterferenceTable::restore(std::span<const LearnedEffect> effects)
+{
+    for (const LearnedEffect& it : effects) {
+        ImageId serving = idOf(it.serving);
+        ImageId filling = idOf(it.filling);
+        if (serving < m_side && filling < m_side)
+            m_effects[serving * m_side + filling] = { std::clamp(it.effect.mean, 0.0, s_largestEffect), std::max(it.effect.variance, s_leastEffectVariance) };
+    }
+}
+
 } // namespace plantainhold
--- a/plantainhold/jobs/InterferenceTable.h
+++ b/plantainhold/jobs/InterferenceTable.h
@@ -8,6 +8,7 @@
 // keeps variances only, so it costs O(neighbours).
 #pragma once
 
+#include "plantainhold/jobs/LearnedState.h"
 #include "plantainhold/policy/Estimate.h"
 
 #include <cstdint>
@@ -35,6 +36,10 @@
     void learn(ImageId serving, Estimate& own, double tailRatio, std::span<const Neighbour> neighbours);
     // What one core of the image adds to log(tail / target).
     Estimate effect(ImageId serving, ImageId filling) const;
+    // Effects that reports have told something about.
+    std::vector<LearnedEffect> learned() const;
+    // Takes over what another table had learned.
+    void restore(std::span<const LearnedEffect> effects);
     // State of a run that was never measured.
     static Estimate freshOwn();
 
--- a/plantainhold/jobs/JobCodec.cpp
+++ b/plantainhold/jobs/JobCodec.cpp
@@ -1,8 +1,11 @@
 #include "plantainhold/jobs/JobCodec.h"
 
+#include "plantainhold/jobs/LearnedState.h"
 #include "plantainhold/jobs/OwnerTerm.h"
 #include "plantainhold/proto/jobs.pb.h"
 
+#include <cmath>
+
 namespace plantainhold {
 
 namespace {
@@ -183,4 +186,39 @@
     return term;
 }
 
+std::string encodeLearned(const LearnedState& state)
+{
+    wire::LearnedRecord record;
+    for (const LearnedEffect& it : state.effects) {
+        wire::EffectRecord& effect = *record.add_effects();
+        effect.set_serving(it.serving);
+        effect.set_filling(it.filling);
+        effect.set_mean(it.effect.mean);
+        effect.set_variance(it.effect.variance);
+    }
+    for (const LearnedStretch& it : state.stretches) {
+        wire::StretchRecord& stretch = *record.add_stretches();
+        stretch.set_queue(it.queue);
+        stretch.set_stretch(it.stretch);
+    }
+    return record.SerializeAsString();
+}
+
+std::optional<LearnedState> decodeLearned(std::string_view bytes)
+{
+    wire::LearnedRecord record;
+    if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return std::nullopt;
+    LearnedState state;
+    for (const auto& it : record.effects()) {
+        if (std::isfinite(it.mean()) && std::isfinite(it.variance()) && it.variance() > 0)
+            state.effects.push_back({ it.serving(), it.filling(), { it.mean(), it.variance() } });
+    }
+    for (const auto& it : record.stretches()) {
+        if (std::isfinite(it.stretch()) && it.stretch() > 0)
+            state.stretches.push_back({ it.queue(), it.stretch() });
+    }
+    return state;
+}
+
 } // namespace plantainhold
--- a/plantainhold/jobs/JobOrder.cpp
+++ b/plantainhold/jobs/JobOrder.cpp
@@ -26,6 +26,20 @@
     it->second += s_smoothing * (ratio - it->second);
 }
 
+std::vector<LearnedStretch> JobOrder::learned() const
+{
+    std::vector<LearnedStretch> stretches;
+    for (const auto& [queue, stretch] : m_stretch)
+        stretches.push_back({ queue, stretch });
+    return stretches;
+}
+
+void JobOrder::restore(std::span<const LearnedStretch> stretches)
+{
+    for (const LearnedStretch& it : stretches)
+        m_stretch[it.queue] = std::clamp(it.stretch, s_leastStretch, s_mostStretch);
+}
+
 double JobOrder::stretchOf(const std::string& queue) const
 {
     auto it = m_stretch.find(queue);
--- a/plantainhold/jobs/JobOrder.h
+++ b/plantainhold/jobs/JobOrder.h
@@ -5,6 +5,7 @@
 // that never ran follow, and last come jobs whose objective is out of reach.
 #pragma once
 
+#include "plantainhold/jobs/LearnedState.h"
 #include "plantainhold/ports/Clock.h"
 
 #include <cstdint>
@@ -23,6 +24,8 @@
 public:
     // The longest task of a step ran this long; the estimate was the spec's. Not thread-safe, as the whole class.
     void learn(std::string_view queue, std::uint32_t estimateMs, Milliseconds longest);
+    std::vector<LearnedStretch> learned() const;
+    void restore(std::span<const LearnedStretch> stretches);
     // When the job should be complete. Precondition, here and below: its chains are measured.
     TimePoint objectiveOf(const ActiveJob& job) const;
     // How long the longest task of a step may take.
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -15,6 +15,7 @@
     // Tokens of one generation; more orders than that in one ownership cannot be fenced apart.
     constexpr unsigned s_tokenBits = 24;
     constexpr Milliseconds s_idleWake { 1'000 };
+    constexpr Milliseconds s_learnedPause { 3'000 };
     // What changes close together is placed together.
     constexpr Milliseconds s_placePause { 10 };
 
@@ -303,9 +304,19 @@
     m_wakeAt = std::min(m_wakeAt, when);
 }
 
-CommitBatch JobScheduler::takeBatch()
+void JobScheduler::restoreLearned(const LearnedState& state)
+{
+    m_pacer.restore(state.effects);
+    m_order.restore(state.stretches);
+}
+
+CommitBatch JobScheduler::takeBatch(TimePoint now)
 {
     CommitBatch batch;
+    if (!m_dirty.empty() && now >= m_learnedStoredAt + s_learnedPause) {
+        m_learnedStoredAt = now;
+        batch.progress.emplace_back(s_learnedKey, encodeLearned({ m_pacer.learned(), m_order.learned() }));
+    }
     for (ActiveJob* job : m_dirty) {
         job->isDirty = false;
         batch.progress.emplace_back(job->id, encodeProgress(job->progress()));
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -17,6 +17,7 @@
 #include "plantainhold/jobs/FillPacer.h"
 #include "plantainhold/jobs/JobOrder.h"
 #include "plantainhold/jobs/JobOrders.h"
+#include "plantainhold/jobs/LearnedState.h"
 #include "plantainhold/jobs/OwnerTerm.h"
 #include "plantainhold/jobs/Queue.h"
 #include "plantainhold/jobs/SchedulerLimits.h"
@@ -51,6 +52,9 @@
     JobScheduler(const JobScheduler&) = delete;
     JobScheduler& operator=(const JobScheduler&) = delete;
 
+    // Key, among the progress of jobs, of what was learned; takeBatch() adds the record now and then.
+    static constexpr std::string_view s_learnedKey = "@learned";
+    void restoreLearned(const LearnedState& state);
     // Queues and services in force. Jobs of a queue that was dropped keep its last settings.
     void configure(std::shared_ptr<const FleetConfig> config);
     // A job was read from the store; takes up its progress, if any. Repeats change nothing.
@@ -82,7 +86,7 @@
     // What the next owner has to know, if this one does nothing from now on.
     OwnerTerm release(TimePoint now) const;
 
-    CommitBatch takeBatch();
+    CommitBatch takeBatch(TimePoint now);
     void committed(const CommitBatch& batch, TimePoint now);
     // Questions for advice since the last call; each is answered by advised().
     std::vector<AdviceRequest> adviceRequests();
@@ -175,6 +179,7 @@
     TimePoint m_wakeAt {};
     bool m_needsPlacement = true;
     TimePoint m_placedAt {};
+    TimePoint m_learnedStoredAt {};
     SchedulerCounters m_counters;
 };
 
--- a/plantainhold/testing/jobs/JobSchedulerTest.cpp
+++ b/plantainhold/testing/jobs/JobSchedulerTest.cpp
@@ -68,7 +68,7 @@
         {
             m_now += time;
             m_scheduler.advance(m_now, 0);
-            CommitBatch batch = m_scheduler.takeBatch();
+            CommitBatch batch = m_scheduler.takeBatch(m_now);
             m_scheduler.committed(batch, m_now);
             return m_scheduler.orders();
         }
--- a/plantainhold/testing/jobs/JobWorld.cpp
+++ b/plantainhold/testing/jobs/JobWorld.cpp
@@ -279,7 +279,7 @@
 {
     if (owner.isCommitting)
         return;
-    CommitBatch batch = owner.scheduler->takeBatch();
+    CommitBatch batch = owner.scheduler->takeBatch(at(m_now));
     if (batch.isEmpty())
         return;
     if (m_options.sendsBeforeStored) {
@@ -303,6 +303,8 @@
 void JobWorld::store(const CommitBatch& batch)
 {
     for (const auto& [id, value] : batch.progress) {
+        if (id == JobScheduler::s_learnedKey)
+            continue;
         m_book.applyProgress(id, value, m_offset++);
         if (value.empty())
             continue;
