--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -16,12 +16,9 @@
 
 namespace {
 
-    constexpr std::string_view s_producer = "owner";
     constexpr std::uint32_t s_part = 0;
     constexpr Milliseconds s_storeTimeout { 1'000 };
     constexpr Milliseconds s_storeRetry { 50 };
-    constexpr Milliseconds s_leastAppendTimeout { 800 };
-    constexpr Milliseconds s_mostAppendTimeout { 2'500 };
     // Decisions that come close together are stored together.
     constexpr Milliseconds s_commitPause { 15 };
     constexpr Milliseconds s_orderTimeout { 1'000 };
@@ -54,7 +51,7 @@
     , m_settings(settings)
     , m_parts(std::move(parts))
     , m_generation(generation)
-    , m_appendTimeout(s_leastAppendTimeout, s_mostAppendTimeout)
+    , m_writer(m_executor, m_parts.store, m_parts.records, generation, [this]() { return m_isStopped; })
     , m_advanceTimer(m_executor)
     , m_commitSignal(m_executor)
 {
@@ -88,7 +85,7 @@
     TimePoint began = BootClock::now();
     m_config = std::move(config);
     // From here on no former owner can write; then all that they wrote is read.
-    while (!m_isStopped && !co_await claimWriter())
+    while (!m_isStopped && !co_await claimPartition())
         co_await sleep(s_storeRetry);
     while (!m_isStopped && co_await m_parts.records.catchUp(s_storeTimeout) != StoreStatus::Ok)
         co_await sleep(s_storeRetry);
@@ -131,14 +128,12 @@
     return {};
 }
 
-asio::awaitable<bool> JobOwner::claimWriter()
+asio::awaitable<bool> JobOwner::claimPartition()
 {
-    AppendResult result = co_await m_parts.store.append({ JobRecords::s_progressTopic, s_part }, {}, WriterStamp { s_producer, m_generation, m_sequence }, s_storeTimeout);
-    if (result.status == StoreStatus::Fenced)
+    bool isClaimed = co_await m_writer.claim();
+    if (m_writer.isFenced())
         m_parts.keeper.fenced();
-    if (result.status == StoreStatus::OutOfSequence)
-        m_sequence = result.expectedSequence;
-    co_return result.status == StoreStatus::Ok || result.status == StoreStatus::OutOfSequence;
+    co_return isClaimed;
 }
 
 void JobOwner::executorRecord(const StoredRecord& record)
@@ -326,7 +321,7 @@
     else
         m_scheduler->reportFailed(link->to.id, *order, answer.outcome, now);
     if (isOk != link->isReachable)
-        m_parts.events.note(isOk ? EventId::ExecutorReachable : EventId::ExecutorUnreachable, { { "executor", link->to.id }, { "outcome", static_cast<int>(answer.outcome) } });
+        m_parts.events.note(isOk ? EventId::ExecutorReachable : EventId::ExecutorUnreachable, { { "executor", link->to.id }, { "outcome", nameOf(answer.outcome) } });
     link->isReachable = isOk;
     wake();
 }
@@ -360,7 +355,7 @@
 {
     // Until this is stored, the former owner's release would stand for this term too.
     std::vector<KeyedRecord> begin { { std::string(JobRecords::s_ownerKey), encodeOwnerTerm({ m_generation, false, {} }) } };
-    co_await storeRecords(begin);
+    co_await m_writer.write(begin);
     while (!m_isStopped) {
         CommitBatch batch = m_scheduler->takeBatch(BootClock::now());
         if (batch.isEmpty()) {
@@ -378,21 +373,15 @@
         wake();
         co_await sleep(s_commitPause);
     }
-    co_await storeRelease();
+    if (m_writer.isFenced())
+        m_parts.keeper.fenced();
+    // A newer owner may have begun, and then this record is refused.
+    std::vector<KeyedRecord> last { { std::string(JobRecords::s_ownerKey), encodeOwnerTerm(m_scheduler->release(BootClock::now())) } };
+    StoreStatus status = co_await m_writer.writeLast(last);
+    m_parts.events.note(EventId::OwnershipReleased, { { "generation", m_generation }, { "status", nameOf(status) } });
     m_isReleased = true;
 }
 
-asio::awaitable<void> JobOwner::storeRelease()
-{
-    if (m_isFenced || m_isUncertain)
-        co_return;
-    // One try: a newer owner may have begun, and then this record is refused.
-    std::vector<KeyedRecord> records { { std::string(JobRecords::s_ownerKey), encodeOwnerTerm(m_scheduler->release(BootClock::now())) } };
-    ++m_sequence;
-    AppendResult result = co_await m_parts.store.append({ JobRecords::s_progressTopic, s_part }, records, WriterStamp { s_producer, m_generation, m_sequence }, s_storeTimeout);
-    m_parts.events.note(EventId::OwnershipReleased, { { "generation", m_generation }, { "status", nameOf(result.status) } });
-}
-
 asio::awaitable<bool> JobOwner::store(const CommitBatch& batch)
 {
     std::vector<KeyedRecord> records;
@@ -402,46 +391,12 @@
         bytes += value.size();
         if (bytes < s_maxAppendBytes)
             continue;
-        if (!co_await storeRecords(records))
+        if (!co_await m_writer.write(records))
             co_return false;
         records.clear();
         bytes = 0;
     }
-    co_return records.empty() || co_await storeRecords(records);
-}
-
-asio::awaitable<bool> JobOwner::storeRecords(std::span<const KeyedRecord> records)
-{
-    ++m_sequence;
-    m_isUncertain = false;
-    while (!m_isStopped) {
-        TimePoint sentAt = BootClock::now();
-        AppendResult result = co_await m_parts.store.append({ JobRecords::s_progressTopic, s_part }, records, WriterStamp { s_producer, m_generation, m_sequence }, m_appendTimeout.current());
-        if (result.status == StoreStatus::Unknown)
-            m_appendTimeout.timedOut();
-        else
-            m_appendTimeout.answered(BootClock::now() - sentAt);
-        if (result.status == StoreStatus::Ok) {
-            m_isUncertain = false;
-            std::uint64_t offset = result.firstOffset;
-            for (const KeyedRecord& it : records)
-                m_parts.records.applyOwnProgress(it.key, it.value, offset++);
-            co_return true;
-        }
-        if (result.status == StoreStatus::Fenced) {
-            m_isFenced = true;
-            m_parts.keeper.fenced();
-            co_return false;
-        }
-        if (result.status == StoreStatus::OutOfSequence && !m_isUncertain)
-            m_sequence = result.expectedSequence;
-        // The same stamp again: the store does it once, however often it is asked.
-        m_isUncertain = m_isUncertain || result.status == StoreStatus::Unknown;
-        co_await sleep(s_storeRetry);
-    }
-    // Not tried again: it may or may not be stored.
-    m_isUncertain = true;
-    co_return false;
+    co_return records.empty() || co_await m_writer.write(records);
 }
 
 asio::awaitable<void> JobOwner::dropSubmissions(std::vector<std::string> ids)
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -5,9 +5,9 @@
 
 #include "plantainhold/base/EventSink.h"
 #include "plantainhold/entry/EntrySettings.h"
+#include "plantainhold/entry/ProgressWriter.h"
 #include "plantainhold/jobs/ExecutorPort.h"
 #include "plantainhold/jobs/JobScheduler.h"
-#include "plantainhold/store/AdaptiveTimeout.h"
 #include "plantainhold/store/StorePort.h"
 #include "plantainhold/store/TopicTail.h"
 
@@ -68,13 +68,11 @@
     struct Link;
 
     boost::asio::awaitable<void> takeOver(std::shared_ptr<const FleetConfig> config);
-    boost::asio::awaitable<bool> claimWriter();
+    boost::asio::awaitable<bool> claimPartition();
     boost::asio::awaitable<void> followExecutors();
     boost::asio::awaitable<void> commitLoop();
     boost::asio::awaitable<void> stateLoop();
     boost::asio::awaitable<bool> store(const CommitBatch& batch);
-    boost::asio::awaitable<bool> storeRecords(std::span<const KeyedRecord> records);
-    boost::asio::awaitable<void> storeRelease();
     OwnerTerm formerTerm() const;
     boost::asio::awaitable<void> dropSubmissions(std::vector<std::string> ids);
     boost::asio::awaitable<void> reportLoop(std::shared_ptr<Link> link);
@@ -94,18 +92,13 @@
     const EntrySettings& m_settings;
     OwnerParts m_parts;
     const std::uint64_t m_generation;
-    std::uint64_t m_sequence = 0;
-    AdaptiveTimeout m_appendTimeout;
+    ProgressWriter m_writer;
     std::unique_ptr<JobScheduler> m_scheduler;
     std::unique_ptr<TopicTail> m_executorTail;
     std::unordered_map<std::string, std::shared_ptr<Link>> m_links;
     boost::asio::steady_timer m_advanceTimer;
     boost::asio::steady_timer m_commitSignal;
     std::shared_ptr<const FleetConfig> m_config;
-    // A newer owner has written.
-    bool m_isFenced = false;
-    // The newest append may or may not be stored.
-    bool m_isUncertain = false;
     bool m_isStopped = false;
     bool m_isReleased = false;
     bool m_isPumpPosted = false;
--- /dev/null
+++ b/plantainhold/entry/ProgressWriter.cpp
@@ -0,0 +1,92 @@
+#include "plantainhold/entry/ProgressWriter.h"
+
+#include "plantainhold/entry/JobRecords.h"
+#include "plantainhold/util/BootClock.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace plantainhold {
+
+namespace asio = boost::asio;
+
+namespace {
+    constexpr std::string_view s_producer = "owner";
+    constexpr std::uint32_t s_part = 0;
+    constexpr Milliseconds s_leastTimeout { 800 };
+    constexpr Milliseconds s_mostTimeout { 2'500 };
+    constexpr Milliseconds s_repeatPause { 50 };
+} // namespace
+
+ProgressWriter::ProgressWriter(asio::any_io_executor executor, StorePort& store, JobRecords& records, std::uint64_t epoch, std::function<bool()> isOver)
+    : m_executor(std::move(executor))
+    , m_store(store)
+    , m_records(records)
+    , m_epoch(epoch)
+    , m_isOver(std::move(isOver))
+    , m_timeout(s_leastTimeout, s_mostTimeout)
+{
+}
+
+asio::awaitable<AppendResult> ProgressWriter::append(std::span<const KeyedRecord> records)
+{
+    TimePoint sentAt = BootClock::now();
+    AppendResult result = co_await m_store.append({ JobRecords::s_progressTopic, s_part }, records, WriterStamp { s_producer, m_epoch, m_sequence }, m_timeout.current());
+    if (result.status == StoreStatus::Unknown)
+        m_timeout.timedOut();
+    else
+        m_timeout.answered(BootClock::now() - sentAt);
+    m_isFenced = m_isFenced || result.status == StoreStatus::Fenced;
+    co_return result;
+}
+
+asio::awaitable<bool> ProgressWriter::claim()
+{
+    // No records: only the epoch is set.
+    AppendResult result = co_await append({});
+    if (result.status == StoreStatus::OutOfSequence)
+        m_sequence = result.expectedSequence;
+    co_return result.status == StoreStatus::Ok || result.status == StoreStatus::OutOfSequence;
+}
+
+asio::awaitable<bool> ProgressWriter::write(std::span<const KeyedRecord> records)
+{
+    ++m_sequence;
+    m_isUncertain = false;
+    while (!m_isOver()) {
+        AppendResult result = co_await append(records);
+        if (result.status == StoreStatus::Ok) {
+            m_isUncertain = false;
+            std::uint64_t offset = result.firstOffset;
+            for (const KeyedRecord& it : records)
+                m_records.applyOwnProgress(it.key, it.value, offset++);
+            co_return true;
+        }
+        if (m_isFenced)
+            co_return false;
+        if (result.status == StoreStatus::OutOfSequence && !m_isUncertain)
+            m_sequence = result.expectedSequence;
+        m_isUncertain = m_isUncertain || result.status == StoreStatus::Unknown;
+        asio::steady_timer pause(m_executor, s_repeatPause);
+        boost::system::error_code ec;
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    // Not tried again: it may or may not be stored.
+    m_isUncertain = true;
+    co_return false;
+}
+
+asio::awaitable<StoreStatus> ProgressWriter::writeLast(std::span<const KeyedRecord> records)
+{
+    if (m_isFenced)
+        co_return StoreStatus::Fenced;
+    // Behind an append of unknown outcome, no sequence number is sure to follow.
+    if (m_isUncertain)
+        co_return StoreStatus::Unknown;
+    ++m_sequence;
+    AppendResult result = co_await append(records);
+    co_return result.status;
+}
+
+} // namespace plantainhold
--- a/plantainhold/http/HttpClient.cpp
+++ b/plantainhold/http/HttpClient.cpp
@@ -1,6 +1,6 @@
 #include "plantainhold/http/HttpClient.h"
 
-#include "plantainhold/base/ResultError.h"
+#include "plantainhold/http/Endpoint.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
@@ -8,7 +8,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <netinet/tcp.h>
 
 namespace plantainhold {
@@ -32,21 +31,6 @@
         return s_verbs[static_cast<std::size_t>(method)];
     }
 
-    asio::ip::tcp::endpoint endpointOf(std::string_view address)
-    {
-        std::size_t colon = address.rfind(':');
-        boost::system::error_code ec;
-        std::uint16_t port = 0;
-        if (colon != std::string_view::npos) {
-            std::string_view digits = address.substr(colon + 1);
-            auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-            asio::ip::address ip = asio::ip::make_address(std::string(address.substr(0, colon)), ec);
-            if (!ec && error == std::errc() && end == digits.data() + digits.size())
-                return { ip, port };
-        }
-        throw ResultError(ResultCode::BadAddress, std::string(address));
-    }
-
     // Probes an idle peer, so that a connection that went silent fails soon.
     void tune(asio::ip::tcp::socket& socket)
     {
@@ -78,7 +62,7 @@
     : m_executor(std::move(executor))
     , m_address(address)
 {
-    endpointOf(address);
+    parseEndpoint(address);
 }
 
 HttpClient::~HttpClient() = default;
@@ -115,7 +99,7 @@
     if (!connection) {
         connection = std::make_unique<Connection>(m_executor);
         connection->stream.expires_after(timeout);
-        co_await connection->stream.async_connect(endpointOf(m_address), asio::redirect_error(asio::use_awaitable, ec));
+        co_await connection->stream.async_connect(parseEndpoint(m_address), asio::redirect_error(asio::use_awaitable, ec));
         if (ec)
             co_return HttpReply { HttpFailure::NotSent, 0, ec.message() };
         ++m_opened;
--- a/plantainhold/http/HttpServer.cpp
+++ b/plantainhold/http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "plantainhold/http/HttpServer.h"
 
 #include "plantainhold/base/ResultError.h"
+#include "plantainhold/http/Endpoint.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -83,15 +84,8 @@
     , m_acceptor(executor)
     , m_handler(std::move(handler))
 {
-    std::size_t colon = address.rfind(':');
+    asio::ip::tcp::endpoint endpoint = parseEndpoint(address);
     boost::system::error_code ec;
-    asio::ip::address ip = asio::ip::make_address(std::string(address.substr(0, colon)), ec);
-    std::uint16_t port = 0;
-    if (colon != std::string_view::npos)
-        std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
-    if (ec || !port)
-        throw ResultError(ResultCode::BadAddress, std::string(address));
-    asio::ip::tcp::endpoint endpoint(ip, port);
     m_acceptor.open(endpoint.protocol());
     m_acceptor.set_option(asio::socket_base::reuse_address(true));
     m_acceptor.bind(endpoint, ec);
--- a/plantainhold/jobs/JobOrders.h
+++ b/plantainhold/jobs/JobOrders.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -52,6 +53,12 @@
     // No answer: it may have been done, or may be done later.
     Unknown };
 
+constexpr std::string_view nameOf(OrderOutcome outcome)
+{
+    constexpr std::string_view s_names[] = { "accepted", "fenced", "superseded", "too_late", "no_room", "no_ticket", "invalid", "unavailable", "other_incarnation", "unknown" };
+    return s_names[static_cast<std::size_t>(outcome)];
+}
+
 struct ReportOrder {
     std::uint64_t token = 0;
     std::uint64_t ackCursor = 0;
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -22,10 +22,6 @@
     constexpr Milliseconds s_failurePause { 3'000 };
     constexpr double s_slownessSmoothing = 0.3;
     constexpr double s_leastRatio = 0.1;
-    // A run without progress for so long, and for this multiple of its expected length, hangs.
-    constexpr Milliseconds s_hangPatience { 1'500 };
-    constexpr int s_hangFactor = 2;
-    constexpr Milliseconds s_hangPause { 5'000 };
 
     std::string rackOf(const ExecutorEntry& entry)
     {
@@ -123,27 +119,9 @@
     for (const RunRow& row : report.running)
         applyRow(executor, row, sentAt, now);
     resolveAbsent(executor, order, report, sentAt, now);
-    if (now < TimePoint {})
-        stopHanging(executor, now);
     steerPaces(executor, now);
 }
 
-void JobScheduler::stopHanging(ActiveExecutor& executor, TimePoint now)
-{
-    for (ActiveRun* run : executor.runs) {
-        const ActiveStep& step = *run->task->step;
-        if (run->phase != RunPhase::Running || run->isStopWanted || step.spec->lasts || step.spec->isGang || run->orderedPace < 100)
-            continue;
-        auto patience = std::max<Duration>(s_hangPatience, s_hangFactor * m_order.expected(step.job().queue.name, step.spec->estimateMs) / 2);
-        if (now - run->progressedAt < patience)
-            continue;
-        m_events.note(EventId::ExecutorAvoided, { { "executor", executor.entry.id }, { "reason", "a run makes no progress" }, { "task", run->task->name().text() }, { "run", run->number } });
-        executor.avoidedUntil = std::max(executor.avoidedUntil, now + s_hangPause);
-        run->task->avoided = &executor;
-        orderStop(*run, now);
-    }
-}
-
 void JobScheduler::reportFailed(std::string_view id, const ReportOrder& order, OrderOutcome outcome, TimePoint now)
 {
     auto it = m_executors.find(std::string(id));
@@ -407,7 +385,7 @@
         run.progressedAt = now;
         return;
     }
-    m_events.note(EventId::StartNotAccepted, { { "task", order.task.text() }, { "run", order.run }, { "executor", order.executor }, { "outcome", static_cast<int>(outcome) }, { "ms", std::chrono::duration_cast<Milliseconds>(now - sentAt).count() } });
+    m_events.note(EventId::StartNotAccepted, { { "task", order.task.text() }, { "run", order.run }, { "executor", order.executor }, { "outcome", nameOf(outcome) }, { "ms", std::chrono::duration_cast<Milliseconds>(now - sentAt).count() } });
     if (outcome == OrderOutcome::Unknown || outcome == OrderOutcome::Fenced || outcome == OrderOutcome::Superseded) {
         ++m_counters.unknownStarts;
         run.phase = RunPhase::Unconfirmed;
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -126,7 +126,6 @@
     void expireLeases(TimePoint now);
     void forgetNominations(const ActiveExecutor& executor);
     void learnDuration(const ActiveTask& task, ActiveExecutor& executor, TimePoint now);
-    void stopHanging(ActiveExecutor& executor, TimePoint now);
     void noteFailure(ActiveExecutor& executor, TimePoint now);
 
     void place(TimePoint now);
--- a/plantainhold/jobs/SchedulerLimits.h
+++ b/plantainhold/jobs/SchedulerLimits.h
@@ -24,8 +24,6 @@
     Milliseconds finishedKept { 120'000 };
     // Interval before the same task is tried again after a rejection.
     Milliseconds retryDelay { 100 };
-    // Ends that one report holds at most.
-    std::size_t reportedEnds = 500;
 };
 
 } // namespace plantainhold
