Order the pace of runs that were taken over; place starved jobs

Tasks that a former owner had slowed down to nothing stood still for ever, as the next one took their pace for full. Ruled out: lost orders, lost ends, missing records. Also: a job of tasks that press on every serving task got no place at all; and a newer life of an executor in the records goes before an older one in the list.

--- a/plantainhold/jobs/ActiveJob.cpp
+++ b/plantainhold/jobs/ActiveJob.cpp
@@ -32,6 +32,14 @@
     return std::all_of(step.spec->after.begin(), step.spec->after.end(), [this](std::uint32_t it) { return steps[it].isDone(); });
 }
 
+std::uint32_t ActiveOccurrence::placedTasks() const
+{
+    std::uint32_t n = 0;
+    for (const ActiveStep& it : steps)
+        n += it.placedTasks;
+    return n;
+}
+
 bool ActiveOccurrence::isDone() const
 {
     return std::all_of(steps.begin(), steps.end(), [](const ActiveStep& it) { return it.isDone(); });
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -55,6 +55,7 @@
     std::uint32_t percent = 0;
     double figure = 0;
     // Speed that was ordered last, and the one that is wanted.
+    static constexpr std::uint32_t s_unknownPace = 101;
     std::uint32_t orderedPace = 100;
     std::uint32_t wantedPace = 100;
     // Since when it hardly works for the sake of its neighbours; max: it does.
@@ -124,6 +125,7 @@
     std::vector<ActiveStep> steps;
 
     bool isReady(const ActiveStep& step) const;
+    std::uint32_t placedTasks() const;
     bool isDone() const;
 };
 
--- a/plantainhold/jobs/FillPacer.cpp
+++ b/plantainhold/jobs/FillPacer.cpp
@@ -135,7 +135,9 @@
         }
     }
     for (ActiveRun* it : filling) {
-        std::uint32_t ordered = std::min(it->orderedPace, s_full);
+        if (it->orderedPace == ActiveRun::s_unknownPace)
+            continue;
+        std::uint32_t ordered = it->orderedPace;
         bool isLower = it->wantedPace + s_lowerStep <= ordered || (it->wantedPace == 0 && ordered > 0);
         bool isHigher = it->wantedPace >= ordered + s_raiseStep || (it->wantedPace == s_full && ordered < s_full);
         bool isSettled = now - it->pacedAt >= s_raiseAfter;
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -23,6 +23,9 @@
     // A filling task is not sent where it would press this much beyond what can be borne.
     constexpr double s_mostExcess = 0.25;
     constexpr double s_excessWeight = 400;
+    // A job with nothing running for so long gets one task a place all the same, where few others fill.
+    constexpr Milliseconds s_starvedAfter { 1'500 };
+    constexpr std::uint32_t s_starvedNeighbours = 1;
     constexpr double s_otherImage = 40;
     // A task that presses on nobody, where there is nobody to press on.
     constexpr double s_quietPlace = 50;
@@ -57,6 +60,15 @@
         return (busy + filling) / static_cast<double>(std::max<std::int64_t>(1, executor.entry.capacity.millicores));
     }
 
+    // From when on a task is placed although it presses too hard; max: never.
+    TimePoint starvedFrom(const ActiveTask& task)
+    {
+        const ActiveStep& step = *task.step;
+        if (!step.spec->fills() || step.occurrence->placedTasks())
+            return TimePoint::max();
+        return task.waitingSince + s_starvedAfter;
+    }
+
     double cost(const ActiveExecutor& executor, const ActiveTask& task, const Resources& room, double press)
     {
         const StepSpec& spec = *task.step->spec;
@@ -95,6 +107,7 @@
 void JobScheduler::place(TimePoint now)
 {
     m_needsPlacement = false;
+    m_placeAgainAt = TimePoint::max();
     // By image, the smallest request that did not fit: what asks for more need not be tried.
     std::unordered_map<std::string_view, Resources> rejected;
     std::size_t scanned = 0;
@@ -106,8 +119,12 @@
         if (++scanned > s_stepsScanned)
             break;
         const StepSpec& spec = *step.spec;
+        auto waiting = std::find_if(step.tasks.begin(), step.tasks.end(), [](const ActiveTask& task) { return task.isWaiting(); });
+        TimePoint starved = waiting == step.tasks.end() ? TimePoint::max() : starvedFrom(*waiting);
         auto least = rejected.find(spec.image);
-        if (spec.fills() && least != rejected.end() && least->second.fitsIn(spec.resources))
+        if (spec.fills() && now < starved)
+            m_placeAgainAt = std::min(m_placeAgainAt, starved);
+        if (spec.fills() && now < starved && least != rejected.end() && least->second.fitsIn(spec.resources))
             continue;
         if (step.lacksAdvice(now)) {
             askAdvice(step, now);
@@ -224,6 +241,7 @@
     const StepSpec& spec = *step.spec;
     Resources wanted = spec.reserved();
     double press = spec.fills() ? m_pacer.meanPress(spec) : 0;
+    bool isStarved = now >= starvedFrom(task);
     ActiveExecutor* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     for (ActiveExecutor* it : m_executorList) {
@@ -232,7 +250,8 @@
             room += wanted;
         if (!wanted.fitsIn(room) || !mayRun(*it, step, now))
             continue;
-        if (spec.fills() && fillLoad(*it, spec) > s_fillLoadLimit)
+        bool isStarvedHere = isStarved && it->fillingRuns <= s_starvedNeighbours;
+        if (spec.fills() && !isStarvedHere && fillLoad(*it, spec) > s_fillLoadLimit)
             continue;
         // A lasting task that never ran leaves short ones, which are worth more a core, their room.
         if (spec.lasts && !task.lastRun && m_shortRoom - shortRoom(*it, {}) + shortRoom(*it, wanted) < static_cast<std::int64_t>(s_demandMargin * m_shortDemand))
@@ -241,7 +260,7 @@
         if (sum >= bestCost)
             continue;
         double excess = spec.fills() ? m_pacer.excess(*it, spec) : 0;
-        if (excess > s_mostExcess)
+        if (excess > s_mostExcess && !isStarvedHere)
             continue;
         sum += s_excessWeight * excess;
         if (sum >= bestCost)
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -374,7 +374,7 @@
     ActiveRun& run = *task->run;
     if (order.kind == OrderKind::Pace) {
         if (outcome != OrderOutcome::Accepted)
-            run.orderedPace = 101;
+            run.orderedPace = ActiveRun::s_unknownPace;
         return;
     }
     if (order.kind != OrderKind::Start || run.phase != RunPhase::Starting)
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -117,11 +117,16 @@
     if (progress.executor.empty())
         return;
     ActiveExecutor& executor = executorFor(progress.executor, progress.executorBornUnixMs);
+    // The list of executors may lag behind what the former owner had seen.
+    if (progress.executorBornUnixMs > executor.entry.bornUnixMs)
+        reborn(executor, progress.executorBornUnixMs, now);
     // An older life of the executor took the run with it.
     if (executor.entry.bornUnixMs != progress.executorBornUnixMs)
         return;
     addRun(*task, executor, RunPhase::Unconfirmed, now);
     task->run->number = progress.run;
+    // The former owner may have slowed it down.
+    task->run->orderedPace = ActiveRun::s_unknownPace;
 }
 
 ActiveExecutor& JobScheduler::executorFor(const std::string& id, std::int64_t born)
@@ -285,12 +290,15 @@
     expireLeases(now);
     evacuate(now);
     displaceSlowed(now);
+    m_needsPlacement = m_needsPlacement || now >= m_placeAgainAt;
     if (m_needsPlacement && now >= m_placedAt + s_placePause) {
         m_placedAt = now;
         place(now);
     } else if (m_needsPlacement) {
         wakeAt(m_placedAt + s_placePause);
     }
+    if (m_placeAgainAt != TimePoint::max())
+        wakeAt(std::max(m_placeAgainAt, now + s_placePause));
     while (!m_finished.empty() && m_finished.begin()->first <= now) {
         m_dropped.push_back(m_finished.begin()->second);
         m_finishedAt.erase(m_finished.begin()->second);
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -178,6 +178,8 @@
     TimePoint m_wakeAt {};
     bool m_needsPlacement = true;
     TimePoint m_placedAt {};
+    // When a waiting task may be placed under easier terms.
+    TimePoint m_placeAgainAt = TimePoint::max();
     TimePoint m_learnedStoredAt {};
     SchedulerCounters m_counters;
 };
--- a/plantainhold/testing/jobs/JobSchedulerTest.cpp
+++ b/plantainhold/testing/jobs/JobSchedulerTest.cpp
@@ -268,4 +268,52 @@
     CHECK(bench.scheduler().activeJobs() == 0);
 }
 
+TEST_CASE("a job of tasks that press on every serving task still gets a place, if a slow one")
+{
+    Bench bench;
+    bench.addExecutor("x", 32'000);
+    bench.scheduler().restoreLearned({ { { "tender", "heavy", { 0.5, 0.0001 } } }, {} });
+    StepSpec tender = Bench::step(1, 6'000);
+    tender.lasts = true;
+    tender.image = "tender";
+    tender.targetTailMs = 18;
+    bench.submit("service", 0, { tender });
+    bench.accept(bench.pass());
+    StepSpec heavy = Bench::step(4, 4'000);
+    heavy.image = "heavy";
+    heavy.usesLeftoverCpu = true;
+    bench.submit("batch", 2, { heavy });
+    std::size_t started = 0;
+    for (int i = 0; i < 28; ++i) {
+        bench.report("x", { { { "service", 0, 0, 0 }, 1, {}, 100, 15 } }, {});
+        started += starts(bench.pass(Milliseconds(100)));
+    }
+    CHECK(started == 1);
+}
+
+TEST_CASE("a run that a former owner had slowed down is brought to its pace again")
+{
+    Bench bench;
+    bench.addExecutor("x", 32'000);
+    StepSpec filling = Bench::step(1, 4'000);
+    filling.image = "i";
+    filling.usesLeftoverCpu = true;
+    JobBook book;
+    JobSpec spec;
+    spec.queue = "q2";
+    spec.steps = { filling };
+    book.applySubmission(JobBook::submissionKey("j"), encodeSubmission(spec), 0);
+    book.applyProgress("j", encodeProgress({ JobState::Running, true, { { 0, 0, 0, 1, 0, false, "x", 1, {} } } }), 1);
+    bench.scheduler().submit("j", *book.find("j"), bench.now());
+    std::vector<ExecutorOrder> orders;
+    for (int i = 0; i < 3; ++i) {
+        bench.report("x", { { { "j", 0, 0, 0 }, 1, {}, 40, 0 } }, {});
+        for (ExecutorOrder& it : bench.pass(Milliseconds(500)))
+            orders.push_back(std::move(it));
+    }
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].kind == OrderKind::Pace);
+    CHECK(orders[0].percent == 100);
+}
+
 } // namespace plantainhold
