Let the largest instances own the partition

Cause: on the grown deployments most instances have 0.069 or 0.12 of a core, and any of them could own.

Change: the standby group has one topic for each size class; an instance takes over only while no larger one stands by, and a smaller owner hands over, with its last record stored first. After a start everybody gives larger ones 0.7 s.

The wait for the last record moved from EntryInstance into the keeper, as a hand-over and a planned stop need the same.

--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -26,15 +26,13 @@
     constexpr Milliseconds s_readinessNotice { 2'500 };
     constexpr Milliseconds s_stopReserve { 700 };
     constexpr Milliseconds s_stopPoll { 50 };
-    // For the last record of an owner that stops.
-    constexpr Milliseconds s_releaseWait { 600 };
-    constexpr Milliseconds s_releasePoll { 10 };
     constexpr Milliseconds s_ownershipLife { 1'200 };
 
     OwnershipOptions ownershipOptions(const EntrySettings& settings)
     {
         OwnershipOptions options;
         options.member = settings.instance;
+        options.sizeClass = OwnershipKeeper::sizeClassOf(settings.cores);
         options.timeToLive = std::max(s_ownershipLife, settings.membershipMin);
         options.bridge = options.timeToLive + settings.scheduler.formerOwnerGrace;
         return options;
@@ -50,7 +48,8 @@
     , m_records(context.get_executor(), m_adapters.store, log)
     , m_service(context.get_executor(), m_adapters.store, m_records, log)
     , m_keeper(
-          context.get_executor(), m_adapters.store, log, ownershipOptions(settings), [this](std::uint64_t it) { ownershipGained(it); }, [this](std::string_view) { ownershipLost(); })
+          context.get_executor(), m_adapters.store, log, ownershipOptions(settings),
+          { [this](std::uint64_t it) { ownershipGained(it); }, [this](std::string_view) { ownershipLost(); }, [this]() { return !m_releasing || m_releasing->isReleased(); } })
     , m_configTail(m_adapters.store, log, m_adapters.operatorTopic, 0, [this](const StoredRecord& it) { takeConfig(it); })
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
 {
@@ -183,10 +182,7 @@
     TimePoint began = std::chrono::steady_clock::now();
     m_log.note(EventId::ProcessStopping, { { "open_requests", m_callers->openRequests() }, { "owner", m_keeper.isOwner() } });
     m_callers->drain();
-    m_keeper.resign("this instance stops");
-    for (TimePoint last = began + s_releaseWait; m_releasing && !m_releasing->isReleased() && std::chrono::steady_clock::now() < last;)
-        co_await sleep(s_releasePoll);
-    co_await m_keeper.leave();
+    co_await m_keeper.leave("this instance stops");
     TimePoint last = began + m_settings.stopGrace - s_stopReserve;
     while (std::chrono::steady_clock::now() < last) {
         bool isNoticed = std::chrono::steady_clock::now() >= began + s_readinessNotice;
--- a/plantainhold/entry/EntrySettings.cpp
+++ b/plantainhold/entry/EntrySettings.cpp
@@ -73,6 +73,7 @@
     settings.storeAddress = text(root, "store.address", true);
     settings.adviceAddress = text(root, "advice.address", false);
     settings.machinesAddress = text(root, "machines.address", false);
+    settings.cores = number(root, "capacity.cpu_share", 1, 0.001, 1'024) * number(root, "capacity.cores", 1, 1, 1'024);
     settings.membershipMin = milliseconds(root, "store.membership_min_ms", settings.membershipMin, Milliseconds(100), s_minute);
     settings.stopGrace = Milliseconds(static_cast<std::int64_t>(1'000 * number(root, "stop_grace_s", 6, 0.5, 600)));
     SchedulerLimits& limits = settings.scheduler;
--- a/plantainhold/entry/EntrySettings.h
+++ b/plantainhold/entry/EntrySettings.h
@@ -21,6 +21,8 @@
     // Empty: queues that need advice run nothing.
     std::string adviceAddress;
     std::string machinesAddress;
+    // Processors that this instance may use.
+    double cores = 1;
     // Shortest life of a membership that the store grants.
     Milliseconds membershipMin { 1'000 };
     // From the signal to stop until the process is killed.
--- a/plantainhold/entry/OwnershipKeeper.cpp
+++ b/plantainhold/entry/OwnershipKeeper.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <cmath>
 
 namespace plantainhold {
 
@@ -14,19 +16,46 @@
 namespace {
     constexpr std::string_view s_ownersGroup = "owners";
     constexpr std::string_view s_standbyGroup = "standby";
-    constexpr std::string_view s_topic = "partitions";
+    constexpr std::string_view s_ownersTopic = "partitions";
+    // Followed by the size class.
+    constexpr std::string_view s_standbyTopicPrefix = "standby-";
     constexpr Milliseconds s_callTimeout { 1'000 };
     constexpr Milliseconds s_retryPause { 150 };
+    constexpr Milliseconds s_releasePoll { 10 };
+    // One look may see an instance that is just stopping.
+    constexpr std::uint32_t s_looksToHandOver = 2;
+    constexpr double s_coreParts = 1'000;
+
+    // 0 for a topic that names no class.
+    std::uint32_t sizeClassOfTopic(std::string_view topic)
+    {
+        std::uint32_t sizeClass = 0;
+        if (topic.starts_with(s_standbyTopicPrefix))
+            std::from_chars(topic.data() + s_standbyTopicPrefix.size(), topic.data() + topic.size(), sizeClass);
+        return sizeClass;
+    }
 } // namespace
 
-OwnershipKeeper::OwnershipKeeper(asio::any_io_executor executor, StorePort& store, EventSink& events, OwnershipOptions options, Gained gained, Lost lost)
+std::uint32_t OwnershipKeeper::sizeClassOf(double cores)
+{
+    return static_cast<std::uint32_t>(std::log2(std::max(1.0, cores * s_coreParts)));
+}
+
+OwnershipKeeper::OwnershipKeeper(asio::any_io_executor executor, StorePort& store, EventSink& events, OwnershipOptions options, Listeners listeners)
     : m_executor(std::move(executor))
     , m_store(store)
     , m_events(events)
     , m_options(std::move(options))
-    , m_gained(std::move(gained))
-    , m_lost(std::move(lost))
+    , m_listeners(std::move(listeners))
+    , m_standbyTopic(std::string(s_standbyTopicPrefix) + std::to_string(m_options.sizeClass))
+{
+}
+
+asio::awaitable<void> OwnershipKeeper::sleep(Milliseconds time)
 {
+    asio::steady_timer timer(m_executor, time);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
 asio::awaitable<void> OwnershipKeeper::run()
@@ -35,15 +64,18 @@
         bool isAnswered = m_isCandidate ? co_await own() : co_await stand();
         if (m_isLeaving)
             co_return;
-        asio::steady_timer pause(m_executor, isAnswered ? m_options.renewEvery : s_retryPause);
-        boost::system::error_code ec;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        co_await sleep(isAnswered ? m_options.renewEvery : s_retryPause);
     }
 }
 
-GroupMember OwnershipKeeper::memberOf(std::string_view group, std::uint64_t generation) const
+GroupMember OwnershipKeeper::asOwner() const
+{
+    return { s_ownersGroup, m_options.member, s_ownersTopic, m_options.timeToLive, m_ownerGeneration };
+}
+
+GroupMember OwnershipKeeper::asStandby() const
 {
-    return { group, m_options.member, s_topic, m_options.timeToLive, generation };
+    return { s_standbyGroup, m_options.member, m_standbyTopic, m_options.timeToLive, m_standbyGeneration };
 }
 
 bool OwnershipKeeper::holdsPart(const JoinResult& result) const
@@ -51,64 +83,118 @@
     return std::find(result.parts.begin(), result.parts.end(), m_options.part) != result.parts.end();
 }
 
+bool OwnershipKeeper::isLargerStandingBy(const HoldersResult& standby) const
+{
+    return std::any_of(standby.holders.begin(), standby.holders.end(), [this](const PartHolder& it) {
+        return it.member != m_options.member && sizeClassOfTopic(it.topic) > m_options.sizeClass;
+    });
+}
+
 asio::awaitable<bool> OwnershipKeeper::stand()
 {
-    JoinResult standby = co_await m_store.join(memberOf(s_standbyGroup, m_standbyGeneration), s_callTimeout);
+    JoinResult standby = co_await m_store.join(asStandby(), s_callTimeout);
     if (standby.status != StoreStatus::Ok || m_isLeaving)
         co_return false;
     m_standbyGeneration = std::max(m_standbyGeneration, standby.generation);
-    if (!holdsPart(standby))
+    TimePoint now = BootClock::now();
+    if (m_standingSince == TimePoint {})
+        m_standingSince = now;
+    if (!holdsPart(standby) || now < m_standingSince + m_options.settle)
+        co_return true;
+    HoldersResult owners = co_await m_store.holders(s_ownersGroup, s_callTimeout);
+    if (owners.status != StoreStatus::Ok || m_isLeaving)
+        co_return false;
+    std::string_view owner = owners.memberOf({ s_ownersTopic, m_options.part });
+    if (!owner.empty() && owner != m_options.member)
         co_return true;
-    HolderResult holder = co_await m_store.holder(s_ownersGroup, { s_topic, m_options.part }, s_callTimeout);
-    if (holder.status != StoreStatus::Ok || m_isLeaving)
+    HoldersResult others = co_await m_store.holders(s_standbyGroup, s_callTimeout);
+    if (others.status != StoreStatus::Ok || m_isLeaving)
         co_return false;
-    if (!holder.member.empty() && holder.member != m_options.member)
+    if (isLargerStandingBy(others))
         co_return true;
     m_isCandidate = true;
     bool isAnswered = co_await own();
     // Another instance watches from now on.
     if (isOwner())
-        co_await leaveGroup(s_standbyGroup, m_standbyGeneration);
+        co_await leaveStandby();
     co_return isAnswered;
 }
 
+// After a lapse another instance may own; joining beside it would deal the partition
+// anew. False: not known, or not ours any more.
+asio::awaitable<bool> OwnershipKeeper::checkStillUnowned()
+{
+    HoldersResult owners = co_await m_store.holders(s_ownersGroup, s_callTimeout);
+    if (owners.status != StoreStatus::Ok || m_isLeaving)
+        co_return false;
+    std::string_view owner = owners.memberOf({ s_ownersTopic, m_options.part });
+    if (owner.empty() || owner == m_options.member)
+        co_return true;
+    m_isCandidate = false;
+    lose("another instance took over while the store was out of reach");
+    co_return false;
+}
+
 asio::awaitable<bool> OwnershipKeeper::own()
 {
+    if (isOwner() && !isConfirmed(BootClock::now()) && !co_await checkStillUnowned())
+        co_return !m_isCandidate;
     TimePoint sentAt = BootClock::now();
-    // After a lapse another instance may own; joining beside it would deal the partition anew.
-    if (isOwner() && !isConfirmed(sentAt)) {
-        HolderResult holder = co_await m_store.holder(s_ownersGroup, { s_topic, m_options.part }, s_callTimeout);
-        if (holder.status != StoreStatus::Ok || m_isLeaving)
-            co_return false;
-        if (!holder.member.empty() && holder.member != m_options.member) {
-            m_isCandidate = false;
-            lose("another instance took over while the store was out of reach");
-            co_return true;
-        }
-        sentAt = BootClock::now();
-    }
-    JoinResult result = co_await m_store.join(memberOf(s_ownersGroup, m_ownerGeneration), s_callTimeout);
+    JoinResult result = co_await m_store.join(asOwner(), s_callTimeout);
     if (result.status != StoreStatus::Ok || m_isLeaving)
         co_return false;
     m_ownerGeneration = std::max(m_ownerGeneration, result.generation);
     m_renewedAt = sentAt;
     if (!holdsPart(result)) {
         lose("the partition was dealt to another instance");
-        co_await leaveGroup(s_ownersGroup, m_ownerGeneration);
+        co_await leaveOwners();
         m_isCandidate = false;
     } else if (!isOwner()) {
         m_ownedSince = result.generation;
-        m_events.note(EventId::OwnershipGained, { { "part", m_options.part }, { "generation", result.generation } });
-        m_gained(result.generation);
+        m_lookedAt = BootClock::now();
+        m_events.note(EventId::OwnershipGained, { { "part", m_options.part }, { "generation", result.generation }, { "size_class", m_options.sizeClass } });
+        m_listeners.gained(result.generation);
+    } else {
+        co_await lookForLarger();
     }
     // If the membership ran out meanwhile and another owner was there, its epoch and
     // its tokens refuse whatever this one still sends.
     co_return true;
 }
 
-asio::awaitable<void> OwnershipKeeper::leaveGroup(std::string_view group, std::uint64_t generation)
+asio::awaitable<void> OwnershipKeeper::lookForLarger()
+{
+    TimePoint now = BootClock::now();
+    if (now < m_lookedAt + m_options.lookEvery)
+        co_return;
+    m_lookedAt = now;
+    HoldersResult standby = co_await m_store.holders(s_standbyGroup, s_callTimeout);
+    if (standby.status != StoreStatus::Ok || m_isLeaving)
+        co_return;
+    m_largerSeen = isLargerStandingBy(standby) ? m_largerSeen + 1 : 0;
+    if (m_largerSeen < s_looksToHandOver)
+        co_return;
+    m_largerSeen = 0;
+    co_await handOver("a larger instance stands by");
+}
+
+asio::awaitable<void> OwnershipKeeper::handOver(std::string_view reason)
 {
-    co_await m_store.leave(memberOf(group, generation), s_callTimeout);
+    m_isCandidate = false;
+    lose(reason);
+    for (TimePoint last = BootClock::now() + m_options.releaseWait; !m_listeners.isReleased() && BootClock::now() < last;)
+        co_await sleep(s_releasePoll);
+    co_await leaveOwners();
+}
+
+asio::awaitable<void> OwnershipKeeper::leaveOwners()
+{
+    co_await m_store.leave(asOwner(), s_callTimeout);
+}
+
+asio::awaitable<void> OwnershipKeeper::leaveStandby()
+{
+    co_await m_store.leave(asStandby(), s_callTimeout);
 }
 
 void OwnershipKeeper::lose(std::string_view reason)
@@ -117,7 +203,7 @@
         return;
     m_events.note(EventId::OwnershipLost, { { "part", m_options.part }, { "generation", m_ownedSince }, { "reason", reason } });
     m_ownedSince = 0;
-    m_lost(reason);
+    m_listeners.lost(reason);
 }
 
 void OwnershipKeeper::fenced()
@@ -126,17 +212,11 @@
     lose("a newer owner has written to the store");
 }
 
-void OwnershipKeeper::resign(std::string_view reason)
-{
-    m_isLeaving = true;
-    lose(reason);
-}
-
-asio::awaitable<void> OwnershipKeeper::leave()
+asio::awaitable<void> OwnershipKeeper::leave(std::string_view reason)
 {
     m_isLeaving = true;
-    co_await leaveGroup(s_ownersGroup, m_ownerGeneration);
-    co_await leaveGroup(s_standbyGroup, m_standbyGeneration);
+    co_await handOver(reason);
+    co_await leaveStandby();
 }
 
 } // namespace plantainhold
--- a/plantainhold/entry/OwnershipKeeper.h
+++ b/plantainhold/entry/OwnershipKeeper.h
@@ -6,6 +6,10 @@
 // holds the partition in that one. An owner is thus alone in its group, and keeps
 // the partition although other instances come and go.
 //
+// Instances differ in size, and the owner does most of the work. So each size class
+// stands by on a topic of its own: an instance takes over only while no larger one
+// stands by, and an owner hands over to a larger one that does.
+//
 // A membership is trusted only for the time that was asked for, counted from before
 // the call that renewed it.
 #pragma once
@@ -25,8 +29,16 @@
 struct OwnershipOptions {
     std::string member;
     std::uint32_t part = 0;
+    // Larger instances are in a higher class.
+    std::uint32_t sizeClass = 0;
     Milliseconds timeToLive { 1'200 };
     Milliseconds renewEvery { 350 };
+    // After a start, so long for larger instances to stand by as well.
+    Milliseconds settle { 700 };
+    // Pause between two looks of an owner for larger instances.
+    Milliseconds lookEvery { 1'000 };
+    // For the last record of an owner that hands over.
+    Milliseconds releaseWait { 600 };
     // A member that renewed no later than this may still extend leases of what runs.
     Milliseconds bridge { 6'000 };
 };
@@ -35,15 +47,26 @@
 public:
     using Gained = std::function<void(std::uint64_t generation)>;
     using Lost = std::function<void(std::string_view reason)>;
+    // Nothing of a former term of ours is still being stored.
+    using IsReleased = std::function<bool()>;
+
+    struct Listeners {
+        Gained gained;
+        Lost lost;
+        IsReleased isReleased;
+    };
+
+    // Class of an instance with so many processors, in powers of two.
+    static std::uint32_t sizeClassOf(double cores);
 
     // The store and the sink must outlive the keeper. Not thread-safe, as the whole class.
-    OwnershipKeeper(boost::asio::any_io_executor executor, StorePort& store, EventSink& events, OwnershipOptions options, Gained gained, Lost lost);
+    OwnershipKeeper(boost::asio::any_io_executor executor, StorePort& store, EventSink& events, OwnershipOptions options, Listeners listeners);
 
     // Takes part until leave().
     boost::asio::awaitable<void> run();
-    // Gives the partition up and stops renewing; leave() hands it over.
-    void resign(std::string_view reason);
-    boost::asio::awaitable<void> leave();
+    // Gives the partition up, stops renewing, and lets others take over once the
+    // last record is stored.
+    boost::asio::awaitable<void> leave(std::string_view reason);
     // The store refused a write of ours: a newer owner has begun.
     void fenced();
 
@@ -57,22 +80,35 @@
     // Each makes one round of calls and says whether the store answered.
     boost::asio::awaitable<bool> stand();
     boost::asio::awaitable<bool> own();
-    boost::asio::awaitable<void> leaveGroup(std::string_view group, std::uint64_t generation);
-    GroupMember memberOf(std::string_view group, std::uint64_t generation) const;
+    boost::asio::awaitable<bool> checkStillUnowned();
+    boost::asio::awaitable<void> lookForLarger();
+    boost::asio::awaitable<void> handOver(std::string_view reason);
+    boost::asio::awaitable<void> leaveOwners();
+    boost::asio::awaitable<void> leaveStandby();
+    boost::asio::awaitable<void> sleep(Milliseconds time);
+    GroupMember asOwner() const;
+    GroupMember asStandby() const;
     bool holdsPart(const JoinResult& result) const;
+    bool isLargerStandingBy(const HoldersResult& standby) const;
     void lose(std::string_view reason);
 
     boost::asio::any_io_executor m_executor;
     StorePort& m_store;
     EventSink& m_events;
     const OwnershipOptions m_options;
-    Gained m_gained;
-    Lost m_lost;
+    const Listeners m_listeners;
+    // Names the instances of our class in the standby group.
+    const std::string m_standbyTopic;
     std::uint64_t m_standbyGeneration = 0;
     std::uint64_t m_ownerGeneration = 0;
     // Generation with which the partition came; 0: not owned.
     std::uint64_t m_ownedSince = 0;
     TimePoint m_renewedAt {};
+    // Since when this instance stands by; epoch: it was never let in.
+    TimePoint m_standingSince {};
+    TimePoint m_lookedAt {};
+    // Looks in a row that found a larger instance.
+    std::uint32_t m_largerSeen = 0;
     // A member of the owners' group, or about to be.
     bool m_isCandidate = false;
     bool m_isLeaving = false;
--- a/plantainhold/store/StorePort.cpp
+++ b/plantainhold/store/StorePort.cpp
@@ -8,4 +8,13 @@
     return s_names[static_cast<std::size_t>(status)];
 }
 
+std::string_view HoldersResult::memberOf(TopicPart part) const
+{
+    for (const PartHolder& it : holders) {
+        if (it.topic == part.topic && it.part == part.part)
+            return it.member;
+    }
+    return {};
+}
+
 } // namespace plantainhold
--- a/plantainhold/store/StorePort.h
+++ b/plantainhold/store/StorePort.h
@@ -93,12 +93,21 @@
     std::vector<std::uint32_t> parts;
 };
 
-struct HolderResult {
-    StoreStatus status = StoreStatus::Unknown;
-    // Empty: nobody holds the partition.
+struct PartHolder {
+    std::string topic;
+    std::uint32_t part = 0;
     std::string member;
 };
 
+struct HoldersResult {
+    StoreStatus status = StoreStatus::Unknown;
+    // Partitions that a member of the group holds now.
+    std::vector<PartHolder> holders;
+
+    // Empty: nobody holds the partition. Thread-safe.
+    std::string_view memberOf(TopicPart part) const;
+};
+
 class StorePort {
 public:
     virtual ~StorePort() = default;
@@ -111,8 +120,8 @@
     // One page of the newest record of each key after `afterKey`. Pages are no snapshot.
     virtual boost::asio::awaitable<NewestResult> newest(TopicPart where, std::string_view afterKey, Milliseconds timeout) = 0;
     virtual boost::asio::awaitable<JoinResult> join(GroupMember member, Milliseconds timeout) = 0;
-    // Whether any member holds the partition now.
-    virtual boost::asio::awaitable<HolderResult> holder(std::string_view group, TopicPart part, Milliseconds timeout) = 0;
+    // Which member of the group holds which partition now; anybody may ask.
+    virtual boost::asio::awaitable<HoldersResult> holders(std::string_view group, Milliseconds timeout) = 0;
     virtual boost::asio::awaitable<void> leave(GroupMember member, Milliseconds timeout) = 0;
 };
 
--- /dev/null
+++ b/plantainhold/testing/entry/OwnershipKeeperTest.cpp
@@ -0,0 +1,156 @@
+// Which of several instances of different sizes owns the partition. The pattern: a
+// fleet of mostly small instances in which everything starts, or dies, at once.
+
+#include "plantainhold/entry/OwnershipKeeper.h"
+#include "plantainhold/base/EventSink.h"
+#include "plantainhold/testing/store/MemoryStore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+
+namespace plantainhold {
+namespace asio = boost::asio;
+
+namespace {
+
+    class Fleet {
+    public:
+        struct Instance {
+            std::unique_ptr<OwnershipKeeper> keeper;
+            std::uint32_t terms = 0;
+            bool isReleased = true;
+        };
+
+        Instance& start(const std::string& name, double cores)
+        {
+            Instance& added = *m_instances.emplace_back(std::make_unique<Instance>());
+            OwnershipOptions options;
+            options.member = name;
+            options.sizeClass = OwnershipKeeper::sizeClassOf(cores);
+            options.timeToLive = Milliseconds(200);
+            options.renewEvery = Milliseconds(10);
+            options.settle = Milliseconds(60);
+            options.lookEvery = Milliseconds(20);
+            OwnershipKeeper::Listeners listeners {
+                [&added](std::uint64_t) {
+                    ++added.terms;
+                    added.isReleased = false;
+                },
+                [this, &added](std::string_view) { releaseSoon(added); },
+                [&added]() { return added.isReleased; }
+            };
+            added.keeper = std::make_unique<OwnershipKeeper>(m_context.get_executor(), store, m_events, options, std::move(listeners));
+            asio::co_spawn(m_context, added.keeper->run(), asio::detached);
+            return added;
+        }
+
+        void stop(Instance& instance)
+        {
+            asio::co_spawn(m_context, instance.keeper->leave("a test"), asio::detached);
+        }
+
+        void runFor(Milliseconds time)
+        {
+            m_context.run_for(time);
+            m_context.restart();
+        }
+
+        std::size_t owners() const
+        {
+            std::size_t n = 0;
+            for (const auto& it : m_instances)
+                n += it->keeper->isOwner();
+            return n;
+        }
+
+        MemoryStore store;
+
+    private:
+        // The last record takes a while to be stored.
+        void releaseSoon(Instance& instance)
+        {
+            auto timer = std::make_shared<asio::steady_timer>(m_context, Milliseconds(30));
+            timer->async_wait([timer, &instance](const boost::system::error_code&) { instance.isReleased = true; });
+        }
+
+        NoEvents m_events;
+        asio::io_context m_context;
+        std::vector<std::unique_ptr<Instance>> m_instances;
+    };
+
+    constexpr double s_small = 0.07;
+    constexpr double s_large = 0.5;
+
+} // namespace
+
+TEST_CASE("of instances that start together a large one owns")
+{
+    Fleet fleet;
+    auto& first = fleet.start("small-1", s_small);
+    auto& second = fleet.start("small-2", s_small);
+    fleet.runFor(Milliseconds(20));
+    auto& large = fleet.start("large", s_large);
+    fleet.runFor(Milliseconds(300));
+    CHECK(large.keeper->isOwner());
+    CHECK(first.terms + second.terms == 0);
+    CHECK(fleet.owners() == 1);
+}
+
+TEST_CASE("small instances own when there is no larger one")
+{
+    Fleet fleet;
+    fleet.start("small-1", s_small);
+    fleet.start("small-2", s_small);
+    fleet.runFor(Milliseconds(300));
+    CHECK(fleet.owners() == 1);
+}
+
+TEST_CASE("a small owner hands over to a larger instance that comes later")
+{
+    Fleet fleet;
+    auto& small = fleet.start("small", s_small);
+    fleet.runFor(Milliseconds(200));
+    REQUIRE(small.keeper->isOwner());
+    auto& large = fleet.start("large", s_large);
+    fleet.runFor(Milliseconds(500));
+    CHECK(large.keeper->isOwner());
+    CHECK_FALSE(small.keeper->isOwner());
+    CHECK(small.terms == 1);
+    CHECK(large.terms == 1);
+}
+
+TEST_CASE("instances of one size pass nothing on")
+{
+    Fleet fleet;
+    auto& first = fleet.start("a", s_large);
+    fleet.runFor(Milliseconds(150));
+    REQUIRE(first.keeper->isOwner());
+    // Not quite the same, yet of one class.
+    auto& second = fleet.start("b", s_large * 1.01);
+    fleet.runFor(Milliseconds(300));
+    CHECK(first.terms == 1);
+    CHECK(second.terms == 0);
+}
+
+TEST_CASE("the next owner begins once the last record of the former one is stored")
+{
+    Fleet fleet;
+    auto& first = fleet.start("a", s_large);
+    fleet.runFor(Milliseconds(150));
+    auto& second = fleet.start("b", s_large);
+    fleet.runFor(Milliseconds(100));
+    REQUIRE(first.keeper->isOwner());
+    fleet.stop(first);
+    fleet.runFor(Milliseconds(15));
+    CHECK(fleet.owners() == 0);
+    CHECK(second.terms == 0);
+    fleet.runFor(Milliseconds(200));
+    CHECK(first.isReleased);
+    CHECK(second.keeper->isOwner());
+}
+
+} // namespace plantainhold
--- a/plantainhold/testing/store/MemoryStore.h
+++ b/plantainhold/testing/store/MemoryStore.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "plantainhold/store/StorePort.h"
+#include "plantainhold/util/BootClock.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -64,19 +66,35 @@
         co_return result;
     }
 
+    // Partition 0 of each topic belongs to the member that joined first and lives.
     boost::asio::awaitable<JoinResult> join(GroupMember member, Milliseconds) override
     {
-        co_return JoinResult { joinStatus, generation, member.member == owner ? std::vector<std::uint32_t> { 0 } : std::vector<std::uint32_t> {} };
+        if (joinStatus != StoreStatus::Ok)
+            co_return JoinResult { joinStatus };
+        std::vector<Member>& members = membersOf(member.group);
+        auto it = std::find_if(members.begin(), members.end(), [&](const Member& known) { return known.name == member.member; });
+        if (it == members.end()) {
+            ++generation;
+            it = members.insert(members.end(), { std::string(member.member), std::string(member.topic), {} });
+        }
+        it->aliveUntil = BootClock::now() + member.timeToLive;
+        co_return JoinResult { StoreStatus::Ok, generation, holderOf(members, member.topic) == member.member ? std::vector<std::uint32_t> { 0 } : std::vector<std::uint32_t> {} };
     }
 
-    boost::asio::awaitable<HolderResult> holder(std::string_view, TopicPart, Milliseconds) override
+    boost::asio::awaitable<HoldersResult> holders(std::string_view group, Milliseconds) override
     {
-        co_return HolderResult { joinStatus, owner };
+        HoldersResult result { joinStatus, {} };
+        std::vector<Member>& members = membersOf(group);
+        for (const Member& it : members) {
+            if (holderOf(members, it.topic) == it.name)
+                result.holders.push_back({ it.topic, 0, it.name });
+        }
+        co_return result;
     }
 
-    boost::asio::awaitable<void> leave(GroupMember, Milliseconds) override
+    boost::asio::awaitable<void> leave(GroupMember member, Milliseconds) override
     {
-        owner.clear();
+        generation += std::erase_if(membersOf(member.group), [&](const Member& it) { return it.name == member.member; });
         co_return;
     }
 
@@ -85,9 +103,30 @@
     std::size_t pageSize = 3;
     std::deque<StoreStatus> nextAppend;
     std::size_t appends = 0;
-    std::string owner;
     std::uint64_t generation = 1;
     StoreStatus joinStatus = StoreStatus::Ok;
+
+private:
+    struct Member {
+        std::string name;
+        std::string topic;
+        TimePoint aliveUntil;
+    };
+
+    std::vector<Member>& membersOf(std::string_view group)
+    {
+        std::vector<Member>& members = m_groups[std::string(group)];
+        generation += std::erase_if(members, [](const Member& it) { return it.aliveUntil < BootClock::now(); });
+        return members;
+    }
+
+    static std::string_view holderOf(const std::vector<Member>& members, std::string_view topic)
+    {
+        auto it = std::find_if(members.begin(), members.end(), [&](const Member& known) { return known.topic == topic; });
+        return it == members.end() ? std::string_view() : it->name;
+    }
+
+    std::map<std::string, std::vector<Member>> m_groups;
 };
 
 } // namespace plantainhold
