Place and preempt in time that does not grow with the tasks that wait

Change: a round of placement remembers which requests found nothing, by terms and size; preemption skips executors where nothing has to stop or where all that may be stopped would not do.

--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -5,6 +5,9 @@
 #include "plantainhold/jobs/ExecutorReport.h"
 #include "plantainhold/ports/Clock.h"
 
+#include <algorithm>
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -19,6 +22,9 @@
     // In the list of executors at present.
     bool isListed = false;
     Resources reserved;
+    // The part of it that may be preempted, by the priority of its queue.
+    static constexpr std::size_t s_priorities = 8;
+    std::array<Resources, s_priorities> preemptible;
     // Held for tasks that wait for others here to stop.
     Resources nominated;
     std::vector<ActiveRun*> runs;
@@ -71,6 +77,15 @@
     // Worst reported tail of a serving task, over its target.
     double worstTailRatio = 0;
 
+    static std::size_t priorityIndex(std::int32_t priority) { return static_cast<std::size_t>(std::clamp<std::int32_t>(priority, 0, s_priorities - 1)); }
+    // What could be freed for a task at the most: of queues that come after the priority.
+    Resources preemptibleAfter(std::int32_t priority) const
+    {
+        Resources sum;
+        for (std::size_t i = priority < 0 ? 0 : priorityIndex(priority) + 1; i < s_priorities; ++i)
+            sum += preemptible[i];
+        return sum;
+    }
     Resources room() const { return entry.capacity - reserved - nominated; }
     bool isConfirmed() const { return hasClock && confirmedToken == token && !needsFence; }
     bool acceptsWork(TimePoint now) const
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -43,6 +43,8 @@
     ActiveExecutor* executor = nullptr;
     std::uint32_t number = 0;
     RunPhase phase = RunPhase::Recording;
+    // Of the queue when it was assigned.
+    std::int32_t priority = 0;
     // The newest token that an order to start it may have carried.
     std::uint64_t token = 0;
     TimePoint assignedAt {};
--- a/plantainhold/jobs/JobEvictions.cpp
+++ b/plantainhold/jobs/JobEvictions.cpp
@@ -32,6 +32,9 @@
         return static_cast<double>(worked.count() * spec.resources.millicores) / 1'000;
     }
 
+    // Before all priorities that a queue can have.
+    constexpr std::int32_t s_anyPriority = -1;
+
     bool isPreemptible(const ActiveRun& run, const ActiveTask& by)
     {
         const ActiveStep& step = *run.task->step;
@@ -58,13 +61,19 @@
         m_needsPlacement = true;
         return false;
     }
+    if (m_round.isRejected(task, PlacementRound::Means::Preemption))
+        return false;
     ActiveStep& step = *task.step;
     Resources wanted = step.spec->reserved();
+    std::int32_t after = step.spec->lasts ? s_anyPriority : step.job().queue.priority;
     ActiveExecutor* best = nullptr;
     std::vector<ActiveRun*> bestVictims;
     double bestLoss = std::numeric_limits<double>::max();
     for (ActiveExecutor* it : m_executorList) {
-        if (!mayRun(*it, step, now))
+        // Where nobody has to stop, something else keeps the task away; and often all
+        // that may be stopped would not be enough.
+        Resources room = it->room();
+        if (wanted.fitsIn(room) || !wanted.fitsIn(room + it->preemptibleAfter(after)) || !mayRun(*it, step, now))
             continue;
         std::vector<ActiveRun*> victims;
         for (ActiveRun* run : it->runs) {
@@ -72,23 +81,23 @@
                 victims.push_back(run);
         }
         std::sort(victims.begin(), victims.end(), [&](const ActiveRun* a, const ActiveRun* b) { return lossOf(*a, now) < lossOf(*b, now); });
-        Resources room = it->room();
         double loss = 0;
         std::size_t n = 0;
         for (; n < victims.size() && !wanted.fitsIn(room); ++n) {
             room += victims[n]->task->step->spec->reserved();
             loss += lossOf(*victims[n], now);
         }
-        // Where nobody has to stop, something else keeps the task away.
-        if (!n || !wanted.fitsIn(room) || loss >= bestLoss)
+        if (!wanted.fitsIn(room) || loss >= bestLoss)
             continue;
         best = it;
         bestLoss = loss;
         victims.resize(n);
         bestVictims = std::move(victims);
     }
-    if (!best)
+    if (!best) {
+        m_round.reject(task, PlacementRound::Means::Preemption);
         return false;
+    }
     task.nominated = best;
     best->nominated += wanted;
     for (ActiveRun* run : bestVictims) {
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -108,8 +108,7 @@
 {
     m_needsPlacement = false;
     m_placeAgainAt = TimePoint::max();
-    // By image, the smallest request that did not fit: what asks for more need not be tried.
-    std::unordered_map<std::string_view, Resources> rejected;
+    m_round.begin();
     std::size_t scanned = 0;
     followShortDemand(now);
     std::vector<ActiveStep*> steps(m_ready.begin(), m_ready.end());
@@ -121,19 +120,14 @@
         const StepSpec& spec = *step.spec;
         auto waiting = std::find_if(step.tasks.begin(), step.tasks.end(), [](const ActiveTask& task) { return task.isWaiting(); });
         TimePoint starved = waiting == step.tasks.end() ? TimePoint::max() : starvedFrom(*waiting);
-        auto least = rejected.find(spec.image);
         if (spec.fills() && now < starved)
             m_placeAgainAt = std::min(m_placeAgainAt, starved);
-        if (spec.fills() && now < starved && least != rejected.end() && least->second.fitsIn(spec.resources))
-            continue;
-        if (step.lacksAdvice(now)) {
+        if (step.lacksAdvice(now))
             askAdvice(step, now);
-            continue;
-        }
-        bool isPlaced = spec.isGang ? placeGang(step, now) : placeStep(step, now);
-        bool isPlain = spec.requiredLabel.empty() && !spec.maxPerExecutor;
-        if (!isPlaced && spec.fills() && isPlain)
-            rejected[spec.image] = spec.resources;
+        else if (spec.isGang)
+            placeGang(step, now);
+        else
+            placeStep(step, now);
     }
 }
 
@@ -189,7 +183,7 @@
     wakeAt(now);
 }
 
-bool JobScheduler::placeStep(ActiveStep& step, TimePoint now)
+void JobScheduler::placeStep(ActiveStep& step, TimePoint now)
 {
     for (ActiveTask& task : step.tasks) {
         if (!task.isWaiting())
@@ -200,18 +194,17 @@
             continue;
         }
         if (!placeTask(task, now) && !preemptFor(task, now))
-            return false;
+            return;
     }
-    return true;
 }
 
-bool JobScheduler::placeGang(ActiveStep& step, TimePoint now)
+void JobScheduler::placeGang(ActiveStep& step, TimePoint now)
 {
     // Members are placed together or not at all, under one run number.
     std::uint32_t run = 0;
     for (const ActiveTask& it : step.tasks) {
         if (it.run)
-            return false;
+            return;
         run = std::max(run, it.lastRun);
     }
     std::string checkpoint;
@@ -230,9 +223,8 @@
             std::erase_if(m_starts, [&](const CommitBatch::Start& start) { return start.task == placed.name(); });
             endRun(placed, now);
         }
-        return false;
+        return;
     }
-    return true;
 }
 
 bool JobScheduler::placeTask(ActiveTask& task, TimePoint now)
@@ -242,6 +234,8 @@
     Resources wanted = spec.reserved();
     double press = spec.fills() ? m_pacer.meanPress(spec) : 0;
     bool isStarved = now >= starvedFrom(task);
+    if (!task.nominated && !isStarved && m_round.isRejected(task, PlacementRound::Means::Room))
+        return false;
     ActiveExecutor* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     for (ActiveExecutor* it : m_executorList) {
@@ -268,8 +262,11 @@
         best = it;
         bestCost = sum;
     }
-    if (!best)
+    if (!best) {
+        if (!task.nominated)
+            m_round.reject(task, PlacementRound::Means::Room);
         return false;
+    }
     clearNomination(task);
     ActiveJob& job = step.job();
     m_shortRoom -= shortRoom(*best, {});
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -229,6 +229,9 @@
     run.own = InterferenceTable::freshOwn();
     const StepSpec& spec = *task.step->spec;
     executor.reserved += spec.reserved();
+    run.priority = task.step->job().queue.priority;
+    if (!spec.lasts && !spec.isGang)
+        executor.preemptible[ActiveExecutor::priorityIndex(run.priority)] += spec.reserved();
     executor.runs.push_back(&run);
     executor.servingRuns += spec.servesUsers();
     executor.fillingRuns += spec.fills();
@@ -244,6 +247,8 @@
     ActiveExecutor& executor = *run.executor;
     const StepSpec& spec = *task.step->spec;
     executor.reserved -= spec.reserved();
+    if (!spec.lasts && !spec.isGang)
+        executor.preemptible[ActiveExecutor::priorityIndex(run.priority)] -= spec.reserved();
     executor.servingRuns -= spec.servesUsers();
     executor.fillingRuns -= spec.fills();
     executor.fillingMillicores -= spec.fills() ? spec.resources.millicores : 0;
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -19,6 +19,7 @@
 #include "plantainhold/jobs/JobOrders.h"
 #include "plantainhold/jobs/LearnedState.h"
 #include "plantainhold/jobs/OwnerTerm.h"
+#include "plantainhold/jobs/PlacementRound.h"
 #include "plantainhold/jobs/Queue.h"
 #include "plantainhold/jobs/SchedulerLimits.h"
 
@@ -130,8 +131,8 @@
 
     void place(TimePoint now);
     void askAdvice(ActiveStep& step, TimePoint now);
-    bool placeStep(ActiveStep& step, TimePoint now);
-    bool placeGang(ActiveStep& step, TimePoint now);
+    void placeStep(ActiveStep& step, TimePoint now);
+    void placeGang(ActiveStep& step, TimePoint now);
     bool placeTask(ActiveTask& task, TimePoint now);
     bool preemptFor(ActiveTask& task, TimePoint now);
     void clearNomination(ActiveTask& task);
@@ -163,6 +164,7 @@
     std::unordered_set<ActiveStep*> m_ready;
     FillPacer m_pacer;
     JobOrder m_order;
+    PlacementRound m_round;
     // Processors that short tasks use or ask for, smoothed: lasting tasks leave them room.
     double m_shortDemand = 0;
     double m_shortTask = 0;
--- /dev/null
+++ b/plantainhold/jobs/PlacementRound.cpp
@@ -0,0 +1,48 @@
+#include "plantainhold/jobs/PlacementRound.h"
+
+#include "plantainhold/jobs/ActiveJob.h"
+
+#include <algorithm>
+
+namespace plantainhold {
+
+bool PlacementRound::isComparable(const ActiveStep& step)
+{
+    const StepSpec& spec = *step.spec;
+    return spec.requiredLabel.empty() && !spec.maxPerExecutor && !spec.isGang && !step.job().queue.needsAdvice;
+}
+
+PlacementRound::Terms PlacementRound::termsOf(const ActiveTask& task, Means means)
+{
+    const StepSpec& spec = *task.step->spec;
+    const Queue& queue = task.step->job().queue;
+    bool isReturning = spec.lasts && task.lastRun > 0;
+    return { queue.service, spec.fills() ? std::string_view(spec.image) : std::string_view(), means, queue.priority, spec.lasts, isReturning };
+}
+
+Resources PlacementRound::wantedBy(const ActiveStep& step)
+{
+    // Processors that are not reserved count too where tasks fill.
+    return step.spec->fills() ? step.spec->resources : step.spec->reserved();
+}
+
+void PlacementRound::reject(const ActiveTask& task, Means means)
+{
+    if (!isComparable(*task.step))
+        return;
+    Terms terms = termsOf(task, means);
+    Resources wanted = wantedBy(*task.step);
+    std::erase_if(m_rejections, [&](const Rejection& it) { return it.terms == terms && wanted.fitsIn(it.wanted); });
+    m_rejections.push_back({ terms, wanted });
+}
+
+bool PlacementRound::isRejected(const ActiveTask& task, Means means) const
+{
+    if (m_rejections.empty() || !isComparable(*task.step))
+        return false;
+    Terms terms = termsOf(task, means);
+    Resources wanted = wantedBy(*task.step);
+    return std::any_of(m_rejections.begin(), m_rejections.end(), [&](const Rejection& it) { return it.terms == terms && it.wanted.fitsIn(wanted); });
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/testing/jobs/PlacementRoundTest.cpp
@@ -0,0 +1,95 @@
+// The pattern: thousands of tasks wait for room that a full fleet does not have, and
+// each round of placement must not look at every executor for each of them.
+
+#include "plantainhold/jobs/PlacementRound.h"
+#include "plantainhold/jobs/ActiveJob.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
+
+namespace plantainhold {
+
+namespace {
+
+    using Means = PlacementRound::Means;
+
+    // Jobs of one step and one task, each as one case wants it.
+    class Waiting {
+    public:
+        ActiveTask& add(StepSpec step, std::int32_t priority = 0)
+        {
+            auto spec = std::make_shared<JobSpec>();
+            step.taskCount = 1;
+            spec->steps.push_back(std::move(step));
+            ActiveJob& job = *m_jobs.emplace_back(std::make_unique<ActiveJob>());
+            job.spec = spec;
+            job.queue.service = "service";
+            job.queue.priority = priority;
+            return job.addOccurrence({}).steps[0].tasks[0];
+        }
+
+    private:
+        std::vector<std::unique_ptr<ActiveJob>> m_jobs;
+    };
+
+    StepSpec stepOf(std::int64_t millicores, std::int64_t memoryMib)
+    {
+        StepSpec step;
+        step.resources = { millicores, memoryMib, 0 };
+        return step;
+    }
+
+} // namespace
+
+TEST_CASE("what asks for no less than a rejected request is rejected too")
+{
+    Waiting waiting;
+    PlacementRound round;
+    round.reject(waiting.add(stepOf(2'000, 1'000)), Means::Room);
+    CHECK(round.isRejected(waiting.add(stepOf(2'000, 1'000)), Means::Room));
+    CHECK(round.isRejected(waiting.add(stepOf(3'000, 1'000)), Means::Room));
+    CHECK_FALSE(round.isRejected(waiting.add(stepOf(1'999, 1'000)), Means::Room));
+    CHECK_FALSE(round.isRejected(waiting.add(stepOf(9'000, 999)), Means::Room));
+    CHECK_FALSE(round.isRejected(waiting.add(stepOf(2'000, 1'000)), Means::Preemption));
+    round.begin();
+    CHECK_FALSE(round.isRejected(waiting.add(stepOf(2'000, 1'000)), Means::Room));
+}
+
+TEST_CASE("requests on other terms are not compared")
+{
+    Waiting waiting;
+    PlacementRound round;
+    round.reject(waiting.add(stepOf(1'000, 1'000), 1), Means::Preemption);
+    // A more urgent queue may preempt where this one may not.
+    CHECK_FALSE(round.isRejected(waiting.add(stepOf(1'000, 1'000), 0), Means::Preemption));
+    StepSpec labelled = stepOf(5'000, 5'000);
+    labelled.requiredLabel = "a";
+    round.reject(waiting.add(labelled, 1), Means::Room);
+    CHECK_FALSE(round.isRejected(waiting.add(labelled, 1), Means::Room));
+    CHECK_FALSE(round.isRejected(waiting.add(stepOf(5'000, 5'000), 1), Means::Room));
+    StepSpec lasting = stepOf(1'000, 1'000);
+    lasting.lasts = true;
+    round.reject(waiting.add(lasting, 1), Means::Preemption);
+    ActiveTask& returning = waiting.add(lasting, 1);
+    returning.lastRun = 1;
+    CHECK_FALSE(round.isRejected(returning, Means::Preemption));
+}
+
+TEST_CASE("filling tasks are compared within their image, by the processors that they use")
+{
+    Waiting waiting;
+    PlacementRound round;
+    StepSpec filling = stepOf(4'000, 1'000);
+    filling.usesLeftoverCpu = true;
+    filling.image = "presses";
+    round.reject(waiting.add(filling), Means::Room);
+    CHECK(round.isRejected(waiting.add(filling), Means::Room));
+    filling.resources.millicores = 3'000;
+    CHECK_FALSE(round.isRejected(waiting.add(filling), Means::Room));
+    filling.resources.millicores = 4'000;
+    filling.image = "harmless";
+    CHECK_FALSE(round.isRejected(waiting.add(filling), Means::Room));
+}
+
+} // namespace plantainhold
