Write whole log lines, and keep room for lines about the process

Partial writes to a full pipe also cut lines in two.

Change: only lines that come for each job or run leave the reserve untouched; a write holds whole lines up to PIPE_BUF; drops are told once a second, not each time a line fits again.

--- a/plantainhold/entry/EventLog.cpp
+++ b/plantainhold/entry/EventLog.cpp
@@ -15,10 +15,20 @@
     // Bytes a second, and at once.
     constexpr double s_bytesPerSecond = 64'000;
     constexpr double s_burstBytes = 256'000;
-    // Kept for warnings and errors.
+    // Kept from routine lines.
     constexpr double s_reservedBytes = 96'000;
     constexpr std::size_t s_maxBuffered = 512'000;
     constexpr std::size_t s_typicalLine = 220;
+    // A pipe takes so much at once or nothing (PIPE_BUF).
+    constexpr std::size_t s_wholeWrite = 4'096;
+    constexpr std::chrono::seconds s_droppedPause { 1 };
+
+    // Written for each job, or each of its runs.
+    bool isRoutine(EventId id)
+    {
+        constexpr EventId s_routine[] = { EventId::JobAccepted, EventId::JobEnded, EventId::RunAssigned, EventId::RunEnded, EventId::RunPreempted, EventId::AdviceTaken, EventId::JobCancelRequested };
+        return std::find(std::begin(s_routine), std::end(s_routine), id) != std::end(s_routine);
+    }
 
     void appendNumber(std::string& text, std::int64_t value)
     {
@@ -72,13 +82,13 @@
         fcntl(m_descriptor, F_SETFL, flags | O_NONBLOCK);
 }
 
-bool EventLog::takeBudget(EventSeverity severity, std::size_t bytes)
+bool EventLog::takeBudget(EventId id, std::size_t bytes)
 {
     TimePoint now = BootClock::now();
     std::chrono::duration<double> elapsed = now - m_refilledAt;
     m_refilledAt = now;
     m_budget = std::min(s_burstBytes, m_budget + elapsed.count() * s_bytesPerSecond);
-    double least = severity == EventSeverity::Info ? s_reservedBytes : 0;
+    double least = isRoutine(id) ? s_reservedBytes : 0;
     auto size = static_cast<double>(bytes);
     if (m_budget - size < least || m_buffer.size() + bytes > s_maxBuffered)
         return false;
@@ -88,16 +98,24 @@
 
 void EventLog::note(EventId id, std::initializer_list<EventField> fields)
 {
-    if (!takeBudget(eventInfo(id).severity, s_typicalLine)) {
+    if (!takeBudget(id, s_typicalLine)) {
         ++m_dropped;
         ++m_droppedTotal;
         return;
     }
-    if (m_dropped)
-        append(EventId::EventsDropped, { { "lines", std::exchange(m_dropped, 0) } });
+    noteDropped();
     append(id, fields);
 }
 
+void EventLog::noteDropped()
+{
+    TimePoint now = BootClock::now();
+    if (!m_dropped || now < m_droppedNotedAt + s_droppedPause)
+        return;
+    m_droppedNotedAt = now;
+    append(EventId::EventsDropped, { { "lines", std::exchange(m_dropped, 0) } });
+}
+
 void EventLog::append(EventId id, std::initializer_list<EventField> fields)
 {
     const EventInfo& info = eventInfo(id);
@@ -120,12 +138,18 @@
 
 void EventLog::flush()
 {
-    while (!m_buffer.empty()) {
-        ssize_t n = write(m_descriptor, m_buffer.data(), m_buffer.size());
+    std::size_t written = 0;
+    while (written < m_buffer.size()) {
+        std::string_view rest = std::string_view(m_buffer).substr(written);
+        std::size_t end = rest.substr(0, s_wholeWrite).rfind('\n');
+        // A line that is longer than that goes alone.
+        std::size_t size = (end == std::string_view::npos ? rest.find('\n') : end) + 1;
+        ssize_t n = write(m_descriptor, rest.data(), size);
         if (n <= 0)
-            return;
-        m_buffer.erase(0, static_cast<std::size_t>(n));
+            break;
+        written += static_cast<std::size_t>(n);
     }
+    m_buffer.erase(0, written);
 }
 
 } // namespace plantainhold
--- a/plantainhold/entry/EventLog.h
+++ b/plantainhold/entry/EventLog.h
@@ -1,7 +1,8 @@
 // Structured log lines on standard output: one JSON object a line. Writing never
 // blocks: lines wait in a bounded buffer, a budget bounds what is written a second,
-// and what was dropped is counted in the log itself. Warnings and errors may use
-// the part of the budget that is kept from routine lines.
+// and what was dropped is counted in the log itself. Routine lines, of which there
+// are many for each job, leave a part of the budget to all others. Each write holds
+// whole lines, so that a reader never sees a part of one.
 #pragma once
 
 #include "plantainhold/base/EventSink.h"
@@ -24,7 +25,8 @@
     std::uint64_t droppedLines() const { return m_droppedTotal; }
 
 private:
-    bool takeBudget(EventSeverity severity, std::size_t bytes);
+    bool takeBudget(EventId id, std::size_t bytes);
+    void noteDropped();
     void append(EventId id, std::initializer_list<EventField> fields);
 
     const int m_descriptor;
@@ -34,6 +36,7 @@
     TimePoint m_refilledAt;
     std::uint64_t m_dropped = 0;
     std::uint64_t m_droppedTotal = 0;
+    TimePoint m_droppedNotedAt {};
 };
 
 } // namespace plantainhold
--- a/plantainhold/testing/entry/EventLogTest.cpp
+++ b/plantainhold/testing/entry/EventLogTest.cpp
@@ -67,6 +67,35 @@
     CHECK(log.droppedLines() > 150'000);
 }
 
+TEST_CASE("a reader never gets a part of a line")
+{
+    Pipe pipe;
+    EventLog log(pipe.writeEnd(), "entry-1");
+    std::string fault(3'000, 'x');
+    // More than a pipe holds.
+    for (int i = 0; i < 60; ++i)
+        log.note(EventId::QueuesRejected, { { "fault", fault }, { "n", i } });
+    for (int i = 0; i < 300; ++i)
+        log.note(EventId::RunAssigned, { { "run", i } });
+    log.flush();
+    std::string first = pipe.read();
+    CHECK(first.ends_with("}\n"));
+    log.flush();
+    CHECK(pipe.read().starts_with("{\"unix_ms\""));
+}
+
+TEST_CASE("lines for each run leave room for what happens to the process")
+{
+    Pipe pipe;
+    EventLog log(pipe.writeEnd(), "entry-1");
+    for (int i = 0; i < 20'000; ++i)
+        log.note(EventId::RunEnded, { { "run", i } });
+    std::uint64_t dropped = log.droppedLines();
+    REQUIRE(dropped > 0);
+    log.note(EventId::OwnershipRestored, { { "jobs", 1 } });
+    CHECK(log.droppedLines() == dropped);
+}
+
 TEST_CASE("routine lines leave room for warnings")
 {
     Pipe pipe;
