Model interference in the headroom, and keep filling tasks away from whom they press on

A fifth of the filling tasks ran beside images that they press on, at 39 % of their pace on average.

--- a/bench/JobFleet.h
+++ b/bench/JobFleet.h
@@ -60,6 +60,8 @@
     // By JobKind; of those that were handed in early enough to be judged.
     std::array<std::uint64_t, 3> judged {};
     std::array<std::uint64_t, 3> inTime {};
+    // From handing in to the end, of those that ended.
+    std::array<double, 3> jobSeconds {};
     // Seconds of serving tasks at work, and of these over their target or beside a pace below 100.
     double servingSeconds = 0;
     double servingOverSeconds = 0;
--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -65,7 +65,7 @@
     double slowness = 0;
 
     // By image of the serving tasks here, how much of what they can bear is used up,
-    // in log(tail / target) beyond it, with all filling tasks at full pace.
+    // in headroom beyond it, with all filling tasks at full pace.
     struct ServingLoad {
         std::uint32_t image = 0;
         double beyond = 0;
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -64,7 +64,7 @@
     TimePoint slowSince = TimePoint::max();
     // Of a serving task: since when its target is missed; max: it is kept.
     TimePoint overSince = TimePoint::max();
-    // The image's number in the table of effects, and the serving task's own part of the tail.
+    // The image's number in the table of effects, and the serving task's own headroom.
     std::uint32_t image = s_noImage;
     Estimate own;
     TimePoint pacedAt {};
--- a/plantainhold/jobs/FillPacer.h
+++ b/plantainhold/jobs/FillPacer.h
@@ -28,16 +28,21 @@
     // Learns from the newest figures of the executor's runs and sets each filling
     // run's wanted pace. Call once a report. Not thread-safe, as the whole class.
     void steer(ActiveExecutor& executor, TimePoint now);
-    // What a task would add to the most pressed serving task there, beyond what that
-    // one can bear, in log(tail / target); 0 when all can bear it at full pace.
-    double excess(ActiveExecutor& executor, const StepSpec& spec);
+    // How a filling task would press on the serving tasks of an executor, in headroom.
+    struct Press {
+        // What it takes of the one that it presses on most.
+        double most = 0;
+        // The part of it that one of them cannot bear now; 0 when all can bear it at full pace.
+        double excess = 0;
+    };
+    Press pressOn(ActiveExecutor& executor, const StepSpec& spec);
     std::vector<LearnedEffect> learned() const { return m_table.learned(); }
     void restore(std::span<const LearnedEffect> effects) { m_table.restore(effects); }
-    // What a task adds to serving tasks of the known images on average, in log(tail / target).
+    // What a task adds to serving tasks of the known images on average, in headroom.
     double meanPress(const StepSpec& spec);
 
 private:
-    void learn(ActiveExecutor& executor);
+    void learn(ActiveExecutor& executor, TimePoint now);
     void refreshLoads(ActiveExecutor& executor);
     void choosePaces(ActiveExecutor& executor, TimePoint now);
     // The largest pace that the serving task's own misses allow, in percent.
--- a/plantainhold/jobs/InterferenceTable.h
+++ b/plantainhold/jobs/InterferenceTable.h
@@ -1,16 +1,19 @@
 // How much the tasks of one image slow down serving tasks of another, learned from
-// reports. The model is linear in the logarithm:
+// reports. A tail grows as in a queue, with 1 / (1 - utilization), and neighbours add
+// to the utilization. So the model is linear in the headroom, target / tail, which is
+// 1 at the target and more below it:
 //
-//   log(tail / target) = own(run) + sum over neighbours of effect(images) * cores in use
+//   headroom = own(run) - sum over neighbours of effect(images) * cores in use
 //
-// where own follows the run's load quickly and an effect belongs to a pair of
-// images. All are Gaussian; a sample updates them together by a Kalman filter that
-// keeps variances only, so it costs O(neighbours).
+// where own follows the run's load and an effect belongs to a pair of images. All are
+// Gaussian; a sample updates them together by a Kalman filter that keeps variances
+// only, so it costs O(neighbours).
 #pragma once
 
 #include "plantainhold/jobs/LearnedState.h"
 #include "plantainhold/policy/Estimate.h"
 
+#include <chrono>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -32,9 +35,18 @@
     // The same number for the same name, as long as the table lives. Not thread-safe, as the whole class.
     ImageId idOf(std::string_view image);
 
-    // Takes in one reported tail; own is the run's state, kept by the caller. Precondition: tailRatio > 0.
-    void learn(ImageId serving, Estimate& own, double tailRatio, std::span<const Neighbour> neighbours);
-    // What one core of the image adds to log(tail / target).
+    // One report of a serving task.
+    struct Sample {
+        // Both in ms; the tail is rounded to whole ones.
+        double tail = 0;
+        double target = 0;
+        // Since the sample before.
+        std::chrono::duration<double> elapsed { 0 };
+    };
+
+    // Takes in one sample; own is the run's state, kept by the caller. Precondition: tail and target are positive.
+    void learn(ImageId serving, Estimate& own, const Sample& sample, std::span<const Neighbour> neighbours);
+    // What one core of the image takes of the headroom.
     Estimate effect(ImageId serving, ImageId filling) const;
     // Effects that reports have told something about.
     std::vector<LearnedEffect> learned() const;
