--- a/bench/JobFleet.cpp
+++ b/bench/JobFleet.cpp
@@ -1,7 +1,6 @@
 #include "bench/JobFleet.h"
 
 #include "plantainhold/jobs/JobBook.h"
-#include "plantainhold/jobs/JobCodec.h"
 
 #include <algorithm>
 #include <cmath>
@@ -34,6 +33,13 @@
     constexpr std::array<std::uint32_t, 3> s_latencies { 250, 1'000, 2'500 };
     constexpr std::array<std::int32_t, 3> s_priorities { 0, 2, 0 };
 
+    JobKind kindOf(const StepSpec& step)
+    {
+        if (step.lasts)
+            return JobKind::Lasting;
+        return step.usesLeftoverCpu ? JobKind::Filling : JobKind::Short;
+    }
+
     double processorSeconds()
     {
         timespec now {};
@@ -277,8 +283,7 @@
         Executor::Running run;
         run.task = order.task;
         run.run = order.run;
-        run.kind = step.lasts ? JobKind::Lasting : step.usesLeftoverCpu ? JobKind::Filling
-                                                                        : JobKind::Short;
+        run.kind = kindOf(step);
         run.image = static_cast<std::uint32_t>(std::stoul(step.image.substr(step.image.rfind('-') + 1)));
         run.cores = static_cast<double>(step.resources.millicores) / 1'000;
         std::lognormal_distribution<double> stretch(0, 0.2);
--- a/plantainhold/jobs/FillPacer.cpp
+++ b/plantainhold/jobs/FillPacer.cpp
@@ -12,7 +12,7 @@
 
     constexpr std::uint32_t s_full = 100;
     constexpr double s_milli = 1'000;
-    // Serving tasks are kept this far below their target: headroom, target / tail.
+    // Least headroom (target / tail) that filling tasks leave to a serving one.
     constexpr double s_leastHeadroom = 1.4;
     // A serving task is over a miss below this part of its target.
     constexpr double s_recovered = 0.8;
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -6,8 +6,6 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <string_view>
-#include <unordered_map>
 #include <utility>
 
 namespace plantainhold {
--- a/plantainhold/testing/entry/EventLogTest.cpp
+++ b/plantainhold/testing/entry/EventLogTest.cpp
@@ -84,28 +84,19 @@
     CHECK(pipe.read().starts_with("{\"unix_ms\""));
 }
 
-TEST_CASE("lines for each run leave room for what happens to the process")
+TEST_CASE("lines for each run leave room for warnings and for what happens to the process")
 {
-    Pipe pipe;
-    EventLog log(pipe.writeEnd(), "entry-1");
-    for (int i = 0; i < 20'000; ++i)
-        log.note(EventId::RunEnded, { { "run", i } });
-    std::uint64_t dropped = log.droppedLines();
-    REQUIRE(dropped > 0);
-    log.note(EventId::OwnershipRestored, { { "jobs", 1 } });
-    CHECK(log.droppedLines() == dropped);
-}
-
-TEST_CASE("routine lines leave room for warnings")
-{
-    Pipe pipe;
-    EventLog log(pipe.writeEnd(), "entry-1");
-    for (int i = 0; i < 20'000; ++i)
-        log.note(EventId::RunAssigned, { { "run", i } });
-    std::uint64_t dropped = log.droppedLines();
-    REQUIRE(dropped > 0);
-    log.note(EventId::RunLost, { { "run", 1 } });
-    CHECK(log.droppedLines() == dropped);
+    for (EventId routine : { EventId::RunAssigned, EventId::RunEnded }) {
+        Pipe pipe;
+        EventLog log(pipe.writeEnd(), "entry-1");
+        for (int i = 0; i < 20'000; ++i)
+            log.note(routine, { { "run", i } });
+        std::uint64_t dropped = log.droppedLines();
+        REQUIRE(dropped > 0);
+        log.note(EventId::RunLost, { { "run", 1 } });
+        log.note(EventId::OwnershipRestored, { { "jobs", 1 } });
+        CHECK(log.droppedLines() == dropped);
+    }
 }
 
 } // namespace plantainhold
