Ask the partition's owner for states instead of reading all records on every instance

Cause: 97 instances followed submissions and progress; all readers share the store's bandwidth, reads ran into their deadlines and were repeated with a larger backlog. Ruled out: processor time (same with none charged). Change: an instance without the partition asks its owner; only the instance next in line reads along.

--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -1,6 +1,7 @@
 #include "plantainhold/entry/EntryInstance.h"
 
 #include "plantainhold/entry/MetricsPage.h"
+#include "plantainhold/util/BootClock.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -16,11 +17,12 @@
 
 namespace {
 
+    constexpr std::uint32_t s_part = 0;
     constexpr Milliseconds s_configWait { 1'000 };
     constexpr Milliseconds s_storeTimeout { 1'000 };
     constexpr Milliseconds s_storeRetry { 100 };
-    // An instance that does not own reads along, so that it can take over soon.
-    constexpr Milliseconds s_recordsPause { 4'000 };
+    // The instance that would take over reads along, so that it can do so soon.
+    constexpr Milliseconds s_recordsPause { 2'000 };
     constexpr Milliseconds s_logPause { 200 };
     // A balancer needs a while to see that readiness is off.
     constexpr Milliseconds s_readinessNotice { 2'500 };
@@ -31,7 +33,8 @@
     OwnershipOptions ownershipOptions(const EntrySettings& settings)
     {
         OwnershipOptions options;
-        options.member = settings.instance;
+        options.member = OwnerLocator::memberName(settings.instance, settings.peersAddress);
+        options.part = s_part;
         options.sizeClass = OwnershipKeeper::sizeClassOf(settings.cores);
         options.timeToLive = std::max(s_ownershipLife, settings.membershipMin);
         options.bridge = options.timeToLive + settings.scheduler.formerOwnerGrace;
@@ -46,7 +49,10 @@
     , m_adapters(std::move(adapters))
     , m_log(log)
     , m_records(context.get_executor(), m_adapters.store, log)
-    , m_service(context.get_executor(), m_adapters.store, m_records, log)
+    , m_ownDirectory(m_records, [this]() { return isAuthoritative(); })
+    , m_peers(context.get_executor())
+    , m_peerDirectory(context.get_executor(), m_adapters.store, m_peers, s_part)
+    , m_service(context.get_executor(), m_adapters.store, m_ownDirectory, m_peerDirectory, log)
     , m_keeper(
           context.get_executor(), m_adapters.store, log, ownershipOptions(settings),
           { [this](std::uint64_t it) { ownershipGained(it); }, [this](std::string_view) { ownershipLost(); }, [this]() { return !m_releasing || m_releasing->isReleased(); } })
@@ -64,6 +70,7 @@
     m_readiness = std::make_unique<HttpServer>(executor, m_settings.readinessAddress, [this](HttpRequest) { return ready(); });
     if (!m_settings.metricsAddress.empty())
         m_metrics = std::make_unique<HttpServer>(executor, m_settings.metricsAddress, [this](HttpRequest) { return metrics(); });
+    m_peerServer = std::make_unique<HttpServer>(executor, m_settings.peersAddress, [this](HttpRequest it) { return handlePeerRequest(m_ownDirectory, std::move(it)); });
     m_records.onSubmission([this](std::string_view id) {
         if (m_owner)
             m_owner->submissionRead(id);
@@ -114,7 +121,9 @@
 asio::awaitable<void> EntryInstance::keepRecords()
 {
     for (;;) {
-        StoreStatus status = co_await m_records.catchUp(s_storeTimeout);
+        StoreStatus status = StoreStatus::Ok;
+        if (m_keeper.isSuccessor() && !m_owner)
+            status = co_await m_records.catchUp(s_storeTimeout);
         co_await sleep(status == StoreStatus::Ok ? s_recordsPause : s_storeRetry);
     }
 }
@@ -127,6 +136,11 @@
     }
 }
 
+bool EntryInstance::isAuthoritative() const
+{
+    return m_owner && m_owner->isRestored() && m_keeper.isConfirmed(BootClock::now());
+}
+
 void EntryInstance::ownershipGained(std::uint64_t generation)
 {
     OwnerParts parts { m_adapters.store, m_adapters.executors, m_records, m_keeper, m_log, m_adapters.decodeExecutor, m_adapters.executorsTopic, m_adapters.advice };
@@ -145,7 +159,7 @@
 
 asio::awaitable<HttpResponse> EntryInstance::ready()
 {
-    bool isReady = m_config && m_records.isComplete() && !m_isStopping;
+    bool isReady = m_config && !m_isStopping;
     co_return HttpResponse { isReady ? 200u : 503u, "{}" };
 }
 
--- a/plantainhold/entry/EntryInstance.h
+++ b/plantainhold/entry/EntryInstance.h
@@ -5,10 +5,13 @@
 
 #include "plantainhold/entry/EntrySettings.h"
 #include "plantainhold/entry/EventLog.h"
+#include "plantainhold/entry/HttpPeers.h"
 #include "plantainhold/entry/JobOwner.h"
 #include "plantainhold/entry/JobRecords.h"
 #include "plantainhold/entry/JobService.h"
+#include "plantainhold/entry/OwnerDirectory.h"
 #include "plantainhold/entry/OwnershipKeeper.h"
+#include "plantainhold/entry/PeerDirectory.h"
 #include "plantainhold/http/HttpServer.h"
 #include "plantainhold/store/TopicTail.h"
 
@@ -54,6 +57,7 @@
     boost::asio::awaitable<HttpResponse> ready();
     boost::asio::awaitable<HttpResponse> metrics();
     boost::asio::awaitable<void> sleep(Milliseconds time);
+    bool isAuthoritative() const;
     void takeConfig(const StoredRecord& record);
     void ownershipGained(std::uint64_t generation);
     void ownershipLost();
@@ -66,6 +70,9 @@
     EventLog& m_log;
     std::shared_ptr<const FleetConfig> m_config;
     JobRecords m_records;
+    OwnerDirectory m_ownDirectory;
+    HttpPeers m_peers;
+    PeerDirectory m_peerDirectory;
     JobService m_service;
     OwnershipKeeper m_keeper;
     TopicTail m_configTail;
@@ -75,6 +82,7 @@
     std::unique_ptr<HttpServer> m_callers;
     std::unique_ptr<HttpServer> m_readiness;
     std::unique_ptr<HttpServer> m_metrics;
+    std::unique_ptr<HttpServer> m_peerServer;
     boost::asio::signal_set m_signals;
     bool m_isStopping = false;
 };
--- a/plantainhold/entry/EntrySettings.cpp
+++ b/plantainhold/entry/EntrySettings.cpp
@@ -70,6 +70,7 @@
     settings.callersAddress = text(root, "listen.callers", true);
     settings.readinessAddress = text(root, "listen.readiness", true);
     settings.metricsAddress = text(root, "listen.metrics", false);
+    settings.peersAddress = text(root, "listen.peers", true);
     settings.storeAddress = text(root, "store.address", true);
     settings.adviceAddress = text(root, "advice.address", false);
     settings.machinesAddress = text(root, "machines.address", false);
--- a/plantainhold/entry/EntrySettings.h
+++ b/plantainhold/entry/EntrySettings.h
@@ -17,6 +17,8 @@
     std::string callersAddress;
     std::string readinessAddress;
     std::string metricsAddress;
+    // Where other entry instances ask this one.
+    std::string peersAddress;
     std::string storeAddress;
     // Empty: queues that need advice run nothing.
     std::string adviceAddress;
--- /dev/null
+++ b/plantainhold/entry/HttpPeers.cpp
@@ -0,0 +1,51 @@
+#include "plantainhold/entry/HttpPeers.h"
+
+#include "plantainhold/base/ResultError.h"
+#include "plantainhold/entry/PeerMessages.h"
+
+namespace plantainhold {
+
+namespace asio = boost::asio;
+
+namespace {
+    constexpr std::string_view s_target = "/jobs/ask";
+    constexpr std::string_view s_contentType = "application/x-protobuf";
+    constexpr unsigned s_ok = 200;
+    constexpr unsigned s_badRequest = 400;
+} // namespace
+
+HttpPeers::HttpPeers(asio::any_io_executor executor)
+    : m_executor(std::move(executor))
+{
+}
+
+asio::awaitable<std::optional<JobReply>> HttpPeers::ask(std::string address, JobQuestion question, Milliseconds timeout)
+{
+    if (!m_client || m_client->address() != address) {
+        try {
+            m_client = std::make_shared<HttpClient>(m_executor, address);
+        } catch (const ResultError&) {
+            co_return std::nullopt;
+        }
+    }
+    // A call in flight keeps its client when another owner is asked meanwhile.
+    std::shared_ptr<HttpClient> client = m_client;
+    HttpCall call { HttpMethod::Post, std::string(s_target), {}, encodeQuestion(question), s_contentType };
+    HttpReply reply = co_await client->call(std::move(call), timeout);
+    if (reply.failure != HttpFailure::None || reply.status != s_ok)
+        co_return std::nullopt;
+    co_return decodeReply(reply.body);
+}
+
+asio::awaitable<HttpResponse> handlePeerRequest(JobDirectory& directory, HttpRequest request)
+{
+    std::optional<JobQuestion> question;
+    if (request.method == HttpMethod::Post && request.path == s_target)
+        question = decodeQuestion(request.body);
+    if (!question)
+        co_return HttpResponse { s_badRequest, std::string(resultLabel(ResultCode::JobInvalid)) + ": not a question about jobs", "text/plain" };
+    JobReply reply = co_await directory.ask(std::move(*question));
+    co_return HttpResponse { s_ok, encodeReply(reply), s_contentType };
+}
+
+} // namespace plantainhold
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -59,6 +59,8 @@
     // A submission or cancellation of this job was read.
     void submissionRead(std::string_view id);
 
+    // All records of the partition were read, and no former owner can write any more.
+    bool isRestored() const { return m_scheduler != nullptr; }
     bool isStopped() const { return m_isStopped; }
     // Null before everything was read.
     const JobScheduler* scheduler() const { return m_scheduler.get(); }
--- a/plantainhold/entry/JobRecords.cpp
+++ b/plantainhold/entry/JobRecords.cpp
@@ -35,17 +35,20 @@
 
 JobRecords::JobRecords(asio::any_io_executor executor, StorePort& store, EventSink& events)
     : m_executor(std::move(executor))
-    , m_submissions(store, events, std::string(s_submissionsTopic), s_part, [this](const StoredRecord& it) {
-        std::string_view id = m_book.applySubmission(it.key, it.value, it.offset);
-        if (!id.empty() && m_listener)
-            m_listener(id);
-    })
+    , m_submissions(store, events, std::string(s_submissionsTopic), s_part, [this](const StoredRecord& it) { applySubmission(it); })
     , m_progress(store, events, std::string(s_progressTopic), s_part, [this](const StoredRecord& it) {
         applyOwnProgress(it.key, it.value, it.offset);
     })
 {
 }
 
+void JobRecords::applySubmission(const StoredRecord& record)
+{
+    std::string_view id = m_book.applySubmission(record.key, record.value, record.offset);
+    if (!id.empty() && m_listener)
+        m_listener(id);
+}
+
 asio::awaitable<StoreStatus> JobRecords::catchUp(Milliseconds timeout)
 {
     // A read that was sent before this call may miss what was stored since.
@@ -78,6 +81,14 @@
     round->signal.cancel();
 }
 
+asio::awaitable<StoreStatus> JobRecords::readSubmissions(Milliseconds timeout)
+{
+    if (!m_isPollingSubmissions)
+        co_return co_await pollSubmissions(Milliseconds(0), timeout);
+    // The read on its way may have been answered before the last record was stored.
+    co_return co_await m_submissions.peek(timeout);
+}
+
 asio::awaitable<StoreStatus> JobRecords::pollSubmissions(Milliseconds wait, Milliseconds timeout)
 {
     m_isPollingSubmissions = true;
@@ -95,6 +106,13 @@
     asio::co_spawn(m_executor, followLoop(), asio::detached);
 }
 
+void JobRecords::unfollow()
+{
+    m_wantsToFollow = false;
+    // What this instance wrote as the owner was not read back.
+    m_progress.restart();
+}
+
 asio::awaitable<void> JobRecords::followLoop()
 {
     while (m_wantsToFollow) {
--- a/plantainhold/entry/JobRecords.h
+++ b/plantainhold/entry/JobRecords.h
@@ -28,10 +28,13 @@
     // Reads both topics to their end as of this call or later; calls share reads.
     // Everything up to then is in the book when it returns Ok.
     boost::asio::awaitable<StoreStatus> catchUp(Milliseconds timeout);
+    // For an owner, whose copy of the progress is current: reads all submissions that
+    // were stored before this call.
+    boost::asio::awaitable<StoreStatus> readSubmissions(Milliseconds timeout);
     // From now on submissions and cancellations are read as they come, for an owner.
     void follow();
     // Undoes follow(), at the latest when the read on its way returns.
-    void unfollow() { m_wantsToFollow = false; }
+    void unfollow();
 
     const JobBook& book() const { return m_book; }
     // The newest record of an owner's term, undecoded; empty when there is none.
@@ -40,8 +43,6 @@
     const std::string& learnedRecord() const { return m_learnedRecord; }
     // The owner knows what it has just stored.
     void applyOwnProgress(std::string_view id, std::string_view value, std::uint64_t offset);
-    // Both topics were read to their end once.
-    bool isComplete() const { return m_submissions.isComplete() && m_progress.isComplete(); }
     // Called with the id of each job whose submission or cancellation was read.
     void onSubmission(std::function<void(std::string_view id)> listener) { m_listener = std::move(listener); }
 
@@ -52,6 +53,8 @@
     boost::asio::awaitable<StoreStatus> pollSubmissions(Milliseconds wait, Milliseconds timeout);
     boost::asio::awaitable<void> followLoop();
 
+    void applySubmission(const StoredRecord& record);
+
     boost::asio::any_io_executor m_executor;
     JobBook m_book;
     std::string m_ownerRecord;
--- a/plantainhold/entry/JobService.cpp
+++ b/plantainhold/entry/JobService.cpp
@@ -1,6 +1,7 @@
 #include "plantainhold/entry/JobService.h"
 
 #include "plantainhold/entry/JobRecords.h"
+#include "plantainhold/entry/OwnerDirectory.h"
 #include "plantainhold/jobs/JobCodec.h"
 
 #include <algorithm>
@@ -15,7 +16,8 @@
     constexpr Milliseconds s_answerReserve { 150 };
     constexpr Milliseconds s_leastPatience { 100 };
     constexpr Milliseconds s_mostPatience { 10'000 };
-    constexpr Milliseconds s_readTimeout { 1'000 };
+    // A cancellation is stored even if nobody can tell in time whether the job exists.
+    constexpr Milliseconds s_cancelLookup { 800 };
 
     TimePoint deadlineFor(Milliseconds patience)
     {
@@ -23,8 +25,9 @@
     }
 } // namespace
 
-JobService::JobService(asio::any_io_executor executor, StorePort& store, JobRecords& records, EventSink& events)
-    : m_records(records)
+JobService::JobService(asio::any_io_executor executor, StorePort& store, OwnerDirectory& own, JobDirectory& peers, EventSink& events)
+    : m_own(own)
+    , m_peers(peers)
     , m_events(events)
     , m_writer(std::move(executor), store, std::string(JobRecords::s_submissionsTopic), 0)
 {
@@ -32,8 +35,6 @@
 
 asio::awaitable<JobVerdict> JobService::submit(std::string id, JobSpec spec, Milliseconds patience)
 {
-    if (m_records.book().find(id))
-        co_return JobVerdict::Ok;
     TimePoint began = std::chrono::steady_clock::now();
     KeyedRecord record { JobBook::submissionKey(id), encodeSubmission(spec) };
     StoreStatus status = co_await m_writer.put(std::move(record), deadlineFor(patience));
@@ -53,43 +54,37 @@
     co_return JobVerdict::Unknown;
 }
 
-asio::awaitable<bool> JobService::refresh(Milliseconds patience)
+asio::awaitable<JobReply> JobService::ask(JobQuestion question)
 {
-    StoreStatus status = co_await m_records.catchUp(std::min(s_readTimeout, std::max(patience - s_answerReserve, s_leastPatience)));
-    co_return status == StoreStatus::Ok;
+    question.patience = std::clamp(question.patience - s_answerReserve, s_leastPatience, s_mostPatience);
+    JobDirectory& directory = m_own.isAuthoritative() ? m_own : m_peers;
+    co_return co_await directory.ask(std::move(question));
 }
 
-asio::awaitable<JobStateAnswer> JobService::state(std::string id, std::string queue, Milliseconds patience)
+asio::awaitable<JobReply> JobService::state(std::string id, std::string queue, Milliseconds patience)
 {
     ++m_counters.lookups;
-    const BookedJob* job = m_records.book().find(id);
-    bool isCurrent = false;
-    if (!job || !isFinal(job->shownState())) {
-        isCurrent = co_await refresh(patience);
-        job = m_records.book().find(id);
-    }
-    if (job && job->spec->queue == queue)
-        co_return JobStateAnswer { JobVerdict::Ok, job->shownState() };
-    if (job || isCurrent)
-        co_return JobStateAnswer { JobVerdict::NotFound };
-    co_return JobStateAnswer { JobVerdict::Unavailable };
+    JobQuestion question { JobQuestionKind::State, std::move(id), std::move(queue), patience };
+    co_return co_await ask(std::move(question));
+}
+
+asio::awaitable<JobReply> JobService::pending(std::string queue, Milliseconds patience)
+{
+    JobQuestion question { JobQuestionKind::PendingCount, {}, std::move(queue), patience };
+    co_return co_await ask(std::move(question));
 }
 
 asio::awaitable<JobVerdict> JobService::cancel(std::string id, std::string queue, Milliseconds patience)
 {
-    const BookedJob* job = m_records.book().find(id);
-    if (!job) {
-        bool isCurrent = co_await refresh(patience);
-        job = m_records.book().find(id);
-        if (!job && !isCurrent)
-            co_return JobVerdict::Unavailable;
-    }
-    if (!job || job->spec->queue != queue)
+    TimePoint deadline = deadlineFor(patience);
+    JobQuestion question { JobQuestionKind::State, id, std::move(queue), std::min(patience, s_cancelLookup) };
+    JobReply known = co_await ask(std::move(question));
+    if (known.verdict == JobVerdict::NotFound)
         co_return JobVerdict::NotFound;
-    if (job->isCancelRequested || isFinal(job->state))
+    if (known.verdict == JobVerdict::Ok && isFinal(known.state))
         co_return JobVerdict::Ok;
     KeyedRecord record { JobBook::cancelKey(id), std::string(s_cancelMark) };
-    StoreStatus status = co_await m_writer.put(std::move(record), deadlineFor(patience));
+    StoreStatus status = co_await m_writer.put(std::move(record), deadline);
     if (status == StoreStatus::Refused)
         co_return JobVerdict::Refused;
     if (status != StoreStatus::Ok)
@@ -99,12 +94,4 @@
     co_return JobVerdict::Ok;
 }
 
-asio::awaitable<std::optional<std::size_t>> JobService::pending(std::string queue, Milliseconds patience)
-{
-    bool isCurrent = co_await refresh(patience);
-    if (!isCurrent && !m_records.isComplete())
-        co_return std::nullopt;
-    co_return m_records.book().pendingJobs(queue);
-}
-
 } // namespace plantainhold
--- /dev/null
+++ b/plantainhold/entry/OwnerDirectory.cpp
@@ -0,0 +1,45 @@
+#include "plantainhold/entry/OwnerDirectory.h"
+
+#include "plantainhold/entry/JobRecords.h"
+
+#include <algorithm>
+
+namespace plantainhold {
+
+namespace asio = boost::asio;
+
+namespace {
+    constexpr Milliseconds s_readTimeout { 1'000 };
+} // namespace
+
+OwnerDirectory::OwnerDirectory(JobRecords& records, IsAuthoritative isAuthoritative)
+    : m_records(records)
+    , m_isAuthoritative(std::move(isAuthoritative))
+{
+}
+
+asio::awaitable<JobReply> OwnerDirectory::ask(JobQuestion question)
+{
+    if (!isAuthoritative())
+        co_return JobReply {};
+    if (question.kind == JobQuestionKind::State)
+        co_return co_await state(std::move(question));
+    co_return JobReply { JobVerdict::Ok, JobState::Queued, m_records.book().pendingJobs(question.queue) };
+}
+
+asio::awaitable<JobReply> OwnerDirectory::state(JobQuestion question)
+{
+    const BookedJob* job = m_records.book().find(question.id);
+    if (!job) {
+        StoreStatus status = co_await m_records.readSubmissions(std::min(s_readTimeout, question.patience));
+        job = m_records.book().find(question.id);
+        // The partition may have changed hands during the read.
+        if (!isAuthoritative() || (!job && status != StoreStatus::Ok))
+            co_return JobReply {};
+    }
+    if (!job || job->spec->queue != question.queue)
+        co_return JobReply { JobVerdict::NotFound };
+    co_return JobReply { JobVerdict::Ok, job->shownState() };
+}
+
+} // namespace plantainhold
--- /dev/null
+++ b/plantainhold/entry/OwnerDirectory.h
@@ -0,0 +1,32 @@
+// Answers about jobs from this instance's own records, while it owns the partition:
+// only the owner writes progress, so its copy is the newest, and a job that it does
+// not know is looked for in the store before it is called unknown.
+#pragma once
+
+#include "plantainhold/entry/JobDirectory.h"
+
+#include <functional>
+
+namespace plantainhold {
+
+class JobRecords;
+
+class OwnerDirectory final : public JobDirectory {
+public:
+    // Tells whether this instance certainly owns at this moment and has read everything.
+    using IsAuthoritative = std::function<bool()>;
+
+    // The records must outlive the directory. Not thread-safe, as the whole class.
+    OwnerDirectory(JobRecords& records, IsAuthoritative isAuthoritative);
+
+    bool isAuthoritative() const { return m_isAuthoritative(); }
+    boost::asio::awaitable<JobReply> ask(JobQuestion question) override;
+
+private:
+    boost::asio::awaitable<JobReply> state(JobQuestion question);
+
+    JobRecords& m_records;
+    IsAuthoritative m_isAuthoritative;
+};
+
+} // namespace plantainhold
--- a/plantainhold/entry/OwnershipKeeper.cpp
+++ b/plantainhold/entry/OwnershipKeeper.cpp
@@ -14,9 +14,7 @@
 namespace asio = boost::asio;
 
 namespace {
-    constexpr std::string_view s_ownersGroup = "owners";
     constexpr std::string_view s_standbyGroup = "standby";
-    constexpr std::string_view s_ownersTopic = "partitions";
     // Followed by the size class.
     constexpr std::string_view s_standbyTopicPrefix = "standby-";
     constexpr Milliseconds s_callTimeout { 1'000 };
@@ -99,7 +97,8 @@
     TimePoint now = BootClock::now();
     if (m_standingSince == TimePoint {})
         m_standingSince = now;
-    if (!holdsPart(standby) || now < m_standingSince + m_options.settle)
+    m_holdsStandby = holdsPart(standby);
+    if (!m_holdsStandby || now < m_standingSince + m_options.settle)
         co_return true;
     HoldersResult owners = co_await m_store.holders(s_ownersGroup, s_callTimeout);
     if (owners.status != StoreStatus::Ok || m_isLeaving)
@@ -194,6 +193,7 @@
 
 asio::awaitable<void> OwnershipKeeper::leaveStandby()
 {
+    m_holdsStandby = false;
     co_await m_store.leave(asStandby(), s_callTimeout);
 }
 
--- a/plantainhold/entry/OwnershipKeeper.h
+++ b/plantainhold/entry/OwnershipKeeper.h
@@ -45,6 +45,10 @@
 
 class OwnershipKeeper {
 public:
+    // The group of the owners, and the topic whose partitions it deals.
+    static constexpr std::string_view s_ownersGroup = "owners";
+    static constexpr std::string_view s_ownersTopic = "partitions";
+
     using Gained = std::function<void(std::uint64_t generation)>;
     using Lost = std::function<void(std::string_view reason)>;
     // Nothing of a former term of ours is still being stored.
@@ -70,6 +74,8 @@
     // The store refused a write of ours: a newer owner has begun.
     void fenced();
 
+    // Among the instances of its class it takes over when the owner fails.
+    bool isSuccessor() const { return m_holdsStandby; }
     bool isOwner() const { return m_ownedSince != 0; }
     // May order new work.
     bool isConfirmed(TimePoint now) const { return isOwner() && now < m_renewedAt + m_options.timeToLive; }
@@ -109,6 +115,7 @@
     TimePoint m_lookedAt {};
     // Looks in a row that found a larger instance.
     std::uint32_t m_largerSeen = 0;
+    bool m_holdsStandby = false;
     // A member of the owners' group, or about to be.
     bool m_isCandidate = false;
     bool m_isLeaving = false;
--- /dev/null
+++ b/plantainhold/entry/PeerDirectory.h
@@ -0,0 +1,35 @@
+// Asks the owner of the partition, wherever it is. A call that fails or that reaches
+// an instance which does not own any more is tried again at the owner of that moment.
+#pragma once
+
+#include "plantainhold/entry/JobDirectory.h"
+#include "plantainhold/entry/OwnerLocator.h"
+#include "plantainhold/entry/PeerPort.h"
+#include "plantainhold/store/AdaptiveTimeout.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <cstdint>
+
+namespace plantainhold {
+
+class PeerDirectory final : public JobDirectory {
+public:
+    // Store and peers must outlive the directory. Not thread-safe, as the whole class.
+    PeerDirectory(boost::asio::any_io_executor executor, StorePort& store, PeerPort& peers, std::uint32_t part);
+
+    boost::asio::awaitable<JobReply> ask(JobQuestion question) override;
+
+    // Calls to owners that brought no verdict.
+    std::uint64_t failedCalls() const { return m_failedCalls; }
+
+private:
+    boost::asio::awaitable<std::optional<JobReply>> askOnce(std::string address, const JobQuestion& question, TimePoint deadline);
+
+    boost::asio::any_io_executor m_executor;
+    PeerPort& m_peers;
+    OwnerLocator m_locator;
+    AdaptiveTimeout m_timeout;
+    std::uint64_t m_failedCalls = 0;
+};
+
+} // namespace plantainhold
--- a/plantainhold/store/TopicTail.cpp
+++ b/plantainhold/store/TopicTail.cpp
@@ -39,6 +39,20 @@
     }
 }
 
+asio::awaitable<StoreStatus> TopicTail::peek(Milliseconds timeout)
+{
+    for (std::uint64_t next = m_next;;) {
+        ReadResult result = co_await m_store.read({ m_topic, m_part }, next, Milliseconds(0), timeout);
+        if (result.status != StoreStatus::Ok)
+            co_return result.status;
+        for (const StoredRecord& it : result.records)
+            apply(it);
+        next = result.nextOffset;
+        if (result.records.empty() || next >= result.endOffset)
+            co_return StoreStatus::Ok;
+    }
+}
+
 asio::awaitable<StoreStatus> TopicTail::rebuild(Milliseconds timeout)
 {
     TimePoint asked = std::chrono::steady_clock::now();
--- a/plantainhold/store/TopicTail.h
+++ b/plantainhold/store/TopicTail.h
@@ -24,6 +24,13 @@
     // Reads on until the end, waiting up to `wait` for something new. One call at a time.
     boost::asio::awaitable<StoreStatus> poll(Milliseconds wait, Milliseconds timeout);
 
+    // Applies what stands behind the last record that was read, up to the end, without
+    // moving on: for a caller that must not wait for the poll on its way. Records are
+    // applied again when that poll brings them.
+    boost::asio::awaitable<StoreStatus> peek(Milliseconds timeout);
+    // The next poll begins with the newest record of each key.
+    void restart() { m_isComplete = false; }
+
     // True once everything that stood in the topic at some moment was read.
     bool isComplete() const { return m_isComplete; }
     // When that moment was, at the latest call that succeeded.
