--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -104,6 +104,7 @@
     TimePoint now = BootClock::now();
     for (const auto& [id, job] : m_parts.records.book().jobs())
         m_scheduler->submit(id, job, now);
+    m_isRestored = true;
     m_parts.events.note(EventId::OwnershipRestored, { { "generation", m_generation }, { "jobs", m_scheduler->activeJobs() }, { "executors", m_scheduler->executorIds().size() }, { "ms", std::chrono::duration_cast<Milliseconds>(now - began).count() } });
     auto self = shared_from_this();
     asio::co_spawn(
@@ -170,7 +171,7 @@
 
 void JobOwner::submissionRead(std::string_view id)
 {
-    if (m_isStopped || !m_scheduler)
+    if (m_isStopped || !m_isRestored)
         return;
     const BookedJob* job = m_parts.records.book().find(id);
     if (!job)
@@ -184,12 +185,12 @@
 
 void JobOwner::wake()
 {
-    if (m_isPumpPosted || m_isStopped)
+    if (m_isPumpPosted || m_isStopped || !m_isRestored)
         return;
     m_isPumpPosted = true;
     asio::post(m_executor, [self = shared_from_this()]() {
         self->m_isPumpPosted = false;
-        if (!self->m_isStopped && self->m_scheduler)
+        if (!self->m_isStopped)
             self->pump();
     });
 }
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -60,7 +60,7 @@
     void submissionRead(std::string_view id);
 
     // All records of the partition were read, and no former owner can write any more.
-    bool isRestored() const { return m_scheduler != nullptr; }
+    bool isRestored() const { return m_isRestored; }
     bool isStopped() const { return m_isStopped; }
     // Null before everything was read.
     const JobScheduler* scheduler() const { return m_scheduler.get(); }
@@ -101,6 +101,9 @@
     boost::asio::steady_timer m_advanceTimer;
     boost::asio::steady_timer m_commitSignal;
     std::shared_ptr<const FleetConfig> m_config;
+    // Until then nothing may be ordered: an executor's report means nothing while
+    // the jobs that it speaks of are not known.
+    bool m_isRestored = false;
     bool m_isStopped = false;
     bool m_isReleased = false;
     bool m_isPumpPosted = false;
--- /dev/null
+++ b/plantainhold/testing/entry/JobOwnerTest.cpp
@@ -0,0 +1,173 @@
+// The first moments of a term of ownership. The pattern: a large fleet, whose records
+// take several pages to read, while configurations and submissions go on coming in.
+
+#include "plantainhold/entry/JobOwner.h"
+#include "plantainhold/base/EventSink.h"
+#include "plantainhold/entry/JobRecords.h"
+#include "plantainhold/entry/OwnershipKeeper.h"
+#include "plantainhold/jobs/JobCodec.h"
+#include "plantainhold/testing/store/MemoryStore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
+
+namespace plantainhold {
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::string_view s_job = "0123456789abcdef";
+    constexpr std::string_view s_executorsTopic = "executors";
+    constexpr std::string_view s_service = "plans";
+    constexpr std::int64_t s_born = 1'000;
+
+    std::string executorId(int i)
+    {
+        return "executor-" + std::to_string(i);
+    }
+
+    std::optional<ExecutorEntry> decodeEntry(std::string_view key, std::string_view)
+    {
+        ExecutorEntry entry;
+        entry.id = key;
+        entry.service = s_service;
+        entry.address = "10.1.0.1:80";
+        entry.capacity = { 32'000, 128'000, 0 };
+        entry.bornUnixMs = s_born;
+        return entry;
+    }
+
+    // Executor 0 runs the job's task; the others run nothing.
+    class Executors final : public ExecutorPort {
+    public:
+        asio::awaitable<OrderOutcome> order(ExecutorAddress, SealedOrder order, Milliseconds) override
+        {
+            orders.push_back(order.order);
+            co_return OrderOutcome::Accepted;
+        }
+
+        asio::awaitable<ReportAnswer> report(ExecutorAddress to, ReportOrder, Milliseconds) override
+        {
+            ++reports;
+            ReportAnswer answer { OrderOutcome::Accepted, {} };
+            answer.report.bornUnixMs = s_born;
+            answer.report.clockMs = 5'000;
+            if (to.id == executorId(0))
+                answer.report.running.push_back({ { std::string(s_job), 0, 0, 0 }, 1, {}, 100, 0 });
+            co_return answer;
+        }
+
+        void forget(const ExecutorAddress&) override { }
+
+        std::vector<ExecutorOrder> orders;
+        std::size_t reports = 0;
+    };
+
+    class World {
+    public:
+        explicit World(int executorCount)
+            : records(context.get_executor(), store, events)
+            , keeper(context.get_executor(), store, events, ownership(), { [this](std::uint64_t it) { gained(it); }, [](std::string_view) {}, []() { return true; } })
+        {
+            storeRunningJob();
+            for (int i = 0; i < executorCount; ++i)
+                store.put(std::string(s_executorsTopic), executorId(i), "listed");
+            records.onSubmission([this](std::string_view id) {
+                if (owner)
+                    owner->submissionRead(id);
+            });
+            asio::co_spawn(context, keeper.run(), asio::detached);
+        }
+
+        void runFor(Milliseconds time)
+        {
+            context.run_for(time);
+            context.restart();
+        }
+
+        static std::shared_ptr<const FleetConfig> config(std::uint64_t version)
+        {
+            FleetConfig config;
+            config.version = version;
+            Queue queue;
+            queue.name = s_service;
+            queue.service = s_service;
+            config.queues.push_back(queue);
+            return std::make_shared<const FleetConfig>(std::move(config));
+        }
+
+        asio::io_context context;
+        MemoryStore store;
+        NoEvents events;
+        Executors executors;
+        EntrySettings settings;
+        JobRecords records;
+        OwnershipKeeper keeper;
+        std::shared_ptr<JobOwner> owner;
+
+    private:
+        static OwnershipOptions ownership()
+        {
+            OwnershipOptions options;
+            options.member = "instance";
+            options.renewEvery = Milliseconds(10);
+            options.settle = Milliseconds(20);
+            return options;
+        }
+
+        void storeRunningJob()
+        {
+            JobSpec spec;
+            spec.queue = s_service;
+            StepSpec step;
+            step.taskCount = 1;
+            step.lasts = true;
+            step.resources = { 1'000, 1'000, 0 };
+            spec.steps.push_back(step);
+            store.put(std::string(JobRecords::s_submissionsTopic), JobBook::submissionKey(s_job), encodeSubmission(spec));
+            JobProgress progress { JobState::Running, true, {} };
+            TaskProgress task;
+            task.run = 1;
+            task.executor = executorId(0);
+            task.executorBornUnixMs = s_born;
+            progress.tasks.push_back(task);
+            store.put(std::string(JobRecords::s_progressTopic), std::string(s_job), encodeProgress(progress));
+        }
+
+        void gained(std::uint64_t generation)
+        {
+            OwnerParts parts { store, executors, records, keeper, events, decodeEntry, s_executorsTopic, nullptr };
+            owner = std::make_shared<JobOwner>(context.get_executor(), settings, std::move(parts), generation);
+            owner->start(config(1));
+        }
+    };
+
+} // namespace
+
+TEST_CASE("nothing is decided about executors before all jobs are known")
+{
+    World world(8);
+    // The second page of executors is slow, and a configuration comes meanwhile.
+    world.store.beforeNewest = [&world](TopicPart where, std::string_view after) -> asio::awaitable<void> {
+        if (where.topic != s_executorsTopic || after.empty())
+            co_return;
+        world.owner->configure(World::config(2));
+        asio::steady_timer pause(world.context, Milliseconds(60));
+        co_await pause.async_wait(asio::use_awaitable);
+    };
+    world.runFor(Milliseconds(600));
+    REQUIRE(world.owner);
+    REQUIRE(world.owner->isRestored());
+    CHECK(world.executors.reports > 0);
+    for (const ExecutorOrder& it : world.executors.orders)
+        CHECK(it.kind != OrderKind::Stop);
+    CHECK(world.executors.orders.empty());
+}
+
+} // namespace plantainhold
--- a/plantainhold/testing/store/MemoryStore.h
+++ b/plantainhold/testing/store/MemoryStore.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -16,46 +17,50 @@
 public:
     boost::asio::awaitable<AppendResult> append(TopicPart where, std::span<const KeyedRecord> records, std::optional<WriterStamp>, Milliseconds) override
     {
+        std::vector<StoredRecord>& kept = logOf(where);
         ++appends;
         StoreStatus status = nextAppend.empty() ? StoreStatus::Ok : nextAppend.front();
         if (!nextAppend.empty())
             nextAppend.pop_front();
         AppendResult result { status };
-        result.firstOffset = log.size();
+        result.firstOffset = kept.size();
         // An unknown outcome is a stored one whose answer was lost.
         if (status == StoreStatus::Ok || status == StoreStatus::Unknown) {
             for (const KeyedRecord& it : records)
-                log.push_back({ log.size(), it.key, it.value });
+                kept.push_back({ kept.size(), it.key, it.value });
         }
-        result.endOffset = log.size();
-        (void)where;
+        result.endOffset = kept.size();
         co_return result;
     }
 
-    boost::asio::awaitable<ReadResult> read(TopicPart, std::uint64_t from, Milliseconds, Milliseconds) override
+    boost::asio::awaitable<ReadResult> read(TopicPart where, std::uint64_t from, Milliseconds, Milliseconds) override
     {
+        const std::vector<StoredRecord>& kept = logOf(where);
         ReadResult result;
         result.firstOffset = firstKept;
-        result.endOffset = log.size();
+        result.endOffset = kept.size();
         result.status = from < firstKept ? StoreStatus::Expired : StoreStatus::Ok;
         result.nextOffset = from;
-        for (std::uint64_t i = from; result.status == StoreStatus::Ok && i < log.size() && result.records.size() < pageSize; ++i) {
-            result.records.push_back(log[i]);
+        for (std::uint64_t i = from; result.status == StoreStatus::Ok && i < kept.size() && result.records.size() < pageSize; ++i) {
+            result.records.push_back(kept[i]);
             result.nextOffset = i + 1;
         }
         co_return result;
     }
 
-    boost::asio::awaitable<NewestResult> newest(TopicPart, std::string_view afterKey, Milliseconds) override
+    boost::asio::awaitable<NewestResult> newest(TopicPart where, std::string_view afterKey, Milliseconds) override
     {
+        if (beforeNewest)
+            co_await beforeNewest(where, afterKey);
+        const std::vector<StoredRecord>& kept = logOf(where);
         std::map<std::string, StoredRecord> byKey;
-        for (const StoredRecord& it : log) {
+        for (const StoredRecord& it : kept) {
             if (it.value.empty())
                 byKey.erase(it.key);
             else
                 byKey[it.key] = it;
         }
-        NewestResult result { StoreStatus::Ok, {}, false, log.size() };
+        NewestResult result { StoreStatus::Ok, {}, false, kept.size() };
         for (auto it = byKey.upper_bound(std::string(afterKey)); it != byKey.end(); ++it) {
             if (result.records.size() == pageSize) {
                 result.hasMore = true;
@@ -98,7 +103,17 @@
         co_return;
     }
 
+    void put(const std::string& topic, std::string key, std::string value)
+    {
+        std::vector<StoredRecord>& records = topics[topic];
+        records.push_back({ records.size(), std::move(key), std::move(value) });
+    }
+
+    // Topics that have an entry here are kept apart; all others share one log.
+    std::map<std::string, std::vector<StoredRecord>, std::less<>> topics;
     std::vector<StoredRecord> log;
+    // Runs before a page is read, to hold it up.
+    std::function<boost::asio::awaitable<void>(TopicPart, std::string_view)> beforeNewest;
     std::uint64_t firstKept = 0;
     std::size_t pageSize = 3;
     std::deque<StoreStatus> nextAppend;
@@ -113,6 +128,12 @@
         TimePoint aliveUntil;
     };
 
+    std::vector<StoredRecord>& logOf(TopicPart where)
+    {
+        auto it = topics.find(where.topic);
+        return it == topics.end() ? log : it->second;
+    }
+
     std::vector<Member>& membersOf(std::string_view group)
     {
         std::vector<Member>& members = m_groups[std::string(group)];
