Spread submissions over the store's partitions

Cause: the store takes one append to a partition at a time; when it is slow (60 times), one partition takes four appends a second from all instances, and callers' time runs out.

--- a/bench/JobFleet.cpp
+++ b/bench/JobFleet.cpp
@@ -182,7 +182,6 @@
     std::string id = "job-" + std::to_string(m_nextJob++);
     BookedJob booked;
     booked.spec = spec;
-    booked.submissionOffset = m_nextJob;
     m_jobs[id] = job;
     timed(m_figures.placingSeconds, [&] { m_scheduler->submit(id, booked, at(m_now)); });
 }
--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -48,11 +48,11 @@
     , m_settings(settings)
     , m_adapters(std::move(adapters))
     , m_log(log)
-    , m_records(context.get_executor(), m_adapters.store, log)
+    , m_records(context.get_executor(), m_adapters.store, log, settings.submissionParts)
     , m_ownDirectory(m_records, [this]() { return isAuthoritative(); })
     , m_peers(context.get_executor())
     , m_peerDirectory(context.get_executor(), m_adapters.store, m_peers, s_part)
-    , m_service(context.get_executor(), m_adapters.store, m_ownDirectory, m_peerDirectory, log)
+    , m_service(context.get_executor(), m_adapters.store, m_ownDirectory, m_peerDirectory, log, settings.submissionParts)
     , m_keeper(
           context.get_executor(), m_adapters.store, log, ownershipOptions(settings),
           { [this](std::uint64_t it) { ownershipGained(it); }, [this](std::string_view) { ownershipLost(); }, [this]() { return !m_releasing || m_releasing->isReleased(); } })
--- a/plantainhold/entry/EntrySettings.cpp
+++ b/plantainhold/entry/EntrySettings.cpp
@@ -1,6 +1,7 @@
 #include "plantainhold/entry/EntrySettings.h"
 
 #include "plantainhold/base/ResultError.h"
+#include "plantainhold/entry/JobTopics.h"
 
 #include <algorithm>
 #include <charconv>
@@ -53,6 +54,7 @@
     }
 
     constexpr Milliseconds s_minute { 60'000 };
+    constexpr double s_mostStorePartitions = 100'000;
 
 } // namespace
 
@@ -75,6 +77,8 @@
     settings.adviceAddress = text(root, "advice.address", false);
     settings.machinesAddress = text(root, "machines.address", false);
     settings.cores = number(root, "capacity.cpu_share", 1, 0.001, 1'024) * number(root, "capacity.cores", 1, 1, 1'024);
+    double parts = number(root, "store.partitions", 1, 1, s_mostStorePartitions);
+    settings.submissionParts = std::min(s_mostSubmissionParts, static_cast<std::uint32_t>(parts));
     settings.membershipMin = milliseconds(root, "store.membership_min_ms", settings.membershipMin, Milliseconds(100), s_minute);
     settings.stopGrace = Milliseconds(static_cast<std::int64_t>(1'000 * number(root, "stop_grace_s", 6, 0.5, 600)));
     SchedulerLimits& limits = settings.scheduler;
--- a/plantainhold/entry/EntrySettings.h
+++ b/plantainhold/entry/EntrySettings.h
@@ -25,6 +25,8 @@
     std::string machinesAddress;
     // Processors that this instance may use.
     double cores = 1;
+    // Partitions over which submissions are spread.
+    std::uint32_t submissionParts = 1;
     // Shortest life of a membership that the store grants.
     Milliseconds membershipMin { 1'000 };
     // From the signal to stop until the process is killed.
--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -1,6 +1,7 @@
 #include "plantainhold/entry/JobOwner.h"
 
 #include "plantainhold/entry/JobRecords.h"
+#include "plantainhold/entry/JobTopics.h"
 #include "plantainhold/entry/OwnershipKeeper.h"
 #include "plantainhold/util/BootClock.h"
 
@@ -355,7 +356,7 @@
 asio::awaitable<void> JobOwner::commitLoop()
 {
     // Until this is stored, the former owner's release would stand for this term too.
-    std::vector<KeyedRecord> begin { { std::string(JobRecords::s_ownerKey), encodeOwnerTerm({ m_generation, false, {} }) } };
+    std::vector<KeyedRecord> begin { { std::string(s_ownerKey), encodeOwnerTerm({ m_generation, false, {} }) } };
     co_await m_writer.write(begin);
     while (!m_isStopped) {
         CommitBatch batch = m_scheduler->takeBatch(BootClock::now());
@@ -377,7 +378,7 @@
     if (m_writer.isFenced())
         m_parts.keeper.fenced();
     // A newer owner may have begun, and then this record is refused.
-    std::vector<KeyedRecord> last { { std::string(JobRecords::s_ownerKey), encodeOwnerTerm(m_scheduler->release(BootClock::now())) } };
+    std::vector<KeyedRecord> last { { std::string(s_ownerKey), encodeOwnerTerm(m_scheduler->release(BootClock::now())) } };
     StoreStatus status = co_await m_writer.writeLast(last);
     m_parts.events.note(EventId::OwnershipReleased, { { "generation", m_generation }, { "status", nameOf(status) } });
     m_isReleased = true;
@@ -402,15 +403,20 @@
 
 asio::awaitable<void> JobOwner::dropSubmissions(std::vector<std::string> ids)
 {
-    std::vector<KeyedRecord> records;
+    std::vector<std::vector<KeyedRecord>> records(m_settings.submissionParts);
     for (const std::string& it : ids) {
-        records.push_back({ JobBook::submissionKey(it), {} });
-        records.push_back({ JobBook::cancelKey(it), {} });
+        std::vector<KeyedRecord>& part = records[submissionPart(it, m_settings.submissionParts)];
+        part.push_back({ JobBook::submissionKey(it), {} });
+        part.push_back({ JobBook::cancelKey(it), {} });
+    }
+    for (std::uint32_t part = 0; part < records.size(); ++part) {
+        if (records[part].empty())
+            continue;
+        // A failure leaves records that the next owner drops again.
+        AppendResult result = co_await m_parts.store.append({ s_submissionsTopic, part }, records[part], std::nullopt, s_storeTimeout);
+        if (result.status != StoreStatus::Ok)
+            m_parts.events.note(EventId::StoreLost, { { "call", "drop submissions" }, { "status", nameOf(result.status) } });
     }
-    // A failure leaves records that the next owner drops again.
-    AppendResult result = co_await m_parts.store.append({ JobRecords::s_submissionsTopic, s_part }, records, std::nullopt, s_storeTimeout);
-    if (result.status != StoreStatus::Ok)
-        m_parts.events.note(EventId::StoreLost, { { "call", "drop submissions" }, { "status", nameOf(result.status) } });
 }
 
 std::size_t JobOwner::queuedOrders() const
--- a/plantainhold/entry/JobRecords.cpp
+++ b/plantainhold/entry/JobRecords.cpp
@@ -1,5 +1,6 @@
 #include "plantainhold/entry/JobRecords.h"
 
+#include "plantainhold/entry/JobTopics.h"
 #include "plantainhold/jobs/JobScheduler.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -13,7 +14,6 @@
 namespace asio = boost::asio;
 
 namespace {
-    constexpr std::uint32_t s_part = 0;
     constexpr Milliseconds s_followWait { 2'000 };
     constexpr Milliseconds s_timeout { 1'000 };
     constexpr Milliseconds s_retryPause { 100 };
@@ -21,7 +21,7 @@
     constexpr Milliseconds s_followPause { 10 };
 } // namespace
 
-// One read of both topics that several callers wait for.
+// One read of all topics that several callers wait for.
 struct JobRecords::Round {
     explicit Round(const asio::any_io_executor& executor)
         : signal(executor, TimePoint::max())
@@ -33,18 +33,35 @@
     bool isDone = false;
 };
 
-JobRecords::JobRecords(asio::any_io_executor executor, StorePort& store, EventSink& events)
+struct JobRecords::SubmissionPart {
+    explicit SubmissionPart(TopicTail what)
+        : tail(std::move(what))
+    {
+    }
+
+    TopicTail tail;
+    // A tail takes one call at a time.
+    bool isPolling = false;
+    bool isFollowing = false;
+};
+
+JobRecords::JobRecords(asio::any_io_executor executor, StorePort& store, EventSink& events, std::uint32_t submissionParts)
     : m_executor(std::move(executor))
-    , m_submissions(store, events, std::string(s_submissionsTopic), s_part, [this](const StoredRecord& it) { applySubmission(it); })
-    , m_progress(store, events, std::string(s_progressTopic), s_part, [this](const StoredRecord& it) {
+    , m_progress(store, events, std::string(s_progressTopic), s_progressPart, [this](const StoredRecord& it) {
         applyOwnProgress(it.key, it.value, it.offset);
     })
 {
+    for (std::uint32_t part = 0; part < submissionParts; ++part) {
+        TopicTail tail(store, events, std::string(s_submissionsTopic), part, [this](const StoredRecord& it) { applySubmission(it); });
+        m_submissions.push_back(std::make_unique<SubmissionPart>(std::move(tail)));
+    }
 }
 
+JobRecords::~JobRecords() = default;
+
 void JobRecords::applySubmission(const StoredRecord& record)
 {
-    std::string_view id = m_book.applySubmission(record.key, record.value, record.offset);
+    std::string_view id = m_book.applySubmission(record.key, record.value);
     if (!id.empty() && m_listener)
         m_listener(id);
 }
@@ -74,36 +91,64 @@
     m_currentRound = round;
     m_nextRound.reset();
     round->status = co_await m_progress.poll(Milliseconds(0), timeout);
-    // A read that waits for submissions brings them as they come.
-    if (round->status == StoreStatus::Ok && !m_isPollingSubmissions)
-        round->status = co_await pollSubmissions(Milliseconds(0), timeout);
+    if (round->status == StoreStatus::Ok)
+        round->status = co_await readParts(timeout);
     round->isDone = true;
     round->signal.cancel();
 }
 
-asio::awaitable<StoreStatus> JobRecords::readSubmissions(Milliseconds timeout)
+// All partitions at the same time.
+asio::awaitable<StoreStatus> JobRecords::readParts(Milliseconds timeout)
 {
-    if (!m_isPollingSubmissions)
-        co_return co_await pollSubmissions(Milliseconds(0), timeout);
+    struct Parts {
+        asio::steady_timer signal;
+        std::size_t left;
+        StoreStatus status;
+    };
+    auto parts = std::make_shared<Parts>(Parts { asio::steady_timer(m_executor, TimePoint::max()), m_submissions.size(), StoreStatus::Ok });
+    for (const auto& it : m_submissions) {
+        auto read = [this, parts, part = it.get(), timeout]() -> asio::awaitable<void> {
+            // A read that waits for submissions brings them as they come.
+            StoreStatus status = part->isPolling ? co_await part->tail.peek(timeout) : co_await pollPart(*part, Milliseconds(0), timeout);
+            if (status != StoreStatus::Ok)
+                parts->status = status;
+            if (!--parts->left)
+                parts->signal.cancel();
+        };
+        asio::co_spawn(m_executor, std::move(read), asio::detached);
+    }
+    boost::system::error_code ec;
+    if (parts->left)
+        co_await parts->signal.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    co_return parts->status;
+}
+
+asio::awaitable<StoreStatus> JobRecords::readSubmission(std::string_view job, Milliseconds timeout)
+{
+    SubmissionPart& part = *m_submissions[submissionPart(job, static_cast<std::uint32_t>(m_submissions.size()))];
+    if (!part.isPolling)
+        co_return co_await pollPart(part, Milliseconds(0), timeout);
     // The read on its way may have been answered before the last record was stored.
-    co_return co_await m_submissions.peek(timeout);
+    co_return co_await part.tail.peek(timeout);
 }
 
-asio::awaitable<StoreStatus> JobRecords::pollSubmissions(Milliseconds wait, Milliseconds timeout)
+asio::awaitable<StoreStatus> JobRecords::pollPart(SubmissionPart& part, Milliseconds wait, Milliseconds timeout)
 {
-    m_isPollingSubmissions = true;
-    StoreStatus status = co_await m_submissions.poll(wait, timeout);
-    m_isPollingSubmissions = false;
+    part.isPolling = true;
+    StoreStatus status = co_await part.tail.poll(wait, timeout);
+    part.isPolling = false;
     co_return status;
 }
 
 void JobRecords::follow()
 {
     m_wantsToFollow = true;
-    if (m_isFollowing)
-        return;
-    m_isFollowing = true;
-    asio::co_spawn(m_executor, followLoop(), asio::detached);
+    for (const auto& it : m_submissions) {
+        if (it->isFollowing)
+            continue;
+        it->isFollowing = true;
+        asio::co_spawn(m_executor, followLoop(*it), asio::detached);
+    }
 }
 
 void JobRecords::unfollow()
@@ -113,18 +158,17 @@
     m_progress.restart();
 }
 
-asio::awaitable<void> JobRecords::followLoop()
+asio::awaitable<void> JobRecords::followLoop(SubmissionPart& part)
 {
     while (m_wantsToFollow) {
-        // A tail takes one call at a time.
         StoreStatus status = StoreStatus::Refused;
-        if (!m_isPollingSubmissions)
-            status = co_await pollSubmissions(s_followWait, s_timeout);
+        if (!part.isPolling)
+            status = co_await pollPart(part, s_followWait, s_timeout);
         asio::steady_timer pause(m_executor, status == StoreStatus::Ok ? s_followPause : s_retryPause);
         boost::system::error_code ec;
         co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
-    m_isFollowing = false;
+    part.isFollowing = false;
 }
 
 void JobRecords::applyOwnProgress(std::string_view id, std::string_view value, std::uint64_t offset)
--- a/plantainhold/entry/JobRecords.h
+++ b/plantainhold/entry/JobRecords.h
@@ -1,6 +1,5 @@
-// This instance's copy of all jobs, and the two topics that it is folded from:
-// what callers asked for, written by any instance, and how far each job is,
-// written by the owner.
+// An owner's copy of all jobs, and the topics that it is folded from: what callers
+// asked for, written by any instance, and how far each job is, written by the owner.
 #pragma once
 
 #include "plantainhold/jobs/JobBook.h"
@@ -8,32 +7,31 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace plantainhold {
 
 class JobRecords {
 public:
-    static constexpr std::string_view s_submissionsTopic = "keyed.submissions";
-    static constexpr std::string_view s_progressTopic = "keyed.progress";
-    // Among the progress of jobs, the record of who schedules them.
-    static constexpr std::string_view s_ownerKey = "@owner";
+    // The store and the sink must outlive the records. Precondition: submissionParts > 0.
+    // Not thread-safe, as the whole class.
+    JobRecords(boost::asio::any_io_executor executor, StorePort& store, EventSink& events, std::uint32_t submissionParts);
+    ~JobRecords();
 
-    // The store and the sink must outlive the records. Not thread-safe, as the whole class.
-    JobRecords(boost::asio::any_io_executor executor, StorePort& store, EventSink& events);
-
-    // Reads both topics to their end as of this call or later; calls share reads.
+    // Reads all topics to their end as of this call or later; calls share reads.
     // Everything up to then is in the book when it returns Ok.
     boost::asio::awaitable<StoreStatus> catchUp(Milliseconds timeout);
-    // For an owner, whose copy of the progress is current: reads all submissions that
-    // were stored before this call.
-    boost::asio::awaitable<StoreStatus> readSubmissions(Milliseconds timeout);
+    // For an owner, whose copy of the progress is current: reads what was stored of
+    // this job's submission and cancellation before the call.
+    boost::asio::awaitable<StoreStatus> readSubmission(std::string_view job, Milliseconds timeout);
     // From now on submissions and cancellations are read as they come, for an owner.
     void follow();
-    // Undoes follow(), at the latest when the read on its way returns.
+    // Undoes follow(), at the latest when the reads on their way return.
     void unfollow();
 
     const JobBook& book() const { return m_book; }
@@ -48,22 +46,21 @@
 
 private:
     struct Round;
+    struct SubmissionPart;
 
     boost::asio::awaitable<void> readRound(std::shared_ptr<Round> round, Milliseconds timeout);
-    boost::asio::awaitable<StoreStatus> pollSubmissions(Milliseconds wait, Milliseconds timeout);
-    boost::asio::awaitable<void> followLoop();
-
+    boost::asio::awaitable<StoreStatus> readParts(Milliseconds timeout);
+    boost::asio::awaitable<StoreStatus> pollPart(SubmissionPart& part, Milliseconds wait, Milliseconds timeout);
+    boost::asio::awaitable<void> followLoop(SubmissionPart& part);
     void applySubmission(const StoredRecord& record);
 
     boost::asio::any_io_executor m_executor;
     JobBook m_book;
     std::string m_ownerRecord;
     std::string m_learnedRecord;
-    TopicTail m_submissions;
+    std::vector<std::unique_ptr<SubmissionPart>> m_submissions;
     TopicTail m_progress;
-    bool m_isPollingSubmissions = false;
     bool m_wantsToFollow = false;
-    bool m_isFollowing = false;
     // The read that has not been sent yet, which later callers may share, and the one on its way.
     std::shared_ptr<Round> m_nextRound;
     std::shared_ptr<Round> m_currentRound;
--- a/plantainhold/entry/JobService.cpp
+++ b/plantainhold/entry/JobService.cpp
@@ -1,8 +1,10 @@
 #include "plantainhold/entry/JobService.h"
 
-#include "plantainhold/entry/JobRecords.h"
+#include "plantainhold/entry/JobTopics.h"
 #include "plantainhold/entry/OwnerDirectory.h"
+#include "plantainhold/jobs/JobBook.h"
 #include "plantainhold/jobs/JobCodec.h"
+#include "plantainhold/util/BootClock.h"
 
 #include <algorithm>
 
@@ -25,19 +27,26 @@
     }
 } // namespace
 
-JobService::JobService(asio::any_io_executor executor, StorePort& store, OwnerDirectory& own, JobDirectory& peers, EventSink& events)
+JobService::JobService(asio::any_io_executor executor, StorePort& store, OwnerDirectory& own, JobDirectory& peers, EventSink& events, std::uint32_t submissionParts)
     : m_own(own)
     , m_peers(peers)
     , m_events(events)
-    , m_writer(std::move(executor), store, std::string(JobRecords::s_submissionsTopic), 0)
 {
+    for (std::uint32_t part = 0; part < submissionParts; ++part)
+        m_writers.push_back(std::make_unique<GroupCommit>(executor, store, std::string(s_submissionsTopic), part));
+}
+
+GroupCommit& JobService::writerOf(std::string_view job)
+{
+    return *m_writers[submissionPart(job, static_cast<std::uint32_t>(m_writers.size()))];
 }
 
 asio::awaitable<JobVerdict> JobService::submit(std::string id, JobSpec spec, Milliseconds patience)
 {
     TimePoint began = std::chrono::steady_clock::now();
+    spec.acceptedUnixMs = BootClock::unixMs();
     KeyedRecord record { JobBook::submissionKey(id), encodeSubmission(spec) };
-    StoreStatus status = co_await m_writer.put(std::move(record), deadlineFor(patience));
+    StoreStatus status = co_await writerOf(id).put(std::move(record), deadlineFor(patience));
     auto ms = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - began).count();
     if (status == StoreStatus::Ok) {
         ++m_counters.accepted;
@@ -84,7 +93,7 @@
     if (known.verdict == JobVerdict::Ok && isFinal(known.state))
         co_return JobVerdict::Ok;
     KeyedRecord record { JobBook::cancelKey(id), std::string(s_cancelMark) };
-    StoreStatus status = co_await m_writer.put(std::move(record), deadline);
+    StoreStatus status = co_await writerOf(id).put(std::move(record), deadline);
     if (status == StoreStatus::Refused)
         co_return JobVerdict::Refused;
     if (status != StoreStatus::Ok)
--- a/plantainhold/entry/JobService.h
+++ b/plantainhold/entry/JobService.h
@@ -11,8 +11,10 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace plantainhold {
 
@@ -28,8 +30,8 @@
 
 class JobService {
 public:
-    // The parts must outlive the service. Not thread-safe, as the whole class.
-    JobService(boost::asio::any_io_executor executor, StorePort& store, OwnerDirectory& own, JobDirectory& peers, EventSink& events);
+    // The parts must outlive the service. Precondition: submissionParts > 0. Not thread-safe, as the whole class.
+    JobService(boost::asio::any_io_executor executor, StorePort& store, OwnerDirectory& own, JobDirectory& peers, EventSink& events, std::uint32_t submissionParts);
 
     // The queue stands in the spec. Handing the same id in again changes nothing.
     boost::asio::awaitable<JobVerdict> submit(std::string id, JobSpec spec, Milliseconds patience);
@@ -42,11 +44,13 @@
 
 private:
     boost::asio::awaitable<JobReply> ask(JobQuestion question);
+    GroupCommit& writerOf(std::string_view job);
 
     OwnerDirectory& m_own;
     JobDirectory& m_peers;
     EventSink& m_events;
-    GroupCommit m_writer;
+    // One a partition of the submissions.
+    std::vector<std::unique_ptr<GroupCommit>> m_writers;
     ServiceCounters m_counters;
 };
 
--- a/plantainhold/entry/OwnerDirectory.cpp
+++ b/plantainhold/entry/OwnerDirectory.cpp
@@ -31,7 +31,7 @@
 {
     const BookedJob* job = m_records.book().find(question.id);
     if (!job) {
-        StoreStatus status = co_await m_records.readSubmissions(std::min(s_readTimeout, question.patience));
+        StoreStatus status = co_await m_records.readSubmission(question.id, std::min(s_readTimeout, question.patience));
         job = m_records.book().find(question.id);
         // The partition may have changed hands during the read.
         if (!isAuthoritative() || (!job && status != StoreStatus::Ok))
--- a/plantainhold/entry/ProgressWriter.cpp
+++ b/plantainhold/entry/ProgressWriter.cpp
@@ -1,6 +1,7 @@
 #include "plantainhold/entry/ProgressWriter.h"
 
 #include "plantainhold/entry/JobRecords.h"
+#include "plantainhold/entry/JobTopics.h"
 #include "plantainhold/util/BootClock.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -13,7 +14,6 @@
 
 namespace {
     constexpr std::string_view s_producer = "owner";
-    constexpr std::uint32_t s_part = 0;
     constexpr Milliseconds s_leastTimeout { 800 };
     constexpr Milliseconds s_mostTimeout { 2'500 };
     constexpr Milliseconds s_repeatPause { 50 };
@@ -32,7 +32,7 @@
 asio::awaitable<AppendResult> ProgressWriter::append(std::span<const KeyedRecord> records)
 {
     TimePoint sentAt = BootClock::now();
-    AppendResult result = co_await m_store.append({ JobRecords::s_progressTopic, s_part }, records, WriterStamp { s_producer, m_epoch, m_sequence }, m_timeout.current());
+    AppendResult result = co_await m_store.append({ s_progressTopic, s_progressPart }, records, WriterStamp { s_producer, m_epoch, m_sequence }, m_timeout.current());
     if (result.status == StoreStatus::Unknown)
         m_timeout.timedOut();
     else
--- a/plantainhold/http/HttpClient.cpp
+++ b/plantainhold/http/HttpClient.cpp
@@ -19,7 +19,7 @@
 namespace {
 
     constexpr std::size_t s_maxReplyBytes = 16 << 20;
-    constexpr std::size_t s_maxIdle = 8;
+    constexpr std::size_t s_maxIdle = 32;
     // A connection that was idle for longer is not trusted with another call.
     constexpr Milliseconds s_maxIdleTime { 8'000 };
     constexpr int s_probeSeconds = 1;
--- a/plantainhold/jobs/JobBook.cpp
+++ b/plantainhold/jobs/JobBook.cpp
@@ -26,7 +26,7 @@
     return s_cancelPrefix + std::string(id);
 }
 
-std::string_view JobBook::applySubmission(std::string_view key, std::string_view value, std::uint64_t offset)
+std::string_view JobBook::applySubmission(std::string_view key, std::string_view value)
 {
     if (key.size() < 2 || (key[0] != s_submissionPrefix && key[0] != s_cancelPrefix)) {
         ++m_malformed;
@@ -49,10 +49,8 @@
         return {};
     }
     auto it = m_jobs.try_emplace(std::move(id)).first;
-    if (!it->second.spec) {
+    if (!it->second.spec)
         it->second.spec = std::make_shared<const JobSpec>(std::move(*spec));
-        it->second.submissionOffset = offset;
-    }
     return it->first;
 }
 
--- a/plantainhold/jobs/JobBook.h
+++ b/plantainhold/jobs/JobBook.h
@@ -26,7 +26,6 @@
     // The stored progress, undecoded; empty when there is none.
     std::string progress;
     std::uint64_t progressOffset = 0;
-    std::uint64_t submissionOffset = 0;
 
     // A cancellation shows at once, before the owner has acted on it.
     JobState shownState() const;
@@ -40,7 +39,7 @@
 
     // Not thread-safe, as the whole class. An empty value drops the key.
     // Returns the id of the job that the record concerns, empty for a record that is not understood.
-    std::string_view applySubmission(std::string_view key, std::string_view value, std::uint64_t offset);
+    std::string_view applySubmission(std::string_view key, std::string_view value);
     void applyProgress(std::string_view id, std::string_view value, std::uint64_t offset);
 
     // Null when the job is not known or was dropped.
--- a/plantainhold/jobs/JobCodec.cpp
+++ b/plantainhold/jobs/JobCodec.cpp
@@ -106,6 +106,7 @@
     record.set_repeat_count(spec.repeatCount);
     record.set_first_due_unix_ms(spec.firstDueUnixMs);
     record.set_interval_ms(spec.intervalMs);
+    record.set_accepted_unix_ms(spec.acceptedUnixMs);
     return record.SerializeAsString();
 }
 
@@ -122,6 +123,7 @@
     spec.repeatCount = record.repeat_count();
     spec.firstDueUnixMs = record.first_due_unix_ms();
     spec.intervalMs = record.interval_ms();
+    spec.acceptedUnixMs = record.accepted_unix_ms();
     return spec;
 }
 
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -64,7 +64,7 @@
     job->queue.name = booked.spec->queue;
     job->seenAt = now;
     // The order of submission, also across owners.
-    job->serial = booked.submissionOffset << 16 | (m_nextSerial++ & 0xffff);
+    job->serial = static_cast<std::uint64_t>(booked.spec->acceptedUnixMs) << 16 | (m_nextSerial++ & 0xffff);
     if (m_config) {
         for (const Queue& it : m_config->queues) {
             if (it.name == job->queue.name)
--- a/plantainhold/jobs/JobSpec.h
+++ b/plantainhold/jobs/JobSpec.h
@@ -59,6 +59,8 @@
     std::uint32_t repeatCount = 0;
     std::int64_t firstDueUnixMs = 0;
     std::int64_t intervalMs = 0;
+    // When it was handed in, by the time of day of the instance that took it in.
+    std::int64_t acceptedUnixMs = 0;
 
     bool isTimed() const { return repeatCount > 0; }
     std::uint32_t occurrences() const { return isTimed() ? repeatCount : 1; }
--- a/plantainhold/testing/entry/JobDirectoryTest.cpp
+++ b/plantainhold/testing/entry/JobDirectoryTest.cpp
@@ -6,6 +6,7 @@
 #include "plantainhold/entry/HttpPeers.h"
 #include "plantainhold/entry/JobRecords.h"
 #include "plantainhold/entry/JobService.h"
+#include "plantainhold/entry/JobTopics.h"
 #include "plantainhold/entry/OwnerDirectory.h"
 #include "plantainhold/entry/OwnershipKeeper.h"
 #include "plantainhold/entry/PeerDirectory.h"
@@ -13,11 +14,13 @@
 #include "plantainhold/jobs/JobCodec.h"
 #include "plantainhold/testing/store/MemoryStore.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
+#include <cstdio>
 #include <map>
 #include <random>
 
@@ -29,6 +32,7 @@
     constexpr std::string_view s_id = "0123456789abcdef";
     constexpr std::string_view s_queue = "plans";
     constexpr Milliseconds s_patience { 700 };
+    constexpr std::uint32_t s_parts = 4;
 
     JobQuestion stateQuestion()
     {
@@ -59,10 +63,10 @@
     class World {
     public:
         World()
-            : records(context.get_executor(), store, events)
+            : records(context.get_executor(), store, events, s_parts)
             , own(records, [this]() { return isAuthoritative; })
             , peers(context.get_executor(), store, ports, 0)
-            , service(context.get_executor(), store, own, peers, events)
+            , service(context.get_executor(), store, own, peers, events, s_parts)
         {
         }
 
@@ -177,6 +181,29 @@
     CHECK(world.run(world.own.ask(std::move(count))).verdict == JobVerdict::Unavailable);
 }
 
+TEST_CASE("jobs are spread over the partitions, and an owner finds each of them")
+{
+    World world;
+    for (std::uint32_t part = 0; part < s_parts; ++part)
+        world.store.topics[MemoryStore::nameOf({ s_submissionsTopic, part })];
+    world.isAuthoritative = true;
+    std::vector<std::string> ids;
+    std::mt19937_64 random(7);
+    for (int i = 0; i < 64; ++i) {
+        std::array<char, 17> text {};
+        std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(random()));
+        ids.emplace_back(text.data());
+        JobSpec spec;
+        spec.queue = s_queue;
+        REQUIRE(world.run(world.service.submit(ids.back(), spec, Milliseconds(3'000))) == JobVerdict::Ok);
+    }
+    for (const auto& [name, records] : world.store.topics)
+        CHECK(records.size() > ids.size() / s_parts / 3);
+    for (const std::string& id : ids)
+        CHECK(world.run(world.service.state(id, std::string(s_queue), s_patience)).verdict == JobVerdict::Ok);
+    CHECK(world.store.log.empty());
+}
+
 TEST_CASE("a cancellation is stored even while nobody can tell whether the job exists")
 {
     World world;
--- a/plantainhold/testing/entry/JobOwnerTest.cpp
+++ b/plantainhold/testing/entry/JobOwnerTest.cpp
@@ -4,6 +4,7 @@
 #include "plantainhold/entry/JobOwner.h"
 #include "plantainhold/base/EventSink.h"
 #include "plantainhold/entry/JobRecords.h"
+#include "plantainhold/entry/JobTopics.h"
 #include "plantainhold/entry/OwnershipKeeper.h"
 #include "plantainhold/jobs/JobCodec.h"
 #include "plantainhold/testing/store/MemoryStore.h"
@@ -72,7 +73,7 @@
     class World {
     public:
         explicit World(int executorCount)
-            : records(context.get_executor(), store, events)
+            : records(context.get_executor(), store, events, settings.submissionParts)
             , keeper(context.get_executor(), store, events, ownership(), { [this](std::uint64_t it) { gained(it); }, [](std::string_view) {}, []() { return true; } })
         {
             storeRunningJob();
@@ -130,14 +131,14 @@
             step.lasts = true;
             step.resources = { 1'000, 1'000, 0 };
             spec.steps.push_back(step);
-            store.put(std::string(JobRecords::s_submissionsTopic), JobBook::submissionKey(s_job), encodeSubmission(spec));
+            store.put(std::string(s_submissionsTopic), JobBook::submissionKey(s_job), encodeSubmission(spec));
             JobProgress progress { JobState::Running, true, {} };
             TaskProgress task;
             task.run = 1;
             task.executor = executorId(0);
             task.executorBornUnixMs = s_born;
             progress.tasks.push_back(task);
-            store.put(std::string(JobRecords::s_progressTopic), std::string(s_job), encodeProgress(progress));
+            store.put(std::string(s_progressTopic), std::string(s_job), encodeProgress(progress));
         }
 
         void gained(std::uint64_t generation)
--- a/plantainhold/testing/jobs/JobBookTest.cpp
+++ b/plantainhold/testing/jobs/JobBookTest.cpp
@@ -95,22 +95,22 @@
     std::string completed = encodeProgress({ JobState::Completed, true, {} });
     book.applyProgress("j", completed, 8);
     CHECK(book.find("j") == nullptr);
-    book.applySubmission(JobBook::submissionKey("j"), encodeSubmission(exampleSpec()), 3);
+    book.applySubmission(JobBook::submissionKey("j"), encodeSubmission(exampleSpec()));
     REQUIRE(book.find("j"));
     CHECK(book.find("j")->shownState() == JobState::Completed);
     book.applyProgress("j", running, 5);
     CHECK(book.find("j")->shownState() == JobState::Completed);
-    book.applySubmission(JobBook::cancelKey("j"), "1", 9);
+    book.applySubmission(JobBook::cancelKey("j"), "1");
     CHECK(book.find("j")->shownState() == JobState::Completed);
 }
 
 TEST_CASE("a cancellation shows before the owner has acted, and is not pending")
 {
     JobBook book;
-    book.applySubmission(JobBook::submissionKey("j"), encodeSubmission(exampleSpec()), 0);
+    book.applySubmission(JobBook::submissionKey("j"), encodeSubmission(exampleSpec()));
     CHECK(book.pendingJobs("plans") == 1);
     CHECK(book.pendingJobs("other") == 0);
-    book.applySubmission(JobBook::cancelKey("j"), "1", 1);
+    book.applySubmission(JobBook::cancelKey("j"), "1");
     CHECK(book.find("j")->shownState() == JobState::Cancelled);
     CHECK(book.pendingJobs("plans") == 0);
 }
@@ -118,9 +118,9 @@
 TEST_CASE("malformed records change nothing and are counted")
 {
     JobBook book;
-    CHECK(book.applySubmission("", "x", 0).empty());
-    CHECK(book.applySubmission("zj", "x", 0).empty());
-    CHECK(book.applySubmission(JobBook::submissionKey("j"), "\xff\xff", 1).empty());
+    CHECK(book.applySubmission("", "x").empty());
+    CHECK(book.applySubmission("zj", "x").empty());
+    CHECK(book.applySubmission(JobBook::submissionKey("j"), "\xff\xff").empty());
     book.applyProgress("j", "\xff\xff", 2);
     CHECK(book.size() == 0);
     CHECK(book.malformedRecords() == 4);
--- a/plantainhold/testing/jobs/JobSchedulerTest.cpp
+++ b/plantainhold/testing/jobs/JobSchedulerTest.cpp
@@ -59,7 +59,7 @@
             JobSpec spec;
             spec.queue = "q" + std::to_string(priority);
             spec.steps = std::move(steps);
-            m_book.applySubmission(JobBook::submissionKey(id), encodeSubmission(spec), m_offset++);
+            m_book.applySubmission(JobBook::submissionKey(id), encodeSubmission(spec));
             m_scheduler.submit(id, *m_book.find(id), m_now);
         }
 
@@ -96,7 +96,6 @@
         NoEvents m_events;
         TimePoint m_now { std::chrono::hours(1) };
         JobBook m_book;
-        std::uint64_t m_offset = 0;
         JobScheduler m_scheduler;
     };
 
@@ -233,7 +232,7 @@
         JobSpec spec;
         spec.queue = "q0";
         spec.steps = { Bench::step(1, 1'000) };
-        book.applySubmission(JobBook::submissionKey("j"), encodeSubmission(spec), 0);
+        book.applySubmission(JobBook::submissionKey("j"), encodeSubmission(spec));
         book.applyProgress("j", encodeProgress({ JobState::Running, true, { { 0, 0, 0, 1, 0, false, "gone", 1, {} } } }), 1);
         bench.scheduler().submit("j", *book.find("j"), bench.now());
         CHECK(starts(bench.pass(Milliseconds(300))) == 0);
@@ -302,7 +301,7 @@
     JobSpec spec;
     spec.queue = "q2";
     spec.steps = { filling };
-    book.applySubmission(JobBook::submissionKey("j"), encodeSubmission(spec), 0);
+    book.applySubmission(JobBook::submissionKey("j"), encodeSubmission(spec));
     book.applyProgress("j", encodeProgress({ JobState::Running, true, { { 0, 0, 0, 1, 0, false, "x", 1, {} } } }), 1);
     bench.scheduler().submit("j", *book.find("j"), bench.now());
     std::vector<ExecutorOrder> orders;
--- a/plantainhold/testing/jobs/JobWorld.cpp
+++ b/plantainhold/testing/jobs/JobWorld.cpp
@@ -133,7 +133,7 @@
 
 void JobWorld::submit(const std::string& id, const JobSpec& spec)
 {
-    m_book.applySubmission(JobBook::submissionKey(id), encodeSubmission(spec), m_offset++);
+    m_book.applySubmission(JobBook::submissionKey(id), encodeSubmission(spec));
 }
 
 void JobWorld::run()
@@ -171,7 +171,7 @@
     }
     for (const auto& [id, when] : m_cancelAt) {
         if (when / s_stepMs * s_stepMs == m_now)
-            m_book.applySubmission(JobBook::cancelKey(id), "1", m_offset++);
+            m_book.applySubmission(JobBook::cancelKey(id), "1");
     }
     if (m_now < m_options.faultsMs)
         faults();
--- a/plantainhold/testing/store/MemoryStore.h
+++ b/plantainhold/testing/store/MemoryStore.h
@@ -109,7 +109,13 @@
         records.push_back({ records.size(), std::move(key), std::move(value) });
     }
 
-    // Topics that have an entry here are kept apart; all others share one log.
+    // The name of a partition in `topics`.
+    static std::string nameOf(TopicPart where)
+    {
+        return where.part ? std::string(where.topic) + "/" + std::to_string(where.part) : std::string(where.topic);
+    }
+
+    // Partitions that have an entry here are kept apart; all others share one log.
     std::map<std::string, std::vector<StoredRecord>, std::less<>> topics;
     std::vector<StoredRecord> log;
     // Runs before a page is read, to hold it up.
@@ -130,7 +136,7 @@
 
     std::vector<StoredRecord>& logOf(TopicPart where)
     {
-        auto it = topics.find(where.topic);
+        auto it = topics.find(nameOf(where));
         return it == topics.end() ? log : it->second;
     }
 
