--- a/plantainhold/entry/EntrySettings.h
+++ b/plantainhold/entry/EntrySettings.h
@@ -31,6 +31,8 @@
     Milliseconds membershipMin { 1'000 };
     // From the signal to stop until the process is killed.
     Milliseconds stopGrace { 6'000 };
+    // Nothing is started by a list of executors that was read longer ago.
+    Milliseconds executorListAge { 1'000 };
     SchedulerLimits scheduler;
 };
 
--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -28,6 +28,8 @@
     // Ends that come close together are reported together.
     constexpr Milliseconds s_reportPause { 90 };
     constexpr Milliseconds s_reportRetry { 300 };
+    // While nothing runs on an executor.
+    constexpr Milliseconds s_quietPause { 2'500 };
     constexpr Milliseconds s_executorsWait { 2'000 };
     constexpr Milliseconds s_executorsPause { 200 };
     constexpr Milliseconds s_unconfirmedPause { 100 };
@@ -39,12 +41,19 @@
 
 // What is on its way to one executor.
 struct JobOwner::Link {
+    explicit Link(const asio::any_io_executor& executor)
+        : workGiven(executor)
+    {
+    }
+
     ExecutorAddress to;
     std::deque<ExecutorOrder> queue;
     std::size_t inFlight = 0;
     bool isReporting = false;
     bool isUrgentReporting = false;
     bool isReachable = true;
+    // Cancelled to end a long pause between reports.
+    asio::steady_timer workGiven;
 };
 
 JobOwner::JobOwner(asio::any_io_executor executor, const EntrySettings& settings, OwnerParts parts, std::uint64_t generation)
@@ -226,7 +235,7 @@
             continue;
         auto [it, isNew] = m_links.try_emplace(id);
         if (isNew)
-            it->second = std::make_shared<Link>();
+            it->second = std::make_shared<Link>(m_executor);
         std::shared_ptr<Link>& link = it->second;
         link->to = { id, executor.entry.address };
         if (link->isReporting)
@@ -251,6 +260,8 @@
         }
         return;
     }
+    if (order.kind == OrderKind::Start)
+        link->workGiven.cancel();
     link->queue.push_back(std::move(order));
     startQueued(link);
 }
@@ -266,10 +277,20 @@
     }
 }
 
-asio::awaitable<void> JobOwner::send(std::shared_ptr<Link> link, ExecutorOrder order)
+bool JobOwner::mayOrder(OrderKind kind) const
 {
     // Work is ordered only while nobody else can own the partition.
-    while (!m_isStopped && !m_parts.keeper.isConfirmed(BootClock::now()))
+    if (!m_parts.keeper.isConfirmed(BootClock::now()))
+        return false;
+    if (kind != OrderKind::Start)
+        return true;
+    // An executor may have said meanwhile that it leaves.
+    return std::chrono::steady_clock::now() < m_executorTail->currentAsOf() + m_settings.executorListAge;
+}
+
+asio::awaitable<void> JobOwner::send(std::shared_ptr<Link> link, ExecutorOrder order)
+{
+    while (!m_isStopped && !mayOrder(order.kind))
         co_await sleep(s_unconfirmedPause);
     if (!m_isStopped) {
         TimePoint sentAt = BootClock::now();
@@ -289,7 +310,7 @@
 {
     while (!m_isStopped && m_scheduler->executor(link->to.id)) {
         co_await reportOnce(link, false);
-        co_await sleep(link->isReachable ? s_reportPause : s_reportRetry);
+        co_await pauseReports(*link);
     }
     link->isReporting = false;
     m_parts.executors.forget(link->to);
@@ -297,6 +318,17 @@
         m_links.erase(link->to.id);
 }
 
+asio::awaitable<void> JobOwner::pauseReports(Link& link)
+{
+    if (!link.isReachable)
+        co_return co_await sleep(s_reportRetry);
+    if (m_isStopped || !m_scheduler->isQuiet(link.to.id))
+        co_return co_await sleep(s_reportPause);
+    link.workGiven.expires_after(s_quietPause);
+    boost::system::error_code ec;
+    co_await link.workGiven.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
 asio::awaitable<void> JobOwner::reportOnce(std::shared_ptr<Link> link, bool isUrgent)
 {
     TimePoint sentAt = BootClock::now();
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -78,11 +78,14 @@
     OwnerTerm formerTerm() const;
     boost::asio::awaitable<void> dropSubmissions(std::vector<std::string> ids);
     boost::asio::awaitable<void> reportLoop(std::shared_ptr<Link> link);
+    boost::asio::awaitable<void> pauseReports(Link& link);
     boost::asio::awaitable<void> reportOnce(std::shared_ptr<Link> link, bool isUrgent);
     boost::asio::awaitable<void> adviceLoop();
     boost::asio::awaitable<void> send(std::shared_ptr<Link> link, ExecutorOrder order);
     boost::asio::awaitable<void> sleep(Milliseconds time);
 
+    // Whether an order may be sent now; else it waits.
+    bool mayOrder(OrderKind kind) const;
     void executorRecord(const StoredRecord& record);
     void wake();
     void pump();
--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -52,6 +52,8 @@
     // Ends up to here are applied; up to there, they are in the store as well.
     std::uint64_t endsApplied = 0;
     std::uint64_t endsRecorded = 0;
+    // The executor has forgotten the ends up to here.
+    std::uint64_t endsAcknowledged = 0;
 
     // Since when calls fail; epoch: they do not.
     TimePoint failingSince {};
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -82,6 +82,12 @@
     return deadline;
 }
 
+bool JobScheduler::isQuiet(std::string_view id) const
+{
+    const ActiveExecutor* executor = this->executor(id);
+    return executor && executor->runs.empty() && executor->isConfirmed() && !executor->failedCalls && executor->endsAcknowledged == executor->endsApplied;
+}
+
 std::optional<ReportOrder> JobScheduler::nextReport(std::string_view id, TimePoint now)
 {
     auto it = m_executors.find(std::string(id));
@@ -97,7 +103,7 @@
     // An executor that does not answer is asked without a deadline, so that its lease can be waited for.
     if (executor.hasClock && !executor.failedCalls)
         order.deadlineMs = extendLease(executor, now);
-    if (executor.isConfirmed() && order.deadlineMs)
+    if (executor.isConfirmed() && order.deadlineMs && !executor.runs.empty())
         order.waitMs = (isPressed(executor) ? m_limits.pressedReportWait : m_limits.reportWait).count();
     return order;
 }
@@ -119,6 +125,7 @@
     executor.clockMs = report.clockMs;
     executor.clockReadAt = now;
     executor.confirmedToken = std::max(executor.confirmedToken, order.token);
+    executor.endsAcknowledged = std::max(executor.endsAcknowledged, order.ackCursor);
     ++executor.reports;
     for (const EndRow& end : report.ended) {
         if (end.number > executor.endsApplied)
@@ -158,6 +165,7 @@
     executor.confirmedToken = 0;
     executor.endsApplied = 0;
     executor.endsRecorded = 0;
+    executor.endsAcknowledged = 0;
     executor.failureScore = 0;
     executor.leaseOver = now;
 }
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -68,6 +68,9 @@
     // The entry is gone; what runs there may go on until its lease is over.
     void executorGone(std::string_view id, TimePoint now);
 
+    // Nothing runs on the executor and it has nothing left to tell, so that it need
+    // not be asked until it is given work.
+    bool isQuiet(std::string_view id) const;
     // The next report call to an executor; null when it is not known. Extends its lease.
     std::optional<ReportOrder> nextReport(std::string_view id, TimePoint now);
     void reported(std::string_view id, const ReportOrder& order, const ExecutorReport& report, TimePoint sentAt, TimePoint now);
--- a/plantainhold/store/TopicTail.cpp
+++ b/plantainhold/store/TopicTail.cpp
@@ -32,7 +32,8 @@
             apply(it);
         m_next = result.nextOffset;
         if (result.records.empty() || m_next >= result.endOffset) {
-            m_currentAsOf = asked;
+            // An answer without records came after the whole wait.
+            m_currentAsOf = result.records.empty() ? asked + wait : asked;
             co_return StoreStatus::Ok;
         }
         wait = Milliseconds(0);
--- a/plantainhold/testing/jobs/JobSchedulerTest.cpp
+++ b/plantainhold/testing/jobs/JobSchedulerTest.cpp
@@ -88,6 +88,12 @@
             m_scheduler.reported(id, *order, report, m_now, m_now);
         }
 
+        void reportAcknowledged(const std::string& id)
+        {
+            pass();
+            report(id, {}, {});
+        }
+
         JobScheduler& scheduler() { return m_scheduler; }
         TimePoint now() const { return m_now; }
 
@@ -111,6 +117,23 @@
 
 } // namespace
 
+TEST_CASE("an executor without work is not asked until it has some")
+{
+    Bench bench;
+    bench.addExecutor("x", 8'000);
+    CHECK(bench.scheduler().isQuiet("x"));
+    CHECK(bench.scheduler().nextReport("x", bench.now())->waitMs == 0);
+    bench.submit("j", 0, { Bench::step(1, 1'000) });
+    bench.accept(bench.pass());
+    CHECK_FALSE(bench.scheduler().isQuiet("x"));
+    CHECK(bench.scheduler().nextReport("x", bench.now())->waitMs > 0);
+    bench.report("x", {}, { { 1, { "j", 0, 0, 0 }, 1, EndKind::Done, {} } });
+    // The end has to be recorded, and the executor told so.
+    CHECK_FALSE(bench.scheduler().isQuiet("x"));
+    bench.reportAcknowledged("x");
+    CHECK(bench.scheduler().isQuiet("x"));
+}
+
 TEST_CASE("a job starts within one step, and its next step when the first is done")
 {
     Bench bench;
