--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -7,7 +7,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -22,6 +21,8 @@
     constexpr Milliseconds s_storeRetry { 50 };
     // Decisions that come close together are stored together.
     constexpr Milliseconds s_commitPause { 15 };
+    // Events that come close together are worked on together.
+    constexpr Milliseconds s_pumpPause { 5 };
     constexpr Milliseconds s_orderTimeout { 1'000 };
     constexpr Milliseconds s_reportTimeout { 1'000 };
     constexpr Milliseconds s_adviceTimeout { 3'000 };
@@ -198,7 +199,11 @@
     if (m_isPumpPosted || m_isStopped || !m_isRestored)
         return;
     m_isPumpPosted = true;
-    asio::post(m_executor, [self = shared_from_this()]() {
+    m_advanceTimer.expires_at(m_pumpedAt + s_pumpPause);
+    m_advanceTimer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+        // Another expiry was set meanwhile, and has a wait of its own.
+        if (ec)
+            return;
         self->m_isPumpPosted = false;
         if (!self->m_isStopped)
             self->pump();
@@ -208,6 +213,7 @@
 void JobOwner::pump()
 {
     TimePoint now = BootClock::now();
+    m_pumpedAt = std::chrono::steady_clock::now();
     TimePoint next = m_scheduler->advance(now, BootClock::unixMs());
     for (ExecutorOrder& it : m_scheduler->orders())
         dispatch(std::move(it));
@@ -220,7 +226,7 @@
     }
     ensureLinks();
     m_commitSignal.cancel();
-    m_advanceTimer.expires_after(std::max<Duration>(next - now, Milliseconds(5)));
+    m_advanceTimer.expires_after(std::max<Duration>(next - now, s_pumpPause));
     m_advanceTimer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
         if (!ec)
             self->wake();
@@ -229,6 +235,9 @@
 
 void JobOwner::ensureLinks()
 {
+    if (m_scheduler->executorsVersion() == m_executorsSeen)
+        return;
+    m_executorsSeen = m_scheduler->executorsVersion();
     for (const std::string& id : m_scheduler->executorIds()) {
         const ActiveExecutor& executor = *m_scheduler->executor(id);
         if (executor.entry.address.empty())
@@ -238,8 +247,11 @@
             it->second = std::make_shared<Link>(m_executor);
         std::shared_ptr<Link>& link = it->second;
         link->to = { id, executor.entry.address };
-        if (link->isReporting)
+        if (link->isReporting) {
+            if (!m_scheduler->isQuiet(id))
+                link->workGiven.cancel();
             continue;
+        }
         link->isReporting = true;
         asio::co_spawn(
             m_executor, [self = shared_from_this(), link]() { return self->reportLoop(link); }, asio::detached);
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -110,6 +110,9 @@
     bool m_isStopped = false;
     bool m_isReleased = false;
     bool m_isPumpPosted = false;
+    TimePoint m_pumpedAt {};
+    // The executors that the links were last compared with.
+    std::uint64_t m_executorsSeen = 0;
     std::deque<AdviceRequest> m_adviceQueue;
     bool m_isAsking = false;
 };
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -51,7 +51,7 @@
         return;
     if (entry.bornUnixMs > executor.entry.bornUnixMs)
         reborn(executor, entry.bornUnixMs, now);
-    bool isNews = !executor.isListed || executor.entry.isDraining != entry.isDraining || executor.entry.capacity != entry.capacity;
+    bool isNews = !executor.isListed || executor.entry.isDraining != entry.isDraining || executor.entry.capacity != entry.capacity || executor.entry.address != entry.address;
     if (entry.isDraining && (!executor.entry.isDraining || !executor.isListed))
         executor.drainsUntil = now + Milliseconds(entry.remainingMs);
     if (isNews)
@@ -59,6 +59,7 @@
     executor.entry = entry;
     executor.rack = rackOf(entry);
     executor.isListed = true;
+    m_executorsVersion += isNews;
     m_needsPlacement = m_needsPlacement || isNews;
 }
 
@@ -168,6 +169,7 @@
     executor.endsAcknowledged = 0;
     executor.failureScore = 0;
     executor.leaseOver = now;
+    ++m_executorsVersion;
 }
 
 void JobScheduler::loseRuns(ActiveExecutor& executor, std::string_view reason, TimePoint now)
@@ -195,6 +197,7 @@
                 forgetNominations(executor);
                 m_executorList.erase(m_executorList.begin() + static_cast<std::ptrdiff_t>(i));
                 m_executors.erase(std::string(executor.entry.id));
+                ++m_executorsVersion;
                 continue;
             }
         }
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -141,6 +141,7 @@
         executor.token = m_generation;
         executor.leaseOver = formerLeaseOver(id, born);
         m_executorList.push_back(&executor);
+        ++m_executorsVersion;
     }
     return *it->second;
 }
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -101,6 +101,8 @@
     // Where each executor is, for whoever calls them.
     const ActiveExecutor* executor(std::string_view id) const;
     std::vector<std::string> executorIds() const;
+    // Rises when an executor comes, goes, starts again or changes its entry.
+    std::uint64_t executorsVersion() const { return m_executorsVersion; }
     std::size_t activeJobs() const { return m_jobs.size(); }
     std::size_t waitingTasks() const;
     // Tells the sink how full the partition is.
@@ -188,6 +190,7 @@
     // Ids of jobs that may have become complete.
     std::vector<std::string> m_toSettle;
     std::uint64_t m_nextSerial = 1;
+    std::uint64_t m_executorsVersion = 1;
     TimePoint m_wakeAt {};
     bool m_needsPlacement = true;
     TimePoint m_placedAt {};
