--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -63,6 +63,7 @@
     , m_parts(std::move(parts))
     , m_generation(generation)
     , m_writer(m_executor, m_parts.store, m_parts.records, generation, [this]() { return m_isStopped; })
+    , m_pumpTimer(m_executor)
     , m_advanceTimer(m_executor)
     , m_commitSignal(m_executor)
 {
@@ -199,11 +200,8 @@
     if (m_isPumpPosted || m_isStopped || !m_isRestored)
         return;
     m_isPumpPosted = true;
-    m_advanceTimer.expires_at(m_pumpedAt + s_pumpPause);
-    m_advanceTimer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
-        // Another expiry was set meanwhile, and has a wait of its own.
-        if (ec)
-            return;
+    m_pumpTimer.expires_at(m_pumpedAt + s_pumpPause);
+    m_pumpTimer.async_wait([self = shared_from_this()](const boost::system::error_code&) {
         self->m_isPumpPosted = false;
         if (!self->m_isStopped)
             self->pump();
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -101,6 +101,8 @@
     std::unique_ptr<JobScheduler> m_scheduler;
     std::unique_ptr<TopicTail> m_executorTail;
     std::unordered_map<std::string, std::shared_ptr<Link>> m_links;
+    // For the next round after an event, and for one that the scheduler asks for itself.
+    boost::asio::steady_timer m_pumpTimer;
     boost::asio::steady_timer m_advanceTimer;
     boost::asio::steady_timer m_commitSignal;
     std::shared_ptr<const FleetConfig> m_config;
--- a/plantainhold/store/GroupCommit.cpp
+++ b/plantainhold/store/GroupCommit.cpp
@@ -58,7 +58,9 @@
         asio::co_spawn(m_executor, flush(), asio::detached);
     }
     boost::system::error_code ec;
-    co_await pending->signal.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    // The append may have ended before anybody waits for it.
+    if (!pending->isDone)
+        co_await pending->signal.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     if (pending->isDone)
         co_return pending->status;
     pending->isDone = true;
--- a/plantainhold/testing/entry/JobOwnerTest.cpp
+++ b/plantainhold/testing/entry/JobOwnerTest.cpp
@@ -9,6 +9,7 @@
 #include "plantainhold/jobs/JobCodec.h"
 #include "plantainhold/testing/store/MemoryStore.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -92,6 +93,14 @@
             context.restart();
         }
 
+        void submit(std::string_view id)
+        {
+            JobSpec spec;
+            spec.queue = s_service;
+            spec.steps.push_back(step());
+            store.put(std::string(s_submissionsTopic), JobBook::submissionKey(id), encodeSubmission(spec));
+        }
+
         static std::shared_ptr<const FleetConfig> config(std::uint64_t version)
         {
             FleetConfig config;
@@ -122,15 +131,20 @@
             return options;
         }
 
-        void storeRunningJob()
+        static StepSpec step()
         {
-            JobSpec spec;
-            spec.queue = s_service;
             StepSpec step;
             step.taskCount = 1;
-            step.lasts = true;
             step.resources = { 1'000, 1'000, 0 };
-            spec.steps.push_back(step);
+            return step;
+        }
+
+        void storeRunningJob()
+        {
+            JobSpec spec;
+            spec.queue = s_service;
+            spec.steps.push_back(step());
+            spec.steps.back().lasts = true;
             store.put(std::string(s_submissionsTopic), JobBook::submissionKey(s_job), encodeSubmission(spec));
             JobProgress progress { JobState::Running, true, {} };
             TaskProgress task;
@@ -171,4 +185,19 @@
     CHECK(world.executors.orders.empty());
 }
 
+TEST_CASE("an answer that comes while orders are given out does not end the owner's work")
+{
+    World world(1);
+    world.runFor(Milliseconds(200));
+    REQUIRE(world.owner);
+    REQUIRE(world.owner->isRestored());
+    for (std::size_t n = 1; n <= 3; ++n) {
+        std::string id = "000000000000000" + std::to_string(n);
+        world.submit(id);
+        world.runFor(Milliseconds(150));
+        const std::vector<ExecutorOrder>& orders = world.executors.orders;
+        CHECK(std::any_of(orders.begin(), orders.end(), [&](const ExecutorOrder& it) { return it.kind == OrderKind::Start && it.task.job == id; }));
+    }
+}
+
 } // namespace plantainhold
