--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <utility>
 
 namespace plantainhold {
@@ -185,6 +184,7 @@
 
 void JobScheduler::placeStep(ActiveStep& step, TimePoint now)
 {
+    m_candidates.clear();
     for (ActiveTask& task : step.tasks) {
         if (!task.isWaiting())
             continue;
@@ -193,13 +193,18 @@
             m_needsPlacement = true;
             continue;
         }
-        if (!placeTask(task, now) && !preemptFor(task, now))
+        if (placeTask(task, now))
+            continue;
+        // Runs that were stopped before they began leave room.
+        m_candidates.clear();
+        if (!preemptFor(task, now))
             return;
     }
 }
 
 void JobScheduler::placeGang(ActiveStep& step, TimePoint now)
 {
+    m_candidates.clear();
     // Members are placed together or not at all, under one run number.
     std::uint32_t run = 0;
     for (const ActiveTask& it : step.tasks) {
@@ -227,46 +232,69 @@
     }
 }
 
+PlacementNeeds JobScheduler::needsOf(const ActiveTask& task, TimePoint now)
+{
+    const StepSpec& spec = *task.step->spec;
+    return { spec.reserved(), spec.fills() ? m_pacer.meanPress(spec) : 0, now >= starvedFrom(task) };
+}
+
+std::optional<double> JobScheduler::placementCost(ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs, TimePoint now)
+{
+    const ActiveStep& step = *task.step;
+    const StepSpec& spec = *step.spec;
+    bool isNominated = task.nominated == &executor;
+    Resources room = executor.room();
+    if (isNominated)
+        room += needs.wanted;
+    if (!needs.wanted.fitsIn(room) || !mayRun(executor, step, now))
+        return std::nullopt;
+    bool isStarvedHere = needs.isStarved && executor.fillingRuns <= s_starvedNeighbours;
+    if (spec.fills() && !isStarvedHere && fillLoad(executor, spec) > s_fillLoadLimit)
+        return std::nullopt;
+    // A lasting task that never ran leaves short ones, which are worth more a core, their room.
+    if (spec.lasts && !task.lastRun && m_shortRoom - shortRoom(executor, {}) + shortRoom(executor, needs.wanted) < static_cast<std::int64_t>(s_demandMargin * m_shortDemand))
+        return std::nullopt;
+    FillPacer::Press press = spec.fills() ? m_pacer.pressOn(executor, spec) : FillPacer::Press();
+    if (press.excess > s_mostExcess && !isStarvedHere)
+        return std::nullopt;
+    double sum = isNominated ? -1 : cost(executor, task, room, needs.press);
+    return sum + s_excessWeight * press.excess + s_pressWeight * press.most;
+}
+
+// Tasks that nothing sets apart share the candidates of their step; the others search.
+ActiveExecutor* JobScheduler::chooseExecutor(const ActiveTask& task, TimePoint now, double& cost)
+{
+    PlacementNeeds needs = needsOf(task, now);
+    auto evaluate = [&](std::size_t i) { return placementCost(*m_executorList[i], task, needs, now); };
+    bool isReturning = task.step->spec->lasts && task.lastRun;
+    bool isPlain = !task.nominated && !task.avoided && !needs.isStarved && !isReturning;
+    PlacementCandidates own;
+    PlacementCandidates& candidates = isPlain ? m_candidates : own;
+    if (!candidates.isBuilt())
+        candidates.build(m_executorList.size(), evaluate);
+    std::optional<PlacementCandidates::Choice> choice = candidates.best(evaluate);
+    if (!choice)
+        return nullptr;
+    cost = choice->cost;
+    return m_executorList[choice->index];
+}
+
 bool JobScheduler::placeTask(ActiveTask& task, TimePoint now)
 {
     ActiveStep& step = *task.step;
-    const StepSpec& spec = *step.spec;
-    Resources wanted = spec.reserved();
-    double press = spec.fills() ? m_pacer.meanPress(spec) : 0;
     bool isStarved = now >= starvedFrom(task);
     if (!task.nominated && !isStarved && m_round.isRejected(task, PlacementRound::Means::Room))
         return false;
-    ActiveExecutor* best = nullptr;
-    double bestCost = std::numeric_limits<double>::max();
-    for (ActiveExecutor* it : m_executorList) {
-        Resources room = it->room();
-        if (task.nominated == it)
-            room += wanted;
-        if (!wanted.fitsIn(room) || !mayRun(*it, step, now))
-            continue;
-        bool isStarvedHere = isStarved && it->fillingRuns <= s_starvedNeighbours;
-        if (spec.fills() && !isStarvedHere && fillLoad(*it, spec) > s_fillLoadLimit)
-            continue;
-        // A lasting task that never ran leaves short ones, which are worth more a core, their room.
-        if (spec.lasts && !task.lastRun && m_shortRoom - shortRoom(*it, {}) + shortRoom(*it, wanted) < static_cast<std::int64_t>(s_demandMargin * m_shortDemand))
-            continue;
-        double sum = task.nominated == it ? -1 : cost(*it, task, room, press);
-        if (sum >= bestCost)
-            continue;
-        FillPacer::Press pressThere = spec.fills() ? m_pacer.pressOn(*it, spec) : FillPacer::Press();
-        if (pressThere.excess > s_mostExcess && !isStarvedHere)
-            continue;
-        sum += s_excessWeight * pressThere.excess + s_pressWeight * pressThere.most;
-        if (sum >= bestCost)
-            continue;
-        best = it;
-        bestCost = sum;
-    }
+    double cost = 0;
+    ActiveExecutor* best = chooseExecutor(task, now, cost);
     if (!best) {
         if (!task.nominated)
             m_round.reject(task, PlacementRound::Means::Room);
         return false;
     }
+    // The room that was held for it is free for others of its step now.
+    if (task.nominated)
+        m_candidates.clear();
     clearNomination(task);
     ActiveJob& job = step.job();
     m_shortRoom -= shortRoom(*best, {});
@@ -278,7 +306,7 @@
     markDirty(job);
     m_starts.push_back({ task.name(), task.lastRun });
     ++m_counters.runsOrdered;
-    m_events.note(EventId::RunAssigned, { { "task", task.name().text() }, { "run", task.lastRun }, { "executor", best->entry.id }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(now - task.waitingSince).count() }, { "cost", bestCost } });
+    m_events.note(EventId::RunAssigned, { { "task", task.name().text() }, { "run", task.lastRun }, { "executor", best->entry.id }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(now - task.waitingSince).count() }, { "cost", cost } });
     refreshReady(step);
     return true;
 }
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -19,6 +19,8 @@
 #include "plantainhold/jobs/JobOrders.h"
 #include "plantainhold/jobs/LearnedState.h"
 #include "plantainhold/jobs/OwnerTerm.h"
+#include "plantainhold/jobs/PlacementCandidates.h"
+#include "plantainhold/jobs/PlacementNeeds.h"
 #include "plantainhold/jobs/PlacementRound.h"
 #include "plantainhold/jobs/Queue.h"
 #include "plantainhold/jobs/SchedulerLimits.h"
@@ -143,6 +145,11 @@
     void placeStep(ActiveStep& step, TimePoint now);
     void placeGang(ActiveStep& step, TimePoint now);
     bool placeTask(ActiveTask& task, TimePoint now);
+    PlacementNeeds needsOf(const ActiveTask& task, TimePoint now);
+    // Nothing where the task cannot run now; the lowest cost is best.
+    std::optional<double> placementCost(ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs, TimePoint now);
+    // Null when there is no place.
+    ActiveExecutor* chooseExecutor(const ActiveTask& task, TimePoint now, double& cost);
     bool preemptFor(ActiveTask& task, TimePoint now);
     void clearNomination(ActiveTask& task);
     void evacuate(TimePoint now);
@@ -176,6 +183,8 @@
     FillPacer m_pacer;
     JobOrder m_order;
     PlacementRound m_round;
+    // Of the step that is being placed.
+    PlacementCandidates m_candidates;
     // Processors that short tasks use or ask for, smoothed: lasting tasks leave them room.
     double m_shortDemand = 0;
     double m_shortTask = 0;
