--- a/plantainhold/entry/EventLog.cpp
+++ b/plantainhold/entry/EventLog.cpp
@@ -13,7 +13,7 @@
 namespace {
 
     // Bytes a second, and at once.
-    constexpr double s_bytesPerSecond = 64'000;
+    constexpr double s_bytesPerSecond = 128'000;
     constexpr double s_burstBytes = 256'000;
     // Kept from routine lines.
     constexpr double s_reservedBytes = 96'000;
--- a/plantainhold/jobs/JobEvictions.cpp
+++ b/plantainhold/jobs/JobEvictions.cpp
@@ -102,7 +102,7 @@
     best->nominated += wanted;
     for (ActiveRun* run : bestVictims) {
         ++m_counters.preemptions;
-        m_events.note(EventId::RunPreempted, { { "task", run->task->name().text() }, { "run", run->number }, { "executor", best->entry.id }, { "by", task.name().text() } });
+        m_runs.stopped(run->task->name(), run->number, best->entry.id, task.step->job().id);
         orderStop(*run, now);
     }
     return true;
@@ -184,7 +184,7 @@
                 continue;
             run->task->avoided = executor;
             run->slowSince = TimePoint::max();
-            m_events.note(EventId::RunPreempted, { { "task", run->task->name().text() }, { "run", run->number }, { "executor", executor->entry.id }, { "by", "serving neighbours" } });
+            m_runs.stopped(run->task->name(), run->number, executor->entry.id, "serving neighbours");
             orderStop(*run, now);
         }
     }
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -306,7 +306,7 @@
     markDirty(job);
     m_starts.push_back({ task.name(), task.lastRun });
     ++m_counters.runsOrdered;
-    m_events.note(EventId::RunAssigned, { { "task", task.name().text() }, { "run", task.lastRun }, { "executor", best->entry.id }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(now - task.waitingSince).count() }, { "cost", cost } });
+    m_runs.assigned(task.name(), task.lastRun, best->entry.id, std::chrono::duration_cast<Milliseconds>(now - task.waitingSince));
     refreshReady(step);
     return true;
 }
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -233,7 +233,7 @@
     bool isOpen = !task.isDone && !task.wasDoneBefore && !isFinal(task.step->job().state);
     if (!isOpen || spec.lasts || spec.isGang || end.run > task.lastRun)
         return;
-    m_events.note(EventId::RunEnded, { { "task", end.task.text() }, { "run", end.run }, { "executor", executor.entry.id }, { "how", "done_although_given_up" }, { "end", end.number } });
+    m_runs.ended(end.task, end.run, executor.entry.id, "done_although_given_up");
     task.wasDoneBefore = true;
     markDirty(task.step->job());
     if (!task.run)
@@ -273,7 +273,7 @@
     ActiveStep& step = *task.step;
     ActiveJob& job = step.job();
     bool lasts = step.spec->lasts;
-    m_events.note(EventId::RunEnded, { { "task", end.task.text() }, { "run", end.run }, { "executor", executor.entry.id }, { "how", nameOf(end.kind) }, { "end", end.number } });
+    m_runs.ended(end.task, end.run, executor.entry.id, nameOf(end.kind));
     if (!end.checkpoint.empty())
         task.run->checkpoint = end.checkpoint;
     bool wasStopWanted = task.run->isStopWanted;
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -24,6 +24,7 @@
 JobScheduler::JobScheduler(const SchedulerLimits& limits, std::uint64_t generation, const OwnerTerm& former, EventSink& events, TimePoint now)
     : m_limits(limits)
     , m_events(events)
+    , m_runs(events)
     , m_generation(generation << s_tokenBits)
     , m_lastToken(m_generation)
     , m_ownedSince(now)
@@ -157,8 +158,9 @@
     return m_ownedSince + longest + (m_former.isReleased ? Milliseconds(0) : m_limits.formerOwnerGrace);
 }
 
-OwnerTerm JobScheduler::release(TimePoint now) const
+OwnerTerm JobScheduler::release(TimePoint now)
 {
+    m_runs.flush();
     OwnerTerm term { m_generation >> s_tokenBits, true, {} };
     for (const ActiveExecutor* it : m_executorList) {
         bool isSilent = it->failedCalls > 0 || !it->hasClock;
@@ -295,6 +297,7 @@
 TimePoint JobScheduler::advance(TimePoint now, std::int64_t nowUnixMs)
 {
     m_wakeAt = now + s_idleWake;
+    m_runs.flushOld(now);
     applyDueTimes(now, nowUnixMs);
     expireLeases(now);
     settleJobs(now);
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -23,6 +23,7 @@
 #include "plantainhold/jobs/PlacementNeeds.h"
 #include "plantainhold/jobs/PlacementRound.h"
 #include "plantainhold/jobs/Queue.h"
+#include "plantainhold/jobs/RunJournal.h"
 #include "plantainhold/jobs/SchedulerLimits.h"
 
 #include <map>
@@ -90,7 +91,7 @@
     TimePoint advance(TimePoint now, std::int64_t nowUnixMs);
 
     // What the next owner has to know, if this one does nothing from now on.
-    OwnerTerm release(TimePoint now) const;
+    OwnerTerm release(TimePoint now);
 
     CommitBatch takeBatch(TimePoint now);
     void committed(const CommitBatch& batch, TimePoint now);
@@ -167,6 +168,7 @@
 
     const SchedulerLimits m_limits;
     EventSink& m_events;
+    RunJournal m_runs;
     const std::uint64_t m_generation;
     // The highest token that was given to any executor.
     std::uint64_t m_lastToken;
