--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -49,10 +49,11 @@
     , m_adapters(std::move(adapters))
     , m_log(log)
     , m_records(context.get_executor(), m_adapters.store, log, settings.submissionParts)
-    , m_ownDirectory(m_records, [this]() { return isAuthoritative(); })
+    , m_submissionWriter(context.get_executor(), m_adapters.store, settings.submissionParts)
+    , m_ownDirectory(m_records, m_submissionWriter, [this]() { return isAuthoritative(); })
     , m_peers(context.get_executor())
     , m_peerDirectory(context.get_executor(), m_adapters.store, m_peers, s_part)
-    , m_service(context.get_executor(), m_adapters.store, m_ownDirectory, m_peerDirectory, log, settings.submissionParts)
+    , m_service(m_submissionWriter, m_ownDirectory, m_peerDirectory, log)
     , m_keeper(
           context.get_executor(), m_adapters.store, log, ownershipOptions(settings),
           { [this](std::uint64_t it) { ownershipGained(it); }, [this](std::string_view) { ownershipLost(); }, [this]() { return !m_releasing || m_releasing->isReleased(); } })
@@ -124,6 +125,8 @@
         StoreStatus status = StoreStatus::Ok;
         if (m_keeper.isSuccessor() && !m_owner)
             status = co_await m_records.catchUp(s_storeTimeout);
+        if (!m_owner)
+            co_await m_peerDirectory.findOwner(s_storeTimeout);
         co_await sleep(status == StoreStatus::Ok ? s_recordsPause : s_storeRetry);
     }
 }
--- a/plantainhold/entry/EntryInstance.h
+++ b/plantainhold/entry/EntryInstance.h
@@ -12,6 +12,7 @@
 #include "plantainhold/entry/OwnerDirectory.h"
 #include "plantainhold/entry/OwnershipKeeper.h"
 #include "plantainhold/entry/PeerDirectory.h"
+#include "plantainhold/entry/SubmissionWriter.h"
 #include "plantainhold/http/HttpServer.h"
 #include "plantainhold/store/TopicTail.h"
 
@@ -70,6 +71,7 @@
     EventLog& m_log;
     std::shared_ptr<const FleetConfig> m_config;
     JobRecords m_records;
+    SubmissionWriter m_submissionWriter;
     OwnerDirectory m_ownDirectory;
     HttpPeers m_peers;
     PeerDirectory m_peerDirectory;
--- a/plantainhold/entry/HttpPeers.cpp
+++ b/plantainhold/entry/HttpPeers.cpp
@@ -32,6 +32,8 @@
     std::shared_ptr<HttpClient> client = m_client;
     HttpCall call { HttpMethod::Post, std::string(s_target), {}, encodeQuestion(question), s_contentType };
     HttpReply reply = co_await client->call(std::move(call), timeout);
+    if (reply.failure == HttpFailure::NotSent)
+        co_return JobReply {};
     if (reply.failure != HttpFailure::None || reply.status != s_ok)
         co_return std::nullopt;
     co_return decodeReply(reply.body);
--- a/plantainhold/entry/JobDirectory.h
+++ b/plantainhold/entry/JobDirectory.h
@@ -30,7 +30,10 @@
 enum class JobQuestionKind : std::uint8_t {
     State = 0,
     // How many accepted jobs of the queue have not begun.
-    PendingCount = 1
+    PendingCount = 1,
+    // Store the record for an instance that cannot reach the store itself.
+    Submit = 2,
+    Cancel = 3
 };
 
 struct JobQuestion {
@@ -38,6 +41,8 @@
     // Empty for a count.
     std::string id;
     std::string queue;
+    // What is to be stored, encoded.
+    std::string record;
     // After that the answer is of no use.
     Milliseconds patience { 0 };
 };
--- a/plantainhold/entry/JobService.cpp
+++ b/plantainhold/entry/JobService.cpp
@@ -1,7 +1,8 @@
 #include "plantainhold/entry/JobService.h"
 
-#include "plantainhold/entry/JobTopics.h"
 #include "plantainhold/entry/OwnerDirectory.h"
+#include "plantainhold/entry/PeerDirectory.h"
+#include "plantainhold/entry/SubmissionWriter.h"
 #include "plantainhold/jobs/JobBook.h"
 #include "plantainhold/jobs/JobCodec.h"
 #include "plantainhold/util/BootClock.h"
@@ -18,6 +19,8 @@
     constexpr Milliseconds s_answerReserve { 150 };
     constexpr Milliseconds s_leastPatience { 100 };
     constexpr Milliseconds s_mostPatience { 10'000 };
+    // The owner gets this part of a caller's time if this instance cannot store.
+    constexpr int s_forwardPart = 3;
     // A cancellation is stored even if nobody can tell in time whether the job exists.
     constexpr Milliseconds s_cancelLookup { 800 };
 
@@ -27,26 +30,39 @@
     }
 } // namespace
 
-JobService::JobService(asio::any_io_executor executor, StorePort& store, OwnerDirectory& own, JobDirectory& peers, EventSink& events, std::uint32_t submissionParts)
+JobService::JobService(SubmissionWriter& writer, OwnerDirectory& own, PeerDirectory& peers, EventSink& events)
     : m_own(own)
     , m_peers(peers)
     , m_events(events)
+    , m_writer(writer)
 {
-    for (std::uint32_t part = 0; part < submissionParts; ++part)
-        m_writers.push_back(std::make_unique<GroupCommit>(executor, store, std::string(s_submissionsTopic), part));
 }
 
-GroupCommit& JobService::writerOf(std::string_view job)
+asio::awaitable<StoreStatus> JobService::store(JobQuestion question, TimePoint deadline)
 {
-    return *m_writers[submissionPart(job, static_cast<std::uint32_t>(m_writers.size()))];
+    auto left = [deadline]() { return std::chrono::duration_cast<Milliseconds>(deadline - std::chrono::steady_clock::now()); };
+    bool isCancel = question.kind == JobQuestionKind::Cancel;
+    KeyedRecord record { isCancel ? JobBook::cancelKey(question.id) : JobBook::submissionKey(question.id), question.record };
+    TimePoint ownDeadline = m_own.isAuthoritative() ? deadline : deadline - left() / s_forwardPart;
+    StoreStatus status = co_await m_writer.put(question.id, std::move(record), ownDeadline);
+    question.patience = left();
+    if (status == StoreStatus::Ok || m_own.isAuthoritative() || question.patience < s_leastPatience)
+        co_return status;
+    // Equal keys carry equal values, so that storing it twice changes nothing.
+    JobReply reply = co_await m_peers.askOnce(std::move(question));
+    if (reply.verdict == JobVerdict::Ok) {
+        ++m_counters.forwarded;
+        co_return StoreStatus::Ok;
+    }
+    co_return reply.verdict == JobVerdict::Unknown ? StoreStatus::Unknown : status;
 }
 
 asio::awaitable<JobVerdict> JobService::submit(std::string id, JobSpec spec, Milliseconds patience)
 {
     TimePoint began = std::chrono::steady_clock::now();
     spec.acceptedUnixMs = BootClock::unixMs();
-    KeyedRecord record { JobBook::submissionKey(id), encodeSubmission(spec) };
-    StoreStatus status = co_await writerOf(id).put(std::move(record), deadlineFor(patience));
+    JobQuestion question { JobQuestionKind::Submit, id, {}, encodeSubmission(spec), patience };
+    StoreStatus status = co_await store(std::move(question), deadlineFor(patience));
     auto ms = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - began).count();
     if (status == StoreStatus::Ok) {
         ++m_counters.accepted;
@@ -66,34 +82,34 @@
 asio::awaitable<JobReply> JobService::ask(JobQuestion question)
 {
     question.patience = std::clamp(question.patience - s_answerReserve, s_leastPatience, s_mostPatience);
-    JobDirectory& directory = m_own.isAuthoritative() ? m_own : m_peers;
+    JobDirectory& directory = m_own.isAuthoritative() ? static_cast<JobDirectory&>(m_own) : m_peers;
     co_return co_await directory.ask(std::move(question));
 }
 
 asio::awaitable<JobReply> JobService::state(std::string id, std::string queue, Milliseconds patience)
 {
     ++m_counters.lookups;
-    JobQuestion question { JobQuestionKind::State, std::move(id), std::move(queue), patience };
+    JobQuestion question { JobQuestionKind::State, std::move(id), std::move(queue), {}, patience };
     co_return co_await ask(std::move(question));
 }
 
 asio::awaitable<JobReply> JobService::pending(std::string queue, Milliseconds patience)
 {
-    JobQuestion question { JobQuestionKind::PendingCount, {}, std::move(queue), patience };
+    JobQuestion question { JobQuestionKind::PendingCount, {}, std::move(queue), {}, patience };
     co_return co_await ask(std::move(question));
 }
 
 asio::awaitable<JobVerdict> JobService::cancel(std::string id, std::string queue, Milliseconds patience)
 {
     TimePoint deadline = deadlineFor(patience);
-    JobQuestion question { JobQuestionKind::State, id, std::move(queue), std::min(patience, s_cancelLookup) };
+    JobQuestion question { JobQuestionKind::State, id, std::move(queue), {}, std::min(patience, s_cancelLookup) };
     JobReply known = co_await ask(std::move(question));
     if (known.verdict == JobVerdict::NotFound)
         co_return JobVerdict::NotFound;
     if (known.verdict == JobVerdict::Ok && isFinal(known.state))
         co_return JobVerdict::Ok;
-    KeyedRecord record { JobBook::cancelKey(id), std::string(s_cancelMark) };
-    StoreStatus status = co_await writerOf(id).put(std::move(record), deadline);
+    JobQuestion record { JobQuestionKind::Cancel, id, {}, std::string(s_cancelMark), patience };
+    StoreStatus status = co_await store(std::move(record), deadline);
     if (status == StoreStatus::Refused)
         co_return JobVerdict::Refused;
     if (status != StoreStatus::Ok)
--- a/plantainhold/entry/JobService.h
+++ b/plantainhold/entry/JobService.h
@@ -7,18 +7,18 @@
 #include "plantainhold/entry/JobDirectory.h"
 #include "plantainhold/jobs/JobSpec.h"
 #include "plantainhold/ports/Clock.h"
-#include "plantainhold/store/GroupCommit.h"
+#include "plantainhold/store/StorePort.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
-#include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace plantainhold {
 
 class OwnerDirectory;
+class PeerDirectory;
+class SubmissionWriter;
 
 struct ServiceCounters {
     std::uint64_t accepted = 0;
@@ -26,12 +26,14 @@
     std::uint64_t unknown = 0;
     std::uint64_t cancelled = 0;
     std::uint64_t lookups = 0;
+    // Records that the owner stored for this instance.
+    std::uint64_t forwarded = 0;
 };
 
 class JobService {
 public:
-    // The parts must outlive the service. Precondition: submissionParts > 0. Not thread-safe, as the whole class.
-    JobService(boost::asio::any_io_executor executor, StorePort& store, OwnerDirectory& own, JobDirectory& peers, EventSink& events, std::uint32_t submissionParts);
+    // The parts must outlive the service. Not thread-safe, as the whole class.
+    JobService(SubmissionWriter& writer, OwnerDirectory& own, PeerDirectory& peers, EventSink& events);
 
     // The queue stands in the spec. Handing the same id in again changes nothing.
     boost::asio::awaitable<JobVerdict> submit(std::string id, JobSpec spec, Milliseconds patience);
@@ -44,13 +46,13 @@
 
 private:
     boost::asio::awaitable<JobReply> ask(JobQuestion question);
-    GroupCommit& writerOf(std::string_view job);
+    // Stores the question's record, by way of the owner if this instance cannot.
+    boost::asio::awaitable<StoreStatus> store(JobQuestion question, TimePoint deadline);
 
     OwnerDirectory& m_own;
-    JobDirectory& m_peers;
+    PeerDirectory& m_peers;
     EventSink& m_events;
-    // One a partition of the submissions.
-    std::vector<std::unique_ptr<GroupCommit>> m_writers;
+    SubmissionWriter& m_writer;
     ServiceCounters m_counters;
 };
 
--- a/plantainhold/entry/MetricsPage.cpp
+++ b/plantainhold/entry/MetricsPage.cpp
@@ -41,6 +41,7 @@
     page.counter("plantainhold_jobs_unknown_total", "Jobs whose storing was left open.", input.service.unknown);
     page.counter("plantainhold_jobs_cancelled_total", "Cancellations that this instance stored.", input.service.cancelled);
     page.counter("plantainhold_job_lookups_total", "Questions for a job's state.", input.service.lookups);
+    page.counter("plantainhold_records_forwarded_total", "Submissions and cancellations that the owner stored for this instance.", input.service.forwarded);
     page.gauge("plantainhold_known_jobs", "Jobs in this instance's copy of the records.", input.knownJobs);
     page.gauge("plantainhold_config_version", "Version of the configuration in force.", input.configVersion);
     page.counter("plantainhold_log_lines_dropped_total", "Log lines dropped for the sake of the budget.", input.droppedLines);
--- a/plantainhold/entry/OwnerDirectory.cpp
+++ b/plantainhold/entry/OwnerDirectory.cpp
@@ -1,6 +1,7 @@
 #include "plantainhold/entry/OwnerDirectory.h"
 
 #include "plantainhold/entry/JobRecords.h"
+#include "plantainhold/entry/SubmissionWriter.h"
 
 #include <algorithm>
 
@@ -12,8 +13,9 @@
     constexpr Milliseconds s_readTimeout { 1'000 };
 } // namespace
 
-OwnerDirectory::OwnerDirectory(JobRecords& records, IsAuthoritative isAuthoritative)
+OwnerDirectory::OwnerDirectory(JobRecords& records, SubmissionWriter& writer, IsAuthoritative isAuthoritative)
     : m_records(records)
+    , m_writer(writer)
     , m_isAuthoritative(std::move(isAuthoritative))
 {
 }
@@ -24,9 +26,22 @@
         co_return JobReply {};
     if (question.kind == JobQuestionKind::State)
         co_return co_await state(std::move(question));
+    if (question.kind != JobQuestionKind::PendingCount)
+        co_return co_await store(std::move(question));
     co_return JobReply { JobVerdict::Ok, JobState::Queued, m_records.book().pendingJobs(question.queue) };
 }
 
+asio::awaitable<JobReply> OwnerDirectory::store(JobQuestion question)
+{
+    bool isCancel = question.kind == JobQuestionKind::Cancel;
+    KeyedRecord record { isCancel ? JobBook::cancelKey(question.id) : JobBook::submissionKey(question.id), std::move(question.record) };
+    TimePoint deadline = std::chrono::steady_clock::now() + question.patience;
+    StoreStatus status = co_await m_writer.put(question.id, std::move(record), deadline);
+    if (status == StoreStatus::Ok)
+        co_return JobReply { JobVerdict::Ok };
+    co_return JobReply { status == StoreStatus::Refused ? JobVerdict::Refused : JobVerdict::Unknown };
+}
+
 asio::awaitable<JobReply> OwnerDirectory::state(JobQuestion question)
 {
     const BookedJob* job = m_records.book().find(question.id);
--- a/plantainhold/entry/OwnerDirectory.h
+++ b/plantainhold/entry/OwnerDirectory.h
@@ -10,22 +10,25 @@
 namespace plantainhold {
 
 class JobRecords;
+class SubmissionWriter;
 
 class OwnerDirectory final : public JobDirectory {
 public:
     // Tells whether this instance certainly owns at this moment and has read everything.
     using IsAuthoritative = std::function<bool()>;
 
-    // The records must outlive the directory. Not thread-safe, as the whole class.
-    OwnerDirectory(JobRecords& records, IsAuthoritative isAuthoritative);
+    // Records and writer must outlive the directory. Not thread-safe, as the whole class.
+    OwnerDirectory(JobRecords& records, SubmissionWriter& writer, IsAuthoritative isAuthoritative);
 
     bool isAuthoritative() const { return m_isAuthoritative(); }
     boost::asio::awaitable<JobReply> ask(JobQuestion question) override;
 
 private:
     boost::asio::awaitable<JobReply> state(JobQuestion question);
+    boost::asio::awaitable<JobReply> store(JobQuestion question);
 
     JobRecords& m_records;
+    SubmissionWriter& m_writer;
     IsAuthoritative m_isAuthoritative;
 };
 
--- a/plantainhold/entry/OwnerLocator.cpp
+++ b/plantainhold/entry/OwnerLocator.cpp
@@ -65,6 +65,8 @@
     m_lookAgainAt = std::chrono::steady_clock::now() + s_lookPause;
     if (owners.status == StoreStatus::Ok)
         m_address = addressOf(owners.memberOf({ OwnershipKeeper::s_ownersTopic, m_part }));
+    if (!m_address.empty())
+        m_lastSeen = m_address;
 }
 
 void OwnerLocator::suspect(std::string_view address)
--- a/plantainhold/entry/OwnerLocator.h
+++ b/plantainhold/entry/OwnerLocator.h
@@ -24,6 +24,8 @@
 
     // IP:port of the owner; empty when none was seen before the deadline.
     boost::asio::awaitable<std::string> locate(TimePoint deadline);
+    // The newest owner that was seen, also while it is under suspicion; empty: none yet.
+    const std::string& lastSeen() const { return m_lastSeen; }
     // The instance at this address did not answer as the owner.
     void suspect(std::string_view address);
 
@@ -35,6 +37,7 @@
     StorePort& m_store;
     const std::uint32_t m_part;
     std::string m_address;
+    std::string m_lastSeen;
     bool m_isLooking = false;
     TimePoint m_lookAgainAt {};
 };
--- a/plantainhold/entry/PeerDirectory.cpp
+++ b/plantainhold/entry/PeerDirectory.cpp
@@ -31,7 +31,7 @@
         std::string address = co_await m_locator.locate(deadline);
         if (address.empty())
             co_return JobReply {};
-        std::optional<JobReply> reply = co_await askOnce(address, question, deadline);
+        std::optional<JobReply> reply = co_await callOwner(address, question, deadline);
         if (reply && reply->verdict != JobVerdict::Unavailable)
             co_return *reply;
         ++m_failedCalls;
@@ -44,7 +44,22 @@
     }
 }
 
-asio::awaitable<std::optional<JobReply>> PeerDirectory::askOnce(std::string address, const JobQuestion& question, TimePoint deadline)
+asio::awaitable<JobReply> PeerDirectory::askOnce(JobQuestion question)
+{
+    std::string address = m_locator.lastSeen();
+    if (address.empty())
+        co_return JobReply {};
+    TimePoint deadline = std::chrono::steady_clock::now() + question.patience;
+    std::optional<JobReply> reply = co_await callOwner(std::move(address), question, deadline);
+    co_return reply ? *reply : JobReply { JobVerdict::Unknown };
+}
+
+asio::awaitable<void> PeerDirectory::findOwner(Milliseconds patience)
+{
+    co_await m_locator.locate(std::chrono::steady_clock::now() + patience);
+}
+
+asio::awaitable<std::optional<JobReply>> PeerDirectory::callOwner(std::string address, const JobQuestion& question, TimePoint deadline)
 {
     TimePoint sentAt = std::chrono::steady_clock::now();
     auto left = std::chrono::duration_cast<Milliseconds>(deadline - sentAt);
--- a/plantainhold/entry/PeerMessages.cpp
+++ b/plantainhold/entry/PeerMessages.cpp
@@ -5,7 +5,7 @@
 namespace plantainhold {
 
 namespace {
-    constexpr auto s_lastKind = static_cast<std::uint32_t>(JobQuestionKind::PendingCount);
+    constexpr auto s_lastKind = static_cast<std::uint32_t>(JobQuestionKind::Cancel);
     constexpr auto s_lastVerdict = static_cast<std::uint32_t>(JobVerdict::Invalid);
     constexpr auto s_lastState = static_cast<std::uint32_t>(JobState::Cancelled);
 } // namespace
@@ -16,6 +16,7 @@
     record.set_kind(static_cast<std::uint32_t>(question.kind));
     record.set_id(question.id);
     record.set_queue(question.queue);
+    record.set_record(question.record);
     record.set_patience_ms(static_cast<std::uint32_t>(question.patience.count()));
     return record.SerializeAsString();
 }
@@ -25,7 +26,7 @@
     wire::JobQuestionRecord record;
     if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || record.kind() > s_lastKind)
         return std::nullopt;
-    return JobQuestion { static_cast<JobQuestionKind>(record.kind()), record.id(), record.queue(), Milliseconds(record.patience_ms()) };
+    return JobQuestion { static_cast<JobQuestionKind>(record.kind()), record.id(), record.queue(), record.record(), Milliseconds(record.patience_ms()) };
 }
 
 std::string encodeReply(const JobReply& reply)
--- a/plantainhold/entry/PeerPort.h
+++ b/plantainhold/entry/PeerPort.h
@@ -13,7 +13,8 @@
 public:
     virtual ~PeerPort() = default;
 
-    // Nothing when the peer at IP:port did not answer in time, or not with a reply.
+    // Nothing when the peer at IP:port did not answer in time, or not with a reply; a
+    // question that was certainly not sent is answered Unavailable.
     // Never throws for a failure of the network. Not thread-safe.
     virtual boost::asio::awaitable<std::optional<JobReply>> ask(std::string address, JobQuestion question, Milliseconds timeout) = 0;
 };
--- a/plantainhold/testing/entry/JobDirectoryTest.cpp
+++ b/plantainhold/testing/entry/JobDirectoryTest.cpp
@@ -11,6 +11,7 @@
 #include "plantainhold/entry/OwnershipKeeper.h"
 #include "plantainhold/entry/PeerDirectory.h"
 #include "plantainhold/entry/PeerMessages.h"
+#include "plantainhold/entry/SubmissionWriter.h"
 #include "plantainhold/jobs/JobCodec.h"
 #include "plantainhold/testing/store/MemoryStore.h"
 
@@ -36,7 +37,7 @@
 
     JobQuestion stateQuestion()
     {
-        return { JobQuestionKind::State, std::string(s_id), std::string(s_queue), s_patience };
+        return { JobQuestionKind::State, std::string(s_id), std::string(s_queue), {}, s_patience };
     }
 
     // Replies by address; an address without one does not answer.
@@ -64,9 +65,10 @@
     public:
         World()
             : records(context.get_executor(), store, events, s_parts)
-            , own(records, [this]() { return isAuthoritative; })
+            , writer(context.get_executor(), store, s_parts)
+            , own(records, writer, [this]() { return isAuthoritative; })
             , peers(context.get_executor(), store, ports, 0)
-            , service(context.get_executor(), store, own, peers, events, s_parts)
+            , service(writer, own, peers, events)
         {
         }
 
@@ -107,6 +109,7 @@
         ScriptedPeers ports;
         bool isAuthoritative = false;
         JobRecords records;
+        SubmissionWriter writer;
         OwnerDirectory own;
         PeerDirectory peers;
         JobService service;
@@ -165,7 +168,7 @@
     JobReply reply = world.run(world.own.ask(stateQuestion()));
     CHECK(reply.verdict == JobVerdict::Ok);
     CHECK(reply.state == JobState::Queued);
-    JobQuestion other { JobQuestionKind::State, "fedcba9876543210", std::string(s_queue), s_patience };
+    JobQuestion other { JobQuestionKind::State, "fedcba9876543210", std::string(s_queue), {}, s_patience };
     CHECK(world.run(world.own.ask(std::move(other))).verdict == JobVerdict::NotFound);
 }
 
@@ -177,7 +180,7 @@
     REQUIRE(world.run(world.own.ask(stateQuestion())).verdict == JobVerdict::Ok);
     world.isAuthoritative = false;
     CHECK(world.run(world.own.ask(stateQuestion())).verdict == JobVerdict::Unavailable);
-    JobQuestion count { JobQuestionKind::PendingCount, {}, std::string(s_queue), s_patience };
+    JobQuestion count { JobQuestionKind::PendingCount, {}, std::string(s_queue), {}, s_patience };
     CHECK(world.run(world.own.ask(std::move(count))).verdict == JobVerdict::Unavailable);
 }
 
@@ -213,6 +216,61 @@
     CHECK(world.store.log.front().key == JobBook::cancelKey(s_id));
 }
 
+TEST_CASE("an instance that the store turns away hands jobs to the owner")
+{
+    World world;
+    world.takeOver("10.0.0.1:7721");
+    world.run(world.peers.findOwner(s_patience));
+    JobSpec spec;
+    spec.queue = s_queue;
+    auto submit = [&](JobVerdict said) {
+        world.store.nextAppend = { StoreStatus::Refused };
+        world.ports.replies["10.0.0.1:7721"] = { said };
+        return world.run(world.service.submit(std::string(s_id), spec, Milliseconds(1'000)));
+    };
+    CHECK(submit(JobVerdict::Ok) == JobVerdict::Ok);
+    CHECK(world.ports.last.kind == JobQuestionKind::Submit);
+    CHECK(decodeSubmission(world.ports.last.record)->queue == s_queue);
+    CHECK(world.service.counters().forwarded == 1);
+    // Only what is certain is refused.
+    CHECK(submit(JobVerdict::Refused) == JobVerdict::Refused);
+    CHECK(submit(JobVerdict::Unavailable) == JobVerdict::Refused);
+    CHECK(submit(JobVerdict::Unknown) == JobVerdict::Unknown);
+    world.store.nextAppend = { StoreStatus::Refused };
+    world.ports.replies.clear();
+    CHECK(world.run(world.service.submit(std::string(s_id), spec, Milliseconds(1'000))) == JobVerdict::Unknown);
+}
+
+TEST_CASE("an append without an answer may be stored, whatever the owner says")
+{
+    World world;
+    world.takeOver("10.0.0.1:7721");
+    world.run(world.peers.findOwner(s_patience));
+    world.store.nextAppend.assign(50, StoreStatus::Unknown);
+    world.ports.replies["10.0.0.1:7721"] = { JobVerdict::Refused };
+    JobSpec spec;
+    spec.queue = s_queue;
+    CHECK(world.run(world.service.submit(std::string(s_id), spec, Milliseconds(1'000))) == JobVerdict::Unknown);
+    world.ports.replies["10.0.0.1:7721"] = { JobVerdict::Ok };
+    world.store.nextAppend.assign(50, StoreStatus::Unknown);
+    CHECK(world.run(world.service.submit(std::string(s_id), spec, Milliseconds(1'000))) == JobVerdict::Ok);
+}
+
+TEST_CASE("an owner stores for others, and only while it owns")
+{
+    World world;
+    JobSpec spec;
+    spec.queue = s_queue;
+    JobQuestion question { JobQuestionKind::Submit, std::string(s_id), {}, encodeSubmission(spec), s_patience };
+    CHECK(world.run(world.own.ask(question)).verdict == JobVerdict::Unavailable);
+    CHECK(world.store.log.empty());
+    world.isAuthoritative = true;
+    CHECK(world.run(world.own.ask(question)).verdict == JobVerdict::Ok);
+    CHECK(world.run(world.own.ask(stateQuestion())).verdict == JobVerdict::Ok);
+    world.store.nextAppend = { StoreStatus::Refused };
+    CHECK(world.run(world.own.ask(question)).verdict == JobVerdict::Refused);
+}
+
 TEST_CASE("a job that the owner does not know is not cancelled")
 {
     World world;
