--- a/plantainhold/entry/JobService.cpp
+++ b/plantainhold/entry/JobService.cpp
@@ -8,6 +8,12 @@
 #include "plantainhold/util/BootClock.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace plantainhold {
 
@@ -19,8 +25,8 @@
     constexpr Milliseconds s_answerReserve { 150 };
     constexpr Milliseconds s_leastPatience { 100 };
     constexpr Milliseconds s_mostPatience { 10'000 };
-    // The owner gets this part of a caller's time if this instance cannot store.
-    constexpr int s_forwardPart = 3;
+    // The owner is asked too when this part of a caller's time is left.
+    constexpr int s_forwardPart = 2;
     // A cancellation is stored even if nobody can tell in time whether the job exists.
     constexpr Milliseconds s_cancelLookup { 800 };
 
@@ -38,23 +44,59 @@
 {
 }
 
+// One append of this instance's own, which goes on while the owner is asked.
+struct JobService::Attempt {
+    explicit Attempt(const asio::any_io_executor& executor)
+        : signal(executor)
+    {
+    }
+
+    // Returns when the append has ended, or at this moment.
+    asio::awaitable<void> waitUntil(TimePoint when)
+    {
+        signal.expires_at(when);
+        boost::system::error_code ec;
+        if (!isDone)
+            co_await signal.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+
+    asio::steady_timer signal;
+    StoreStatus status = StoreStatus::Unknown;
+    bool isDone = false;
+};
+
+asio::awaitable<void> JobService::append(std::shared_ptr<Attempt> attempt, JobQuestion question, TimePoint deadline)
+{
+    bool isCancel = question.kind == JobQuestionKind::Cancel;
+    KeyedRecord record { isCancel ? JobBook::cancelKey(question.id) : JobBook::submissionKey(question.id), std::move(question.record) };
+    attempt->status = co_await m_writer.put(question.id, std::move(record), deadline);
+    attempt->isDone = true;
+    attempt->signal.cancel();
+}
+
 asio::awaitable<StoreStatus> JobService::store(JobQuestion question, TimePoint deadline)
 {
+    auto executor = co_await asio::this_coro::executor;
     auto left = [deadline]() { return std::chrono::duration_cast<Milliseconds>(deadline - std::chrono::steady_clock::now()); };
-    bool isCancel = question.kind == JobQuestionKind::Cancel;
-    KeyedRecord record { isCancel ? JobBook::cancelKey(question.id) : JobBook::submissionKey(question.id), question.record };
-    TimePoint ownDeadline = m_own.isAuthoritative() ? deadline : deadline - left() / s_forwardPart;
-    StoreStatus status = co_await m_writer.put(question.id, std::move(record), ownDeadline);
+    auto attempt = std::make_shared<Attempt>(executor);
+    asio::co_spawn(executor, append(attempt, question, deadline), asio::detached);
+    co_await attempt->waitUntil(m_own.isAuthoritative() ? deadline : deadline - left() / s_forwardPart);
     question.patience = left();
-    if (status == StoreStatus::Ok || m_own.isAuthoritative() || question.patience < s_leastPatience)
-        co_return status;
+    if (attempt->isDone && (attempt->status == StoreStatus::Ok || m_own.isAuthoritative()))
+        co_return attempt->status;
+    if (question.patience < s_leastPatience)
+        co_return attempt->status;
     // Equal keys carry equal values, so that storing it twice changes nothing.
     JobReply reply = co_await m_peers.askOnce(std::move(question));
     if (reply.verdict == JobVerdict::Ok) {
         ++m_counters.forwarded;
         co_return StoreStatus::Ok;
     }
-    co_return reply.verdict == JobVerdict::Unknown ? StoreStatus::Unknown : status;
+    co_await attempt->waitUntil(deadline);
+    bool isStored = attempt->isDone && attempt->status == StoreStatus::Ok;
+    if (isStored || reply.verdict != JobVerdict::Unknown)
+        co_return attempt->status;
+    co_return StoreStatus::Unknown;
 }
 
 asio::awaitable<JobVerdict> JobService::submit(std::string id, JobSpec spec, Milliseconds patience)
--- a/plantainhold/entry/JobService.h
+++ b/plantainhold/entry/JobService.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -46,7 +47,10 @@
 
 private:
     boost::asio::awaitable<JobReply> ask(JobQuestion question);
-    // Stores the question's record, by way of the owner if this instance cannot.
+    struct Attempt;
+
+    boost::asio::awaitable<void> append(std::shared_ptr<Attempt> attempt, JobQuestion question, TimePoint deadline);
+    // Stores the question's record; by way of the owner too if this instance cannot, or not soon.
     boost::asio::awaitable<StoreStatus> store(JobQuestion question, TimePoint deadline);
 
     OwnerDirectory& m_own;
