--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -2,6 +2,7 @@
 
 #include "plantainhold/entry/MetricsPage.h"
 #include "plantainhold/util/BootClock.h"
+#include "plantainhold/util/Sleep.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -84,19 +85,12 @@
     m_log.note(EventId::ProcessStarted, { { "data_centre", m_settings.dataCentre }, { "callers", m_settings.callersAddress }, { "store", m_settings.storeAddress }, { "lease_ms", m_settings.scheduler.lease.count() } });
 }
 
-asio::awaitable<void> EntryInstance::sleep(Milliseconds time)
-{
-    asio::steady_timer timer(m_context, time);
-    boost::system::error_code ec;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 asio::awaitable<void> EntryInstance::followConfig()
 {
     for (;;) {
         StoreStatus status = co_await m_configTail.poll(s_configWait, s_storeTimeout);
         if (status != StoreStatus::Ok)
-            co_await sleep(s_storeRetry);
+            co_await sleepFor(m_context.get_executor(), s_storeRetry);
     }
 }
 
@@ -127,7 +121,7 @@
             status = co_await m_records.catchUp(s_storeTimeout);
         if (!m_owner)
             co_await m_peerDirectory.findOwner(s_storeTimeout);
-        co_await sleep(status == StoreStatus::Ok ? s_recordsPause : s_storeRetry);
+        co_await sleepFor(m_context.get_executor(), status == StoreStatus::Ok ? s_recordsPause : s_storeRetry);
     }
 }
 
@@ -135,7 +129,7 @@
 {
     for (;;) {
         m_log.flush();
-        co_await sleep(s_logPause);
+        co_await sleepFor(m_context.get_executor(), s_logPause);
     }
 }
 
@@ -205,7 +199,7 @@
         bool isNoticed = std::chrono::steady_clock::now() >= began + s_readinessNotice;
         if (isNoticed && !m_callers->openRequests())
             break;
-        co_await sleep(s_stopPoll);
+        co_await sleepFor(m_context.get_executor(), s_stopPoll);
     }
     m_log.note(EventId::ProcessStopped, { { "open_requests", m_callers->openRequests() } });
     m_log.flush();
--- a/plantainhold/entry/EntryInstance.h
+++ b/plantainhold/entry/EntryInstance.h
@@ -57,7 +57,6 @@
     boost::asio::awaitable<void> stop();
     boost::asio::awaitable<HttpResponse> ready();
     boost::asio::awaitable<HttpResponse> metrics();
-    boost::asio::awaitable<void> sleep(Milliseconds time);
     bool isAuthoritative() const;
     void takeConfig(const StoredRecord& record);
     void ownershipGained(std::uint64_t generation);
--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -4,6 +4,7 @@
 #include "plantainhold/entry/JobTopics.h"
 #include "plantainhold/entry/OwnershipKeeper.h"
 #include "plantainhold/util/BootClock.h"
+#include "plantainhold/util/Sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -85,22 +86,15 @@
     m_commitSignal.cancel();
 }
 
-asio::awaitable<void> JobOwner::sleep(Milliseconds time)
-{
-    asio::steady_timer timer(m_executor, time);
-    boost::system::error_code ec;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 asio::awaitable<void> JobOwner::takeOver(std::shared_ptr<const FleetConfig> config)
 {
     TimePoint began = BootClock::now();
     m_config = std::move(config);
     // From here on no former owner can write; then all that they wrote is read.
     while (!m_isStopped && !co_await claimPartition())
-        co_await sleep(s_storeRetry);
+        co_await sleepFor(m_executor, s_storeRetry);
     while (!m_isStopped && co_await m_parts.records.catchUp(s_storeTimeout) != StoreStatus::Ok)
-        co_await sleep(s_storeRetry);
+        co_await sleepFor(m_executor, s_storeRetry);
     if (m_isStopped)
         co_return;
     m_scheduler = std::make_unique<JobScheduler>(m_settings.scheduler, m_generation, formerTerm(), m_parts.events, began);
@@ -110,7 +104,7 @@
         m_scheduler->configure(m_config);
     m_executorTail = std::make_unique<TopicTail>(m_parts.store, m_parts.events, std::string(m_parts.executorsTopic), s_part, [this](const StoredRecord& it) { executorRecord(it); });
     while (!m_isStopped && co_await m_executorTail->poll(Milliseconds(0), s_storeTimeout) != StoreStatus::Ok)
-        co_await sleep(s_storeRetry);
+        co_await sleepFor(m_executor, s_storeRetry);
     if (m_isStopped)
         co_return;
     TimePoint now = BootClock::now();
@@ -168,7 +162,7 @@
         if (m_isStopped)
             co_return;
         wake();
-        co_await sleep(status == StoreStatus::Ok ? s_executorsPause : s_storeRetry);
+        co_await sleepFor(m_executor, status == StoreStatus::Ok ? s_executorsPause : s_storeRetry);
     }
 }
 
@@ -295,13 +289,13 @@
     if (kind != OrderKind::Start)
         return true;
     // An executor may have said meanwhile that it leaves.
-    return std::chrono::steady_clock::now() < m_executorTail->currentAsOf() + m_settings.executorListAge;
+    return BootClock::now() < m_executorTail->currentAsOf() + m_settings.executorListAge;
 }
 
 asio::awaitable<void> JobOwner::send(std::shared_ptr<Link> link, ExecutorOrder order)
 {
     while (!m_isStopped && !mayOrder(order.kind))
-        co_await sleep(s_unconfirmedPause);
+        co_await sleepFor(m_executor, s_unconfirmedPause);
     if (!m_isStopped) {
         TimePoint sentAt = BootClock::now();
         if (std::optional<JobScheduler::Envelope> envelope = m_scheduler->seal(order, sentAt)) {
@@ -331,9 +325,9 @@
 asio::awaitable<void> JobOwner::pauseReports(Link& link)
 {
     if (!link.isReachable)
-        co_return co_await sleep(s_reportRetry);
+        co_return co_await sleepFor(m_executor, s_reportRetry);
     if (m_isStopped || !m_scheduler->isQuiet(link.to.id))
-        co_return co_await sleep(s_reportPause);
+        co_return co_await sleepFor(m_executor, s_reportPause);
     link.workGiven.expires_after(s_quietPause);
     boost::system::error_code ec;
     co_await link.workGiven.async_wait(asio::redirect_error(asio::use_awaitable, ec));
@@ -348,7 +342,7 @@
     if (!order) {
         if (isUrgent)
             link->isUrgentReporting = false;
-        co_await sleep(s_unconfirmedPause);
+        co_await sleepFor(m_executor, s_unconfirmedPause);
         co_return;
     }
     if (isUrgent)
@@ -391,7 +385,7 @@
 {
     while (!m_isStopped) {
         m_scheduler->noteState(BootClock::now());
-        co_await sleep(s_statePause);
+        co_await sleepFor(m_executor, s_statePause);
     }
 }
 
@@ -415,7 +409,7 @@
         if (!batch.droppedJobs.empty())
             co_await dropSubmissions(batch.droppedJobs);
         wake();
-        co_await sleep(s_commitPause);
+        co_await sleepFor(m_executor, s_commitPause);
     }
     if (m_writer.isFenced())
         m_parts.keeper.fenced();
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -82,7 +82,6 @@
     boost::asio::awaitable<void> reportOnce(std::shared_ptr<Link> link, bool isUrgent);
     boost::asio::awaitable<void> adviceLoop();
     boost::asio::awaitable<void> send(std::shared_ptr<Link> link, ExecutorOrder order);
-    boost::asio::awaitable<void> sleep(Milliseconds time);
 
     // Whether an order may be sent now; else it waits.
     bool mayOrder(OrderKind kind) const;
--- a/plantainhold/entry/JobRecords.cpp
+++ b/plantainhold/entry/JobRecords.cpp
@@ -2,6 +2,7 @@
 
 #include "plantainhold/entry/JobTopics.h"
 #include "plantainhold/jobs/JobScheduler.h"
+#include "plantainhold/util/Sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -164,9 +165,7 @@
         StoreStatus status = StoreStatus::Refused;
         if (!part.isPolling)
             status = co_await pollPart(part, s_followWait, s_timeout);
-        asio::steady_timer pause(m_executor, status == StoreStatus::Ok ? s_followPause : s_retryPause);
-        boost::system::error_code ec;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        co_await sleepFor(m_executor, status == StoreStatus::Ok ? s_followPause : s_retryPause);
     }
     part.isFollowing = false;
 }
--- a/plantainhold/entry/OwnerLocator.cpp
+++ b/plantainhold/entry/OwnerLocator.cpp
@@ -1,6 +1,7 @@
 #include "plantainhold/entry/OwnerLocator.h"
 
 #include "plantainhold/entry/OwnershipKeeper.h"
+#include "plantainhold/util/Sleep.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -36,13 +37,6 @@
 {
 }
 
-asio::awaitable<void> OwnerLocator::sleep(Milliseconds time)
-{
-    asio::steady_timer timer(m_executor, time);
-    boost::system::error_code ec;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 asio::awaitable<std::string> OwnerLocator::locate(TimePoint deadline)
 {
     while (m_address.empty()) {
@@ -52,7 +46,7 @@
         if (!m_isLooking && now >= m_lookAgainAt)
             co_await look();
         else
-            co_await sleep(s_waitStep);
+            co_await sleepFor(m_executor, s_waitStep);
     }
     co_return m_address;
 }
--- a/plantainhold/entry/OwnerLocator.h
+++ b/plantainhold/entry/OwnerLocator.h
@@ -31,7 +31,6 @@
 
 private:
     boost::asio::awaitable<void> look();
-    boost::asio::awaitable<void> sleep(Milliseconds time);
 
     boost::asio::any_io_executor m_executor;
     StorePort& m_store;
--- a/plantainhold/entry/OwnershipKeeper.cpp
+++ b/plantainhold/entry/OwnershipKeeper.cpp
@@ -1,6 +1,7 @@
 #include "plantainhold/entry/OwnershipKeeper.h"
 
 #include "plantainhold/util/BootClock.h"
+#include "plantainhold/util/Sleep.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
@@ -49,20 +50,13 @@
 {
 }
 
-asio::awaitable<void> OwnershipKeeper::sleep(Milliseconds time)
-{
-    asio::steady_timer timer(m_executor, time);
-    boost::system::error_code ec;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 asio::awaitable<void> OwnershipKeeper::run()
 {
     while (!m_isLeaving) {
         bool isAnswered = m_isCandidate ? co_await own() : co_await stand();
         if (m_isLeaving)
             co_return;
-        co_await sleep(isAnswered ? m_options.renewEvery : s_retryPause);
+        co_await sleepFor(m_executor, isAnswered ? m_options.renewEvery : s_retryPause);
     }
 }
 
@@ -182,7 +176,7 @@
     m_isCandidate = false;
     lose(reason);
     for (TimePoint last = BootClock::now() + m_options.releaseWait; !m_listeners.isReleased() && BootClock::now() < last;)
-        co_await sleep(s_releasePoll);
+        co_await sleepFor(m_executor, s_releasePoll);
     co_await leaveOwners();
 }
 
--- a/plantainhold/entry/OwnershipKeeper.h
+++ b/plantainhold/entry/OwnershipKeeper.h
@@ -91,7 +91,6 @@
     boost::asio::awaitable<void> handOver(std::string_view reason);
     boost::asio::awaitable<void> leaveOwners();
     boost::asio::awaitable<void> leaveStandby();
-    boost::asio::awaitable<void> sleep(Milliseconds time);
     GroupMember asOwner() const;
     GroupMember asStandby() const;
     bool holdsPart(const JoinResult& result) const;
--- a/plantainhold/entry/PeerDirectory.cpp
+++ b/plantainhold/entry/PeerDirectory.cpp
@@ -1,4 +1,5 @@
 #include "plantainhold/entry/PeerDirectory.h"
+#include "plantainhold/util/Sleep.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
@@ -38,9 +39,7 @@
         m_locator.suspect(address);
         if (std::chrono::steady_clock::now() + s_retryPause >= deadline)
             co_return JobReply {};
-        asio::steady_timer pause(m_executor, s_retryPause);
-        boost::system::error_code ec;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        co_await sleepFor(m_executor, s_retryPause);
     }
 }
 
--- a/plantainhold/entry/ProgressWriter.cpp
+++ b/plantainhold/entry/ProgressWriter.cpp
@@ -3,6 +3,7 @@
 #include "plantainhold/entry/JobRecords.h"
 #include "plantainhold/entry/JobTopics.h"
 #include "plantainhold/util/BootClock.h"
+#include "plantainhold/util/Sleep.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -68,9 +69,7 @@
         if (result.status == StoreStatus::OutOfSequence && !m_isUncertain)
             m_sequence = result.expectedSequence;
         m_isUncertain = m_isUncertain || result.status == StoreStatus::Unknown;
-        asio::steady_timer pause(m_executor, s_repeatPause);
-        boost::system::error_code ec;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        co_await sleepFor(m_executor, s_repeatPause);
     }
     // Not tried again: it may or may not be stored.
     m_isUncertain = true;
--- a/plantainhold/store/GroupCommit.cpp
+++ b/plantainhold/store/GroupCommit.cpp
@@ -1,4 +1,5 @@
 #include "plantainhold/store/GroupCommit.h"
+#include "plantainhold/util/Sleep.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -119,9 +120,7 @@
         std::erase_if(batch, [](const auto& it) { return it->isDone; });
         m_queue.insert(m_queue.begin(), batch.begin(), batch.end());
         if (!batch.empty()) {
-            asio::steady_timer pause(m_executor, s_repeatPause);
-            boost::system::error_code ec;
-            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            co_await sleepFor(m_executor, s_repeatPause);
         }
     }
     m_isFlushing = false;
--- a/plantainhold/store/TopicTail.cpp
+++ b/plantainhold/store/TopicTail.cpp
@@ -1,6 +1,9 @@
 #include "plantainhold/store/TopicTail.h"
 
 #include "plantainhold/base/EventSink.h"
+#include "plantainhold/util/BootClock.h"
+
+#include <algorithm>
 
 namespace plantainhold {
 
@@ -20,7 +23,7 @@
     if (!m_isComplete)
         co_return co_await rebuild(timeout);
     for (;;) {
-        TimePoint asked = std::chrono::steady_clock::now();
+        TimePoint asked = BootClock::now();
         ReadResult result = co_await m_store.read({ m_topic, m_part }, m_next, wait, wait + timeout);
         if (result.status == StoreStatus::Expired) {
             m_events.note(EventId::HistoryExpired, { { "topic", m_topic }, { "from", m_next } });
@@ -33,7 +36,7 @@
         m_next = result.nextOffset;
         if (result.records.empty() || m_next >= result.endOffset) {
             // An answer without records came after the whole wait.
-            m_currentAsOf = result.records.empty() ? asked + wait : asked;
+            m_currentAsOf = result.records.empty() ? std::min(asked + wait, BootClock::now()) : asked;
             co_return StoreStatus::Ok;
         }
         wait = Milliseconds(0);
@@ -56,7 +59,7 @@
 
 asio::awaitable<StoreStatus> TopicTail::rebuild(Milliseconds timeout)
 {
-    TimePoint asked = std::chrono::steady_clock::now();
+    TimePoint asked = BootClock::now();
     std::unordered_set<std::string> former = m_keys;
     std::uint64_t end = 0;
     std::string after;
--- a/plantainhold/store/TopicTail.h
+++ b/plantainhold/store/TopicTail.h
@@ -33,7 +33,8 @@
 
     // True once everything that stood in the topic at some moment was read.
     bool isComplete() const { return m_isComplete; }
-    // When that moment was, at the latest call that succeeded.
+    // When that moment was, at the latest call that succeeded; by the clock that
+    // counts suspension.
     TimePoint currentAsOf() const { return m_currentAsOf; }
     std::uint64_t nextOffset() const { return m_next; }
 
--- /dev/null
+++ b/plantainhold/util/Sleep.h
@@ -0,0 +1,22 @@
+// Waiting inside a coroutine.
+#pragma once
+
+#include "plantainhold/ports/Clock.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace plantainhold {
+
+// Returns after this time at the earliest. Thread-safe.
+inline boost::asio::awaitable<void> sleepFor(boost::asio::any_io_executor executor, Milliseconds time)
+{
+    boost::asio::steady_timer timer(std::move(executor), time);
+    boost::system::error_code ec;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+}
+
+} // namespace plantainhold
