--- a/plantainhold/entry/EntrySettings.cpp
+++ b/plantainhold/entry/EntrySettings.cpp
@@ -83,6 +83,8 @@
     settings.stopGrace = Milliseconds(static_cast<std::int64_t>(1'000 * number(root, "stop_grace_s", 6, 0.5, 600)));
     // Half of the time goes to the way of an order that is already decided.
     settings.executorListAge = milliseconds(root, "scheduling.drain_ms", 2 * settings.executorListAge, Milliseconds(200), s_minute) / 2;
+    settings.restoreLimit = milliseconds(root, "scheduling.restore_limit_ms", settings.restoreLimit, Milliseconds(100), s_minute);
+    settings.roundLimit = milliseconds(root, "scheduling.round_limit_ms", settings.roundLimit, Milliseconds(100), s_minute);
     SchedulerLimits& limits = settings.scheduler;
     // Executors shorten what is longer, so that a longer lease would be an illusion.
     Milliseconds longest = milliseconds(root, "scheduling.lease_max_ms", limits.lease, Milliseconds(500), 10 * s_minute);
--- a/plantainhold/entry/EntrySettings.h
+++ b/plantainhold/entry/EntrySettings.h
@@ -33,6 +33,10 @@
     Milliseconds stopGrace { 6'000 };
     // Nothing is started by a list of executors that was read longer ago.
     Milliseconds executorListAge { 1'000 };
+    // A new owner that has not read all records by then gives the partition up, and
+    // so does one whose rounds stand still for so long.
+    Milliseconds restoreLimit { 6'000 };
+    Milliseconds roundLimit { 3'000 };
     SchedulerLimits scheduler;
 };
 
--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -35,6 +35,7 @@
     constexpr Milliseconds s_executorsWait { 2'000 };
     constexpr Milliseconds s_executorsPause { 200 };
     constexpr Milliseconds s_unconfirmedPause { 100 };
+    constexpr Milliseconds s_watchPause { 200 };
     constexpr Milliseconds s_statePause { 3'000 };
     constexpr std::size_t s_ordersInFlight = 3;
     constexpr std::size_t s_maxAppendBytes = 1 << 20;
@@ -74,6 +75,8 @@
 
 void JobOwner::start(std::shared_ptr<const FleetConfig> config)
 {
+    asio::co_spawn(
+        m_executor, [self = shared_from_this()]() { return self->watchLoop(); }, asio::detached);
     asio::co_spawn(
         m_executor, [self = shared_from_this(), config]() { return self->takeOver(config); }, asio::detached);
 }
@@ -111,6 +114,7 @@
     for (const auto& [id, job] : m_parts.records.book().jobs())
         m_scheduler->submit(id, job, now);
     m_isRestored = true;
+    ++m_rounds;
     m_parts.events.note(EventId::OwnershipRestored, { { "generation", m_generation }, { "jobs", m_scheduler->activeJobs() }, { "executors", m_scheduler->executorIds().size() }, { "ms", std::chrono::duration_cast<Milliseconds>(now - began).count() } });
     auto self = shared_from_this();
     asio::co_spawn(
@@ -206,6 +210,7 @@
 {
     TimePoint now = BootClock::now();
     m_pumpedAt = std::chrono::steady_clock::now();
+    ++m_rounds;
     TimePoint next = m_scheduler->advance(now, BootClock::unixMs());
     for (ExecutorOrder& it : m_scheduler->orders())
         dispatch(std::move(it));
@@ -381,6 +386,20 @@
     m_isAsking = false;
 }
 
+asio::awaitable<void> JobOwner::watchLoop()
+{
+    // Counted in its own steps: time for which the process did not run is no one's delay.
+    Milliseconds waited { 0 };
+    for (std::uint64_t seen = m_rounds; !m_isStopped;) {
+        co_await sleepFor(m_executor, s_watchPause);
+        waited = m_rounds == seen ? waited + s_watchPause : Milliseconds(0);
+        seen = m_rounds;
+        if (m_isStopped || waited < (m_isRestored ? m_settings.roundLimit : m_settings.restoreLimit))
+            continue;
+        m_parts.keeper.giveUp(m_isRestored ? "its rounds stand still" : "its records could not be read in time");
+    }
+}
+
 asio::awaitable<void> JobOwner::stateLoop()
 {
     while (!m_isStopped) {
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -74,6 +74,8 @@
     boost::asio::awaitable<void> followExecutors();
     boost::asio::awaitable<void> commitLoop();
     boost::asio::awaitable<void> stateLoop();
+    // Ends the term when it makes no progress.
+    boost::asio::awaitable<void> watchLoop();
     boost::asio::awaitable<bool> store(const CommitBatch& batch);
     OwnerTerm formerTerm() const;
     boost::asio::awaitable<void> dropSubmissions(std::vector<std::string> ids);
@@ -112,6 +114,7 @@
     bool m_isReleased = false;
     bool m_isPumpPosted = false;
     TimePoint m_pumpedAt {};
+    std::uint64_t m_rounds = 0;
     // The executors that the links were last compared with.
     std::uint64_t m_executorsSeen = 0;
     std::deque<AdviceRequest> m_adviceQueue;
--- a/plantainhold/entry/OwnershipKeeper.cpp
+++ b/plantainhold/entry/OwnershipKeeper.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <cmath>
+#include <utility>
 
 namespace plantainhold {
 
@@ -53,6 +54,11 @@
 asio::awaitable<void> OwnershipKeeper::run()
 {
     while (!m_isLeaving) {
+        if (std::exchange(m_gaveUp, false)) {
+            co_await leaveOwners();
+            // Others stand by already, and come first.
+            m_standingSince = {};
+        }
         bool isAnswered = m_isCandidate ? co_await own() : co_await stand();
         if (m_isLeaving)
             co_return;
@@ -200,6 +206,13 @@
     m_listeners.lost(reason);
 }
 
+void OwnershipKeeper::giveUp(std::string_view reason)
+{
+    m_isCandidate = false;
+    m_gaveUp = true;
+    lose(reason);
+}
+
 void OwnershipKeeper::fenced()
 {
     m_isCandidate = false;
--- a/plantainhold/entry/OwnershipKeeper.h
+++ b/plantainhold/entry/OwnershipKeeper.h
@@ -73,6 +73,8 @@
     boost::asio::awaitable<void> leave(std::string_view reason);
     // The store refused a write of ours: a newer owner has begun.
     void fenced();
+    // This instance cannot do an owner's work now; another one may.
+    void giveUp(std::string_view reason);
 
     // Among the instances of its class it takes over when the owner fails.
     bool isSuccessor() const { return m_holdsStandby; }
@@ -115,6 +117,8 @@
     // Looks in a row that found a larger instance.
     std::uint32_t m_largerSeen = 0;
     bool m_holdsStandby = false;
+    // The owners' group is to be left, so that others need not wait.
+    bool m_gaveUp = false;
     // A member of the owners' group, or about to be.
     bool m_isCandidate = false;
     bool m_isLeaving = false;
--- a/plantainhold/testing/entry/JobOwnerTest.cpp
+++ b/plantainhold/testing/entry/JobOwnerTest.cpp
@@ -75,7 +75,7 @@
     public:
         explicit World(int executorCount)
             : records(context.get_executor(), store, events, settings.submissionParts)
-            , keeper(context.get_executor(), store, events, ownership(), { [this](std::uint64_t it) { gained(it); }, [](std::string_view) {}, []() { return true; } })
+            , keeper(context.get_executor(), store, events, ownership(), { [this](std::uint64_t it) { gained(it); }, [this](std::string_view) { lost(); }, []() { return true; } })
         {
             storeRunningJob();
             for (int i = 0; i < executorCount; ++i)
@@ -120,8 +120,16 @@
         JobRecords records;
         OwnershipKeeper keeper;
         std::shared_ptr<JobOwner> owner;
+        std::size_t terms = 0;
 
     private:
+        void lost()
+        {
+            owner->release();
+            owner.reset();
+            records.unfollow();
+        }
+
         static OwnershipOptions ownership()
         {
             OwnershipOptions options;
@@ -159,6 +167,7 @@
         {
             OwnerParts parts { store, executors, records, keeper, events, decodeEntry, s_executorsTopic, nullptr };
             owner = std::make_shared<JobOwner>(context.get_executor(), settings, std::move(parts), generation);
+            ++terms;
             owner->start(config(1));
         }
     };
@@ -185,6 +194,27 @@
     CHECK(world.executors.orders.empty());
 }
 
+TEST_CASE("a term that cannot read its records in time gives the partition up")
+{
+    World world(1);
+    world.settings.restoreLimit = Milliseconds(300);
+    bool isHeldUp = true;
+    world.store.beforeNewest = [&](TopicPart, std::string_view) -> asio::awaitable<void> {
+        asio::steady_timer pause(world.context, Milliseconds(isHeldUp ? 5'000 : 0));
+        co_await pause.async_wait(asio::use_awaitable);
+    };
+    world.runFor(Milliseconds(200));
+    REQUIRE(world.keeper.isOwner());
+    world.runFor(Milliseconds(500));
+    CHECK(world.terms >= 1);
+    CHECK((!world.owner || !world.owner->isRestored()));
+    CHECK(world.executors.orders.empty());
+    std::size_t before = world.terms;
+    world.runFor(Milliseconds(2'000));
+    // It stands by again, and tries when nobody else does.
+    CHECK(world.terms > before);
+}
+
 TEST_CASE("an answer that comes while orders are given out does not end the owner's work")
 {
     World world(1);
