--- /dev/null
+++ b/plantainhold/entry/ExecutorCalls.cpp
@@ -0,0 +1,200 @@
+#include "plantainhold/entry/ExecutorCalls.h"
+
+#include "plantainhold/entry/OwnershipKeeper.h"
+#include "plantainhold/util/BootClock.h"
+#include "plantainhold/util/Sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+namespace plantainhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr Milliseconds s_orderTimeout { 1'000 };
+    constexpr Milliseconds s_reportTimeout { 1'000 };
+    // Ends that come close together are reported together.
+    constexpr Milliseconds s_reportPause { 90 };
+    constexpr Milliseconds s_reportRetry { 300 };
+    // While nothing runs on an executor.
+    constexpr Milliseconds s_quietPause { 2'500 };
+    constexpr Milliseconds s_unconfirmedPause { 100 };
+    constexpr std::size_t s_ordersInFlight = 3;
+
+} // namespace
+
+// What is on its way to one executor.
+struct ExecutorCalls::Link {
+    explicit Link(const asio::any_io_executor& executor)
+        : workGiven(executor)
+    {
+    }
+
+    ExecutorAddress to;
+    std::deque<ExecutorOrder> queue;
+    std::size_t inFlight = 0;
+    bool isReporting = false;
+    bool isUrgentReporting = false;
+    bool isReachable = true;
+    // Cancelled to end a long pause between reports.
+    asio::steady_timer workGiven;
+};
+
+ExecutorCalls::ExecutorCalls(asio::any_io_executor executor, std::shared_ptr<JobScheduler> scheduler, ExecutorPort& port, const OwnershipKeeper& keeper, EventSink& events, Listeners listeners)
+    : m_executor(std::move(executor))
+    , m_scheduler(std::move(scheduler))
+    , m_port(port)
+    , m_keeper(keeper)
+    , m_events(events)
+    , m_listeners(std::move(listeners))
+{
+}
+
+ExecutorCalls::~ExecutorCalls() = default;
+
+bool ExecutorCalls::mayOrder(OrderKind kind) const
+{
+    // Work is ordered only while nobody else can own the partition.
+    return m_keeper.isConfirmed(BootClock::now()) && (kind != OrderKind::Start || m_listeners.mayStart());
+}
+
+void ExecutorCalls::follow()
+{
+    if (m_scheduler->executorsVersion() == m_executorsSeen)
+        return;
+    m_executorsSeen = m_scheduler->executorsVersion();
+    for (const std::string& id : m_scheduler->executorIds()) {
+        const ActiveExecutor& executor = *m_scheduler->executor(id);
+        if (executor.entry.address.empty())
+            continue;
+        auto [it, isNew] = m_links.try_emplace(id);
+        if (isNew)
+            it->second = std::make_shared<Link>(m_executor);
+        std::shared_ptr<Link>& link = it->second;
+        link->to = { id, executor.entry.address };
+        if (link->isReporting) {
+            if (!m_scheduler->isQuiet(id))
+                link->workGiven.cancel();
+            continue;
+        }
+        link->isReporting = true;
+        asio::co_spawn(
+            m_executor, [self = shared_from_this(), link]() { return self->reportLoop(link); }, asio::detached);
+    }
+}
+
+void ExecutorCalls::dispatch(ExecutorOrder order)
+{
+    auto it = m_links.find(order.executor);
+    if (it == m_links.end())
+        return;
+    std::shared_ptr<Link> link = it->second;
+    if (order.kind == OrderKind::Fence) {
+        if (!link->isUrgentReporting) {
+            link->isUrgentReporting = true;
+            asio::co_spawn(
+                m_executor, [self = shared_from_this(), link]() { return self->reportOnce(link, true); }, asio::detached);
+        }
+        return;
+    }
+    if (order.kind == OrderKind::Start)
+        link->workGiven.cancel();
+    link->queue.push_back(std::move(order));
+    startQueued(link);
+}
+
+void ExecutorCalls::startQueued(const std::shared_ptr<Link>& link)
+{
+    while (!link->queue.empty() && link->inFlight < s_ordersInFlight) {
+        ExecutorOrder order = std::move(link->queue.front());
+        link->queue.pop_front();
+        ++link->inFlight;
+        asio::co_spawn(
+            m_executor, [self = shared_from_this(), link, order = std::move(order)]() mutable { return self->send(link, std::move(order)); }, asio::detached);
+    }
+}
+
+asio::awaitable<void> ExecutorCalls::send(std::shared_ptr<Link> link, ExecutorOrder order)
+{
+    while (!m_isStopped && !mayOrder(order.kind))
+        co_await sleepFor(m_executor, s_unconfirmedPause);
+    if (!m_isStopped) {
+        TimePoint sentAt = BootClock::now();
+        if (std::optional<JobScheduler::Envelope> envelope = m_scheduler->seal(order, sentAt)) {
+            SealedOrder sealed { order, envelope->token, envelope->deadlineMs };
+            OrderOutcome outcome = co_await m_port.order(link->to, std::move(sealed), s_orderTimeout);
+            if (!m_isStopped)
+                m_scheduler->answered(order, outcome, sentAt, BootClock::now());
+        }
+        m_listeners.answered();
+    }
+    --link->inFlight;
+    startQueued(link);
+}
+
+asio::awaitable<void> ExecutorCalls::reportLoop(std::shared_ptr<Link> link)
+{
+    while (!m_isStopped && m_scheduler->executor(link->to.id)) {
+        co_await reportOnce(link, false);
+        co_await pauseReports(*link);
+    }
+    link->isReporting = false;
+    m_port.forget(link->to);
+    if (!m_isStopped)
+        m_links.erase(link->to.id);
+}
+
+asio::awaitable<void> ExecutorCalls::pauseReports(Link& link)
+{
+    if (!link.isReachable)
+        co_return co_await sleepFor(m_executor, s_reportRetry);
+    if (m_isStopped || !m_scheduler->isQuiet(link.to.id))
+        co_return co_await sleepFor(m_executor, s_reportPause);
+    link.workGiven.expires_after(s_quietPause);
+    boost::system::error_code ec;
+    co_await link.workGiven.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+asio::awaitable<void> ExecutorCalls::reportOnce(std::shared_ptr<Link> link, bool isUrgent)
+{
+    TimePoint sentAt = BootClock::now();
+    std::optional<ReportOrder> order;
+    if (m_keeper.mayExtendLeases(sentAt))
+        order = m_scheduler->nextReport(link->to.id, sentAt);
+    if (!order) {
+        if (isUrgent)
+            link->isUrgentReporting = false;
+        co_await sleepFor(m_executor, s_unconfirmedPause);
+        co_return;
+    }
+    if (isUrgent)
+        order->waitMs = 0;
+    ReportAnswer answer = co_await m_port.report(link->to, *order, s_reportTimeout);
+    if (isUrgent)
+        link->isUrgentReporting = false;
+    if (m_isStopped)
+        co_return;
+    TimePoint now = BootClock::now();
+    bool isOk = answer.outcome == OrderOutcome::Accepted;
+    if (isOk)
+        m_scheduler->reported(link->to.id, *order, answer.report, sentAt, now);
+    else
+        m_scheduler->reportFailed(link->to.id, *order, answer.outcome, now);
+    if (isOk != link->isReachable)
+        m_events.note(isOk ? EventId::ExecutorReachable : EventId::ExecutorUnreachable, { { "executor", link->to.id }, { "outcome", nameOf(answer.outcome) } });
+    link->isReachable = isOk;
+    m_listeners.answered();
+}
+
+std::size_t ExecutorCalls::queuedOrders() const
+{
+    std::size_t n = 0;
+    for (const auto& [id, link] : m_links)
+        n += link->queue.size() + link->inFlight;
+    return n;
+}
+
+} // namespace plantainhold
--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -24,41 +24,15 @@
     constexpr Milliseconds s_commitPause { 15 };
     // Events that come close together are worked on together.
     constexpr Milliseconds s_pumpPause { 5 };
-    constexpr Milliseconds s_orderTimeout { 1'000 };
-    constexpr Milliseconds s_reportTimeout { 1'000 };
     constexpr Milliseconds s_adviceTimeout { 3'000 };
-    // Ends that come close together are reported together.
-    constexpr Milliseconds s_reportPause { 90 };
-    constexpr Milliseconds s_reportRetry { 300 };
-    // While nothing runs on an executor.
-    constexpr Milliseconds s_quietPause { 2'500 };
     constexpr Milliseconds s_executorsWait { 2'000 };
     constexpr Milliseconds s_executorsPause { 200 };
-    constexpr Milliseconds s_unconfirmedPause { 100 };
     constexpr Milliseconds s_watchPause { 200 };
     constexpr Milliseconds s_statePause { 3'000 };
-    constexpr std::size_t s_ordersInFlight = 3;
     constexpr std::size_t s_maxAppendBytes = 1 << 20;
 
 } // namespace
 
-// What is on its way to one executor.
-struct JobOwner::Link {
-    explicit Link(const asio::any_io_executor& executor)
-        : workGiven(executor)
-    {
-    }
-
-    ExecutorAddress to;
-    std::deque<ExecutorOrder> queue;
-    std::size_t inFlight = 0;
-    bool isReporting = false;
-    bool isUrgentReporting = false;
-    bool isReachable = true;
-    // Cancelled to end a long pause between reports.
-    asio::steady_timer workGiven;
-};
-
 JobOwner::JobOwner(asio::any_io_executor executor, const EntrySettings& settings, OwnerParts parts, std::uint64_t generation)
     : m_executor(std::move(executor))
     , m_settings(settings)
@@ -85,6 +59,8 @@
 {
     m_isStopped = true;
     m_isReleased = !m_scheduler;
+    if (m_calls)
+        m_calls->stop();
     m_advanceTimer.cancel();
     m_commitSignal.cancel();
 }
@@ -100,7 +76,7 @@
         co_await sleepFor(m_executor, s_storeRetry);
     if (m_isStopped)
         co_return;
-    m_scheduler = std::make_unique<JobScheduler>(m_settings.scheduler, m_generation, formerTerm(), m_parts.events, began);
+    m_scheduler = std::make_shared<JobScheduler>(m_settings.scheduler, m_generation, formerTerm(), m_parts.events, began);
     if (std::optional<LearnedState> learned = decodeLearned(m_parts.records.learnedRecord()))
         m_scheduler->restoreLearned(*learned);
     if (m_config)
@@ -113,6 +89,7 @@
     TimePoint now = BootClock::now();
     for (const auto& [id, job] : m_parts.records.book().jobs())
         m_scheduler->submit(id, job, now);
+    m_calls = std::make_shared<ExecutorCalls>(m_executor, m_scheduler, m_parts.executors, m_parts.keeper, m_parts.events, listeners());
     m_isRestored = true;
     ++m_rounds;
     m_parts.events.note(EventId::OwnershipRestored, { { "generation", m_generation }, { "jobs", m_scheduler->activeJobs() }, { "executors", m_scheduler->executorIds().size() }, { "ms", std::chrono::duration_cast<Milliseconds>(now - began).count() } });
@@ -193,6 +170,20 @@
     wake();
 }
 
+ExecutorCalls::Listeners JobOwner::listeners()
+{
+    auto answered = [owner = weak_from_this()]() {
+        if (auto self = owner.lock())
+            self->wake();
+    };
+    // An executor may have said meanwhile that it leaves.
+    auto mayStart = [owner = weak_from_this()]() {
+        auto self = owner.lock();
+        return self && BootClock::now() < self->m_executorTail->currentAsOf() + self->m_settings.executorListAge;
+    };
+    return { answered, mayStart };
+}
+
 void JobOwner::wake()
 {
     if (m_isPumpPosted || m_isStopped || !m_isRestored)
@@ -213,7 +204,7 @@
     ++m_rounds;
     TimePoint next = m_scheduler->advance(now, BootClock::unixMs());
     for (ExecutorOrder& it : m_scheduler->orders())
-        dispatch(std::move(it));
+        m_calls->dispatch(std::move(it));
     for (AdviceRequest& it : m_scheduler->adviceRequests())
         m_adviceQueue.push_back(std::move(it));
     if (!m_adviceQueue.empty() && !m_isAsking) {
@@ -221,7 +212,7 @@
         asio::co_spawn(
             m_executor, [self = shared_from_this()]() { return self->adviceLoop(); }, asio::detached);
     }
-    ensureLinks();
+    m_calls->follow();
     m_commitSignal.cancel();
     m_advanceTimer.expires_after(std::max<Duration>(next - now, s_pumpPause));
     m_advanceTimer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
@@ -230,145 +221,6 @@
     });
 }
 
-void JobOwner::ensureLinks()
-{
-    if (m_scheduler->executorsVersion() == m_executorsSeen)
-        return;
-    m_executorsSeen = m_scheduler->executorsVersion();
-    for (const std::string& id : m_scheduler->executorIds()) {
-        const ActiveExecutor& executor = *m_scheduler->executor(id);
-        if (executor.entry.address.empty())
-            continue;
-        auto [it, isNew] = m_links.try_emplace(id);
-        if (isNew)
-            it->second = std::make_shared<Link>(m_executor);
-        std::shared_ptr<Link>& link = it->second;
-        link->to = { id, executor.entry.address };
-        if (link->isReporting) {
-            if (!m_scheduler->isQuiet(id))
-                link->workGiven.cancel();
-            continue;
-        }
-        link->isReporting = true;
-        asio::co_spawn(
-            m_executor, [self = shared_from_this(), link]() { return self->reportLoop(link); }, asio::detached);
-    }
-}
-
-void JobOwner::dispatch(ExecutorOrder order)
-{
-    auto it = m_links.find(order.executor);
-    if (it == m_links.end())
-        return;
-    std::shared_ptr<Link> link = it->second;
-    if (order.kind == OrderKind::Fence) {
-        if (!link->isUrgentReporting) {
-            link->isUrgentReporting = true;
-            asio::co_spawn(
-                m_executor, [self = shared_from_this(), link]() { return self->reportOnce(link, true); }, asio::detached);
-        }
-        return;
-    }
-    if (order.kind == OrderKind::Start)
-        link->workGiven.cancel();
-    link->queue.push_back(std::move(order));
-    startQueued(link);
-}
-
-void JobOwner::startQueued(const std::shared_ptr<Link>& link)
-{
-    while (!link->queue.empty() && link->inFlight < s_ordersInFlight) {
-        ExecutorOrder order = std::move(link->queue.front());
-        link->queue.pop_front();
-        ++link->inFlight;
-        asio::co_spawn(
-            m_executor, [self = shared_from_this(), link, order = std::move(order)]() mutable { return self->send(link, std::move(order)); }, asio::detached);
-    }
-}
-
-bool JobOwner::mayOrder(OrderKind kind) const
-{
-    // Work is ordered only while nobody else can own the partition.
-    if (!m_parts.keeper.isConfirmed(BootClock::now()))
-        return false;
-    if (kind != OrderKind::Start)
-        return true;
-    // An executor may have said meanwhile that it leaves.
-    return BootClock::now() < m_executorTail->currentAsOf() + m_settings.executorListAge;
-}
-
-asio::awaitable<void> JobOwner::send(std::shared_ptr<Link> link, ExecutorOrder order)
-{
-    while (!m_isStopped && !mayOrder(order.kind))
-        co_await sleepFor(m_executor, s_unconfirmedPause);
-    if (!m_isStopped) {
-        TimePoint sentAt = BootClock::now();
-        if (std::optional<JobScheduler::Envelope> envelope = m_scheduler->seal(order, sentAt)) {
-            SealedOrder sealed { order, envelope->token, envelope->deadlineMs };
-            OrderOutcome outcome = co_await m_parts.executors.order(link->to, std::move(sealed), s_orderTimeout);
-            if (!m_isStopped)
-                m_scheduler->answered(order, outcome, sentAt, BootClock::now());
-        }
-        wake();
-    }
-    --link->inFlight;
-    startQueued(link);
-}
-
-asio::awaitable<void> JobOwner::reportLoop(std::shared_ptr<Link> link)
-{
-    while (!m_isStopped && m_scheduler->executor(link->to.id)) {
-        co_await reportOnce(link, false);
-        co_await pauseReports(*link);
-    }
-    link->isReporting = false;
-    m_parts.executors.forget(link->to);
-    if (!m_isStopped)
-        m_links.erase(link->to.id);
-}
-
-asio::awaitable<void> JobOwner::pauseReports(Link& link)
-{
-    if (!link.isReachable)
-        co_return co_await sleepFor(m_executor, s_reportRetry);
-    if (m_isStopped || !m_scheduler->isQuiet(link.to.id))
-        co_return co_await sleepFor(m_executor, s_reportPause);
-    link.workGiven.expires_after(s_quietPause);
-    boost::system::error_code ec;
-    co_await link.workGiven.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
-asio::awaitable<void> JobOwner::reportOnce(std::shared_ptr<Link> link, bool isUrgent)
-{
-    TimePoint sentAt = BootClock::now();
-    std::optional<ReportOrder> order;
-    if (m_parts.keeper.mayExtendLeases(sentAt))
-        order = m_scheduler->nextReport(link->to.id, sentAt);
-    if (!order) {
-        if (isUrgent)
-            link->isUrgentReporting = false;
-        co_await sleepFor(m_executor, s_unconfirmedPause);
-        co_return;
-    }
-    if (isUrgent)
-        order->waitMs = 0;
-    ReportAnswer answer = co_await m_parts.executors.report(link->to, *order, s_reportTimeout);
-    if (isUrgent)
-        link->isUrgentReporting = false;
-    if (m_isStopped)
-        co_return;
-    TimePoint now = BootClock::now();
-    bool isOk = answer.outcome == OrderOutcome::Accepted;
-    if (isOk)
-        m_scheduler->reported(link->to.id, *order, answer.report, sentAt, now);
-    else
-        m_scheduler->reportFailed(link->to.id, *order, answer.outcome, now);
-    if (isOk != link->isReachable)
-        m_parts.events.note(isOk ? EventId::ExecutorReachable : EventId::ExecutorUnreachable, { { "executor", link->to.id }, { "outcome", nameOf(answer.outcome) } });
-    link->isReachable = isOk;
-    wake();
-}
-
 asio::awaitable<void> JobOwner::adviceLoop()
 {
     // The service takes one call at a time from each caller; more would only wait there.
@@ -476,10 +328,7 @@
 
 std::size_t JobOwner::queuedOrders() const
 {
-    std::size_t n = 0;
-    for (const auto& [id, link] : m_links)
-        n += link->queue.size() + link->inFlight;
-    return n;
+    return m_calls ? m_calls->queuedOrders() : 0;
 }
 
 } // namespace plantainhold
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -5,8 +5,8 @@
 
 #include "plantainhold/base/EventSink.h"
 #include "plantainhold/entry/EntrySettings.h"
+#include "plantainhold/entry/ExecutorCalls.h"
 #include "plantainhold/entry/ProgressWriter.h"
-#include "plantainhold/jobs/ExecutorPort.h"
 #include "plantainhold/jobs/JobScheduler.h"
 #include "plantainhold/store/StorePort.h"
 #include "plantainhold/store/TopicTail.h"
@@ -20,7 +20,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 
 namespace plantainhold {
 
@@ -67,8 +66,6 @@
     std::size_t queuedOrders() const;
 
 private:
-    struct Link;
-
     boost::asio::awaitable<void> takeOver(std::shared_ptr<const FleetConfig> config);
     boost::asio::awaitable<bool> claimPartition();
     boost::asio::awaitable<void> followExecutors();
@@ -79,29 +76,22 @@
     boost::asio::awaitable<bool> store(const CommitBatch& batch);
     OwnerTerm formerTerm() const;
     boost::asio::awaitable<void> dropSubmissions(std::vector<std::string> ids);
-    boost::asio::awaitable<void> reportLoop(std::shared_ptr<Link> link);
-    boost::asio::awaitable<void> pauseReports(Link& link);
-    boost::asio::awaitable<void> reportOnce(std::shared_ptr<Link> link, bool isUrgent);
     boost::asio::awaitable<void> adviceLoop();
-    boost::asio::awaitable<void> send(std::shared_ptr<Link> link, ExecutorOrder order);
 
-    // Whether an order may be sent now; else it waits.
-    bool mayOrder(OrderKind kind) const;
     void executorRecord(const StoredRecord& record);
     void wake();
     void pump();
-    void dispatch(ExecutorOrder order);
-    void startQueued(const std::shared_ptr<Link>& link);
-    void ensureLinks();
+    ExecutorCalls::Listeners listeners();
 
     boost::asio::any_io_executor m_executor;
     const EntrySettings& m_settings;
     OwnerParts m_parts;
     const std::uint64_t m_generation;
     ProgressWriter m_writer;
-    std::unique_ptr<JobScheduler> m_scheduler;
+    std::shared_ptr<JobScheduler> m_scheduler;
+    // Null before everything was read.
+    std::shared_ptr<ExecutorCalls> m_calls;
     std::unique_ptr<TopicTail> m_executorTail;
-    std::unordered_map<std::string, std::shared_ptr<Link>> m_links;
     // For the next round after an event, and for one that the scheduler asks for itself.
     boost::asio::steady_timer m_pumpTimer;
     boost::asio::steady_timer m_advanceTimer;
@@ -115,8 +105,6 @@
     bool m_isPumpPosted = false;
     TimePoint m_pumpedAt {};
     std::uint64_t m_rounds = 0;
-    // The executors that the links were last compared with.
-    std::uint64_t m_executorsSeen = 0;
     std::deque<AdviceRequest> m_adviceQueue;
     bool m_isAsking = false;
 };
