--- a/plantainhold/entry/ExecutorCalls.cpp
+++ b/plantainhold/entry/ExecutorCalls.cpp
@@ -6,6 +6,10 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <deque>
 #include <utility>
 
 namespace plantainhold {
--- a/plantainhold/entry/JobService.cpp
+++ b/plantainhold/entry/JobService.cpp
@@ -3,7 +3,6 @@
 #include "plantainhold/entry/OwnerDirectory.h"
 #include "plantainhold/entry/PeerDirectory.h"
 #include "plantainhold/entry/SubmissionWriter.h"
-#include "plantainhold/jobs/JobBook.h"
 #include "plantainhold/jobs/JobCodec.h"
 #include "plantainhold/util/BootClock.h"
 
@@ -67,9 +66,7 @@
 
 asio::awaitable<void> JobService::append(std::shared_ptr<Attempt> attempt, JobQuestion question, TimePoint deadline)
 {
-    bool isCancel = question.kind == JobQuestionKind::Cancel;
-    KeyedRecord record { isCancel ? JobBook::cancelKey(question.id) : JobBook::submissionKey(question.id), std::move(question.record) };
-    attempt->status = co_await m_writer.put(question.id, std::move(record), deadline);
+    attempt->status = co_await m_writer.put(std::move(question), deadline);
     attempt->isDone = true;
     attempt->signal.cancel();
 }
--- a/plantainhold/entry/OwnerDirectory.cpp
+++ b/plantainhold/entry/OwnerDirectory.cpp
@@ -33,10 +33,8 @@
 
 asio::awaitable<JobReply> OwnerDirectory::store(JobQuestion question)
 {
-    bool isCancel = question.kind == JobQuestionKind::Cancel;
-    KeyedRecord record { isCancel ? JobBook::cancelKey(question.id) : JobBook::submissionKey(question.id), std::move(question.record) };
     TimePoint deadline = std::chrono::steady_clock::now() + question.patience;
-    StoreStatus status = co_await m_writer.put(question.id, std::move(record), deadline);
+    StoreStatus status = co_await m_writer.put(std::move(question), deadline);
     if (status == StoreStatus::Ok)
         co_return JobReply { JobVerdict::Ok };
     co_return JobReply { status == StoreStatus::Refused ? JobVerdict::Refused : JobVerdict::Unknown };
--- a/plantainhold/entry/SubmissionWriter.cpp
+++ b/plantainhold/entry/SubmissionWriter.cpp
@@ -1,6 +1,7 @@
 #include "plantainhold/entry/SubmissionWriter.h"
 
 #include "plantainhold/entry/JobTopics.h"
+#include "plantainhold/jobs/JobBook.h"
 
 namespace plantainhold {
 
@@ -10,9 +11,11 @@
         m_parts.push_back(std::make_unique<GroupCommit>(executor, store, std::string(s_submissionsTopic), part));
 }
 
-boost::asio::awaitable<StoreStatus> SubmissionWriter::put(std::string_view job, KeyedRecord record, TimePoint deadline)
+boost::asio::awaitable<StoreStatus> SubmissionWriter::put(JobQuestion question, TimePoint deadline)
 {
-    return m_parts[submissionPart(job, static_cast<std::uint32_t>(m_parts.size()))]->put(std::move(record), deadline);
+    bool isCancel = question.kind == JobQuestionKind::Cancel;
+    KeyedRecord record { isCancel ? JobBook::cancelKey(question.id) : JobBook::submissionKey(question.id), std::move(question.record) };
+    return m_parts[submissionPart(question.id, static_cast<std::uint32_t>(m_parts.size()))]->put(std::move(record), deadline);
 }
 
 } // namespace plantainhold
--- a/plantainhold/entry/SubmissionWriter.h
+++ b/plantainhold/entry/SubmissionWriter.h
@@ -2,13 +2,13 @@
 // close together for one partition is stored together.
 #pragma once
 
+#include "plantainhold/entry/JobDirectory.h"
 #include "plantainhold/store/GroupCommit.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <memory>
-#include <string_view>
 #include <vector>
 
 namespace plantainhold {
@@ -18,9 +18,10 @@
     // The store must outlive the writer. Precondition: parts > 0. Not thread-safe, as the whole class.
     SubmissionWriter(boost::asio::any_io_executor executor, StorePort& store, std::uint32_t parts);
 
-    // Ok: stored. Refused: certainly not stored and never will be. Unknown: the
-    // deadline passed while an append had no answer.
-    boost::asio::awaitable<StoreStatus> put(std::string_view job, KeyedRecord record, TimePoint deadline);
+    // Stores the question's record under the key of its kind. Ok: stored. Refused:
+    // certainly not stored and never will be. Unknown: the deadline passed while an
+    // append had no answer. Precondition: the kind is Submit or Cancel.
+    boost::asio::awaitable<StoreStatus> put(JobQuestion question, TimePoint deadline);
 
 private:
     std::vector<std::unique_ptr<GroupCommit>> m_parts;
