--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -139,7 +139,10 @@
     std::shared_ptr<const JobSpec> spec;
     Queue queue;
     JobState state = JobState::Queued;
+    // One of its tasks has started.
     bool hasBegun = false;
+    // One of its tasks was given a place, at this owner or a former one.
+    bool wasPlaced = false;
     // When this owner learned of it.
     TimePoint seenAt {};
     // Ties between jobs go by this.
--- a/plantainhold/jobs/JobOrder.cpp
+++ b/plantainhold/jobs/JobOrder.cpp
@@ -68,7 +68,7 @@
     TimePoint objective = objectiveOf(job);
     TimePoint end = now + Milliseconds(static_cast<std::int64_t>(job.chains[step.number] * stretchOf(job.queue.name)));
     if (end <= objective)
-        return { job.queue.priority, job.hasBegun ? Chance::Begun : Chance::Fresh, job.hasBegun ? serial : -serial, &step };
+        return { job.queue.priority, job.wasPlaced ? Chance::Begun : Chance::Fresh, job.wasPlaced ? serial : -serial, &step };
     bool isLate = end <= job.seenAt + s_lateFactor * (objective - job.seenAt);
     return { job.queue.priority, isLate ? Chance::Late : Chance::Hopeless, serial, &step };
 }
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -301,7 +301,7 @@
     addRun(task, *best, RunPhase::Recording, now);
     m_shortRoom += shortRoom(*best, {});
     task.run->number = ++task.lastRun;
-    job.hasBegun = true;
+    job.wasPlaced = true;
     job.state = JobState::Running;
     markDirty(job);
     m_starts.push_back({ task.name(), task.lastRun });
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -274,6 +274,7 @@
     ActiveJob& job = step.job();
     bool lasts = step.spec->lasts;
     m_runs.ended(end.task, end.run, executor.entry.id, nameOf(end.kind));
+    markBegun(job);
     if (!end.checkpoint.empty())
         task.run->checkpoint = end.checkpoint;
     bool wasStopWanted = task.run->isStopWanted;
@@ -356,6 +357,7 @@
     if (run.phase == RunPhase::Starting || run.phase == RunPhase::Unconfirmed) {
         run.phase = RunPhase::Running;
         run.confirmedAt = sentAt;
+        markBegun(task->step->job());
         if (run.isStopWanted)
             run.isStopSent = false;
     }
@@ -444,6 +446,7 @@
     if (outcome == OrderOutcome::Accepted) {
         run.phase = RunPhase::Running;
         run.confirmedAt = now;
+        markBegun(task->step->job());
         run.progressedAt = now;
         return;
     }
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -95,6 +95,7 @@
 {
     job.state = progress.state;
     job.hasBegun = progress.hasBegun;
+    job.wasPlaced = progress.hasBegun || !progress.tasks.empty();
     for (const TaskProgress& it : progress.tasks)
         restoreTask(job, it, now);
 }
@@ -286,6 +287,14 @@
         refreshReady(it);
 }
 
+void JobScheduler::markBegun(ActiveJob& job)
+{
+    if (job.hasBegun)
+        return;
+    job.hasBegun = true;
+    markDirty(job);
+}
+
 void JobScheduler::markDirty(ActiveJob& job)
 {
     if (job.isDirty)
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -124,6 +124,7 @@
     void refreshReady(ActiveStep& step);
     void refreshOccurrence(ActiveOccurrence& occurrence);
     void markDirty(ActiveJob& job);
+    void markBegun(ActiveJob& job);
     void finish(ActiveJob& job, JobState state, TimePoint now);
 
     void applyEnd(ActiveExecutor& executor, const EndRow& end, TimePoint now);
--- a/plantainhold/testing/jobs/JobOrderTest.cpp
+++ b/plantainhold/testing/jobs/JobOrderTest.cpp
@@ -72,7 +72,7 @@
     Jobs jobs;
     ActiveStep* fresh = jobs.add(2, 1'000, Milliseconds(10));
     ActiveStep* begun = jobs.add(2, 1'000, Milliseconds(500));
-    begun->job().hasBegun = true;
+    begun->job().wasPlaced = true;
     CHECK(sorted({ fresh, begun }) == std::vector<ActiveStep*> { begun, fresh });
 }
 
--- a/plantainhold/testing/jobs/JobSchedulerTest.cpp
+++ b/plantainhold/testing/jobs/JobSchedulerTest.cpp
@@ -70,6 +70,8 @@
             m_scheduler.advance(m_now, 0);
             CommitBatch batch = m_scheduler.takeBatch(m_now);
             m_scheduler.committed(batch, m_now);
+            for (const auto& [id, value] : batch.progress)
+                m_book.applyProgress(id, value, m_offset++);
             return m_scheduler.orders();
         }
 
@@ -88,6 +90,17 @@
             m_scheduler.reported(id, *order, report, m_now, m_now);
         }
 
+        void answer(const std::vector<ExecutorOrder>& orders, OrderOutcome outcome)
+        {
+            for (const ExecutorOrder& it : orders) {
+                if (it.kind == OrderKind::Start && m_scheduler.seal(it, m_now))
+                    m_scheduler.answered(it, outcome, m_now, m_now);
+            }
+        }
+
+        // As it is stored by now.
+        const BookedJob& stored(const std::string& id) const { return *m_book.find(id); }
+
         void reportAcknowledged(const std::string& id)
         {
             pass();
@@ -102,6 +115,7 @@
         NoEvents m_events;
         TimePoint m_now { std::chrono::hours(1) };
         JobBook m_book;
+        std::uint64_t m_offset = 0;
         JobScheduler m_scheduler;
     };
 
@@ -134,6 +148,24 @@
     CHECK(bench.scheduler().isQuiet("x"));
 }
 
+TEST_CASE("a job waits until one of its tasks has started, wherever it was placed before")
+{
+    Bench bench;
+    bench.addExecutor("x", 8'000);
+    bench.submit("j", 0, { Bench::step(1, 1'000) });
+    std::vector<ExecutorOrder> orders = bench.pass();
+    REQUIRE(starts(orders) == 1);
+    CHECK_FALSE(bench.stored("j").hasBegun);
+    bench.answer(orders, OrderOutcome::Unavailable);
+    bench.pass();
+    CHECK_FALSE(bench.stored("j").hasBegun);
+    orders = bench.pass(Milliseconds(1'500));
+    REQUIRE(starts(orders) == 1);
+    bench.answer(orders, OrderOutcome::Accepted);
+    bench.pass();
+    CHECK(bench.stored("j").hasBegun);
+}
+
 TEST_CASE("a job starts within one step, and its next step when the first is done")
 {
     Bench bench;
