--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -86,6 +86,9 @@
         added.addOccurrence(now);
     for (ActiveOccurrence& it : added.occurrences)
         refreshOccurrence(it);
+    // The former owner had stored the last end, but not what follows from it.
+    if (added.isDone())
+        m_toSettle.push_back(added.id);
     if (booked.isCancelRequested)
         cancel(id, now);
     m_needsPlacement = true;
--- a/plantainhold/testing/jobs/JobSchedulerTest.cpp
+++ b/plantainhold/testing/jobs/JobSchedulerTest.cpp
@@ -90,6 +90,17 @@
             m_scheduler.reported(id, *order, report, m_now, m_now);
         }
 
+        // As a former owner left it.
+        void restore(const std::string& id, std::vector<StepSpec> steps, const JobProgress& progress)
+        {
+            JobSpec spec;
+            spec.queue = "q0";
+            spec.steps = std::move(steps);
+            m_book.applySubmission(JobBook::submissionKey(id), encodeSubmission(spec));
+            m_book.applyProgress(id, encodeProgress(progress), m_offset++);
+            m_scheduler.submit(id, *m_book.find(id), m_now);
+        }
+
         void answer(const std::vector<ExecutorOrder>& orders, OrderOutcome outcome)
         {
             for (const ExecutorOrder& it : orders) {
@@ -148,6 +159,19 @@
     CHECK(bench.scheduler().isQuiet("x"));
 }
 
+TEST_CASE("a job whose tasks were all done when its owner died is completed by the next one")
+{
+    Bench bench;
+    bench.addExecutor("x", 8'000);
+    TaskProgress first { 0, 0, 0, 1, 0, true };
+    // Its first run had ended well after all, while a second one was being stopped.
+    TaskProgress second { 0, 0, 1, 2, 0, true, "x", 1 };
+    bench.restore("j", { Bench::step(2, 1'000) }, { JobState::Running, true, { first, second } });
+    CHECK(starts(bench.pass()) == 0);
+    bench.pass();
+    CHECK(bench.stored("j").state == JobState::Completed);
+}
+
 TEST_CASE("a job waits until one of its tasks has started, wherever it was placed before")
 {
     Bench bench;
