--- a/plantainhold/testing/entry/JobDirectoryTest.cpp
+++ b/plantainhold/testing/entry/JobDirectoryTest.cpp
@@ -169,7 +169,7 @@
     CHECK(reply.verdict == JobVerdict::Ok);
     CHECK(reply.state == JobState::Queued);
     JobQuestion other { JobQuestionKind::State, "fedcba9876543210", std::string(s_queue), {}, s_patience };
-    CHECK(world.run(world.own.ask(std::move(other))).verdict == JobVerdict::NotFound);
+    CHECK(world.run(world.own.ask(other)).verdict == JobVerdict::NotFound);
 }
 
 TEST_CASE("an instance whose term may be over answers nothing from its records")
@@ -181,7 +181,7 @@
     world.isAuthoritative = false;
     CHECK(world.run(world.own.ask(stateQuestion())).verdict == JobVerdict::Unavailable);
     JobQuestion count { JobQuestionKind::PendingCount, {}, std::string(s_queue), {}, s_patience };
-    CHECK(world.run(world.own.ask(std::move(count))).verdict == JobVerdict::Unavailable);
+    CHECK(world.run(world.own.ask(count)).verdict == JobVerdict::Unavailable);
 }
 
 TEST_CASE("jobs are spread over the partitions, and an owner finds each of them")
--- a/plantainhold/util/Sleep.h
+++ b/plantainhold/util/Sleep.h
@@ -12,9 +12,9 @@
 namespace plantainhold {
 
 // Returns after this time at the earliest. Thread-safe.
-inline boost::asio::awaitable<void> sleepFor(boost::asio::any_io_executor executor, Milliseconds time)
+inline boost::asio::awaitable<void> sleepFor(const boost::asio::any_io_executor& executor, Milliseconds time)
 {
-    boost::asio::steady_timer timer(std::move(executor), time);
+    boost::asio::steady_timer timer(executor, time);
     boost::system::error_code ec;
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
 }
