--- a/cmd/plantainhold/Main.cpp
+++ b/cmd/plantainhold/Main.cpp
@@ -1,6 +1,7 @@
 // plantainhold: the operators' command-line tool. Finds the subcommand by its
 // leading words; each one parses the rest itself.
 
+#include "cmd/ProgramMain.h"
 #include "cmd/plantainhold/Command.h"
 #include "plantainhold/base/ResultError.h"
 
@@ -62,15 +63,5 @@
 int main(int argc, char** argv)
 {
     google::InitGoogleLogging(argv[0]);
-    try {
-        return plantainhold::dispatch(std::vector<std::string>(argv + 1, argv + argc));
-    } catch (const TCLAP::ExitException& exit) {
-        return exit.getExitStatus();
-    } catch (const TCLAP::ArgException& error) {
-        std::cerr << plantainhold::resultLabel(plantainhold::ResultCode::BadUsage) << ": " << error.error() << " " << error.argId() << '\n';
-        return plantainhold::resultInfo(plantainhold::ResultCode::BadUsage).exitStatus;
-    } catch (const plantainhold::ResultError& error) {
-        std::cerr << error.what() << '\n';
-        return plantainhold::resultInfo(error.code()).exitStatus;
-    }
+    return plantainhold::runProgram([&]() { return plantainhold::dispatch(std::vector<std::string>(argv + 1, argv + argc)); });
 }
--- a/plantainhold/testing/jobs/FillPacerTest.cpp
+++ b/plantainhold/testing/jobs/FillPacerTest.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+    // Time between two reports.
+    constexpr Milliseconds s_reportEvery { 500 };
     constexpr double s_target = 18;
     constexpr double s_idleTail = 4;
     constexpr double s_load = 0.43;
@@ -62,7 +64,7 @@
         // Half a second of true tails, then a report.
         void report()
         {
-            m_now += Milliseconds(500);
+            m_now += s_reportEvery;
             std::normal_distribution<double> noise(0, 0.1);
             for (ActiveRun* it : m_executor.runs) {
                 if (!it->task->step->spec->servesUsers())
@@ -103,6 +105,27 @@
         TimePoint m_now { std::chrono::hours(1) };
     };
 
+    // The pace of a filling task that presses on nobody, after so many reports in
+    // which the serving task beside it shows these tails.
+    template <typename TailOf>
+    std::uint32_t paceAfter(int reports, TailOf tailOf)
+    {
+        Host host;
+        ActiveRun* tender = host.add("tender", 6'000, true);
+        ActiveRun* light = host.add("light", 9'000, false);
+        SchedulerLimits limits;
+        FillPacer pacer(limits);
+        TimePoint now { std::chrono::hours(2) };
+        for (int i = 0; i < reports; ++i) {
+            tender->figure = tailOf(i);
+            light->figure = 9'000;
+            now += s_reportEvery;
+            pacer.steer(host.executor(), now);
+            light->orderedPace = light->wantedPace;
+        }
+        return light->orderedPace;
+    }
+
 } // namespace
 
 TEST_CASE("only the task that presses is slowed down")
@@ -177,40 +200,14 @@
 
 TEST_CASE("a target that stays missed for an unknown cause stops all suspects in time")
 {
-    Host host;
-    ActiveRun* tender = host.add("tender", 6'000, true);
-    ActiveRun* light = host.add("light", 9'000, false);
     SchedulerLimits limits;
-    std::uint32_t pace = 100;
-    TimePoint now { std::chrono::hours(2) };
-    FillPacer pacer(limits);
-    for (Milliseconds over { 0 }; over < limits.interferenceLimit * 3 / 4; over += Milliseconds(500)) {
-        tender->figure = 3 * s_target;
-        light->figure = 9'000;
-        now += Milliseconds(500);
-        pacer.steer(host.executor(), now);
-        pace = light->orderedPace = light->wantedPace;
-    }
-    CHECK(pace == 0);
+    auto reports = static_cast<int>(limits.interferenceLimit * 3 / 4 / s_reportEvery);
+    CHECK(paceAfter(reports, [](int) { return 3 * s_target; }) == 0);
 }
 
 TEST_CASE("a reading that dips below the target by chance does not begin the count anew")
 {
-    Host host;
-    ActiveRun* tender = host.add("tender", 6'000, true);
-    ActiveRun* light = host.add("light", 9'000, false);
-    SchedulerLimits limits;
-    std::uint32_t pace = 100;
-    TimePoint now { std::chrono::hours(2) };
-    FillPacer pacer(limits);
-    for (int i = 0; i < 7; ++i) {
-        tender->figure = (i % 2 ? 0.93 : 1.25) * s_target;
-        light->figure = 9'000;
-        now += Milliseconds(500);
-        pacer.steer(host.executor(), now);
-        pace = light->orderedPace = light->wantedPace;
-    }
-    CHECK(pace == 0);
+    CHECK(paceAfter(7, [](int i) { return (i % 2 ? 0.93 : 1.25) * s_target; }) == 0);
 }
 
 TEST_CASE("what one owner learned, the next one knows")
