--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -3,6 +3,7 @@
 #include "plantainhold/entry/JobRecords.h"
 #include "plantainhold/entry/JobTopics.h"
 #include "plantainhold/entry/OwnershipKeeper.h"
+#include "plantainhold/entry/StallWatch.h"
 #include "plantainhold/util/BootClock.h"
 #include "plantainhold/util/Sleep.h"
 
@@ -240,15 +241,12 @@
 
 asio::awaitable<void> JobOwner::watchLoop()
 {
-    // Counted in its own steps: time for which the process did not run is no one's delay.
-    Milliseconds waited { 0 };
-    for (std::uint64_t seen = m_rounds; !m_isStopped;) {
+    StallWatch watch(s_watchPause);
+    while (!m_isStopped) {
         co_await sleepFor(m_executor, s_watchPause);
-        waited = m_rounds == seen ? waited + s_watchPause : Milliseconds(0);
-        seen = m_rounds;
-        if (m_isStopped || waited < (m_isRestored ? m_settings.roundLimit : m_settings.restoreLimit))
-            continue;
-        m_parts.keeper.giveUp(m_isRestored ? "its rounds stand still" : "its records could not be read in time");
+        bool isStalled = watch.isStalled(m_rounds, m_isRestored ? m_settings.roundLimit : m_settings.restoreLimit);
+        if (isStalled && !m_isStopped)
+            m_parts.keeper.giveUp(m_isRestored ? "its rounds stand still" : "its records could not be read in time");
     }
 }
 
--- a/plantainhold/testing/entry/JobOwnerTest.cpp
+++ b/plantainhold/testing/entry/JobOwnerTest.cpp
@@ -6,6 +6,7 @@
 #include "plantainhold/entry/JobRecords.h"
 #include "plantainhold/entry/JobTopics.h"
 #include "plantainhold/entry/OwnershipKeeper.h"
+#include "plantainhold/entry/StallWatch.h"
 #include "plantainhold/jobs/JobCodec.h"
 #include "plantainhold/testing/store/MemoryStore.h"
 
@@ -194,6 +195,41 @@
     CHECK(world.executors.orders.empty());
 }
 
+TEST_CASE("nothing is started while the list of executors cannot be read")
+{
+    World world(1);
+    world.settings.executorListAge = Milliseconds(100);
+    world.runFor(Milliseconds(200));
+    REQUIRE(world.owner);
+    REQUIRE(world.owner->isRestored());
+    auto isStarted = [&]() {
+        const std::vector<ExecutorOrder>& orders = world.executors.orders;
+        return std::any_of(orders.begin(), orders.end(), [](const ExecutorOrder& it) { return it.kind == OrderKind::Start; });
+    };
+    world.store.refusedReads = s_executorsTopic;
+    // What was read before grows old.
+    world.runFor(Milliseconds(400));
+    world.submit("0000000000000001");
+    world.runFor(Milliseconds(400));
+    CHECK_FALSE(isStarted());
+    world.store.refusedReads.clear();
+    world.runFor(Milliseconds(400));
+    CHECK(isStarted());
+}
+
+TEST_CASE("a stall is counted in steps that were made, not in time that passed")
+{
+    constexpr Milliseconds s_step { 100 };
+    constexpr Milliseconds s_limit { 300 };
+    StallWatch watch(s_step);
+    CHECK_FALSE(watch.isStalled(1, s_limit));
+    CHECK_FALSE(watch.isStalled(1, s_limit));
+    CHECK_FALSE(watch.isStalled(1, s_limit));
+    CHECK(watch.isStalled(1, s_limit));
+    CHECK_FALSE(watch.isStalled(2, s_limit));
+    CHECK_FALSE(watch.isStalled(2, s_limit));
+}
+
 TEST_CASE("a term that cannot read its records in time gives the partition up")
 {
     World world(1);
--- a/plantainhold/testing/store/MemoryStore.h
+++ b/plantainhold/testing/store/MemoryStore.h
@@ -37,6 +37,10 @@
     {
         const std::vector<StoredRecord>& kept = logOf(where);
         ReadResult result;
+        if (where.topic == refusedReads) {
+            result.status = StoreStatus::Refused;
+            co_return result;
+        }
         result.firstOffset = firstKept;
         result.endOffset = kept.size();
         result.status = from < firstKept ? StoreStatus::Expired : StoreStatus::Ok;
@@ -118,6 +122,8 @@
     // Partitions that have an entry here are kept apart; all others share one log.
     std::map<std::string, std::vector<StoredRecord>, std::less<>> topics;
     std::vector<StoredRecord> log;
+    // The topic whose reads are refused.
+    std::string refusedReads;
     // Runs before a page is read, to hold it up.
     std::function<boost::asio::awaitable<void>(TopicPart, std::string_view)> beforeNewest;
     std::uint64_t firstKept = 0;
