--- a/cmd/plantainhold/ConfigCommands.cpp
+++ b/cmd/plantainhold/ConfigCommands.cpp
@@ -2,10 +2,10 @@
 
 #include "cmd/plantainhold/Command.h"
 #include "cmd/plantainhold/DaemonCall.h"
+#include "plantainhold/adapters/TomlFiles.h"
 #include "plantainhold/base/ResultError.h"
 #include "plantainhold/config/ConfigCodec.h"
 #include "plantainhold/config/ConfigDelta.h"
-#include "plantainhold/config/ConfigFile.h"
 #include "plantainhold/config/Diagnostic.h"
 #include "plantainhold/proto/config.grpc.pb.h"
 #include "plantainhold/util/UniqueId.h"
--- a/cmd/plantainholdd/Main.cpp
+++ b/cmd/plantainholdd/Main.cpp
@@ -1,6 +1,8 @@
 // plantainholdd: the daemon of one entry instance.
 
+#include "cmd/ProgramMain.h"
 #include "plantainhold/adapters/DaemonProcess.h"
+#include "plantainhold/adapters/TomlFiles.h"
 #include "plantainhold/base/ResultError.h"
 #include "plantainhold/config/Diagnostic.h"
 
@@ -48,16 +50,5 @@
 
 int main(int argc, char** argv)
 {
-    using plantainhold::ResultCode;
-    try {
-        return plantainhold::run(argc, argv);
-    } catch (const TCLAP::ExitException& exit) {
-        return exit.getExitStatus();
-    } catch (const TCLAP::ArgException& error) {
-        std::cerr << plantainhold::resultLabel(ResultCode::BadUsage) << ": " << error.error() << " " << error.argId() << '\n';
-        return plantainhold::resultInfo(ResultCode::BadUsage).exitStatus;
-    } catch (const plantainhold::ResultError& error) {
-        std::cerr << error.what() << '\n';
-        return plantainhold::resultInfo(error.code()).exitStatus;
-    }
+    return plantainhold::runProgram([&]() { return plantainhold::run(argc, argv); });
 }
--- a/plantainhold/config/ConfigModule.cpp
+++ b/plantainhold/adapters/ConfigModule.cpp
@@ -2,7 +2,7 @@
 // back, never from an append's reply; only a document that breaks a rule is
 // rejected before it is appended, which every reader would do as well.
 
-#include "plantainhold/config/ConfigModule.h"
+#include "plantainhold/adapters/ConfigModule.h"
 
 #include "plantainhold/adapters/FanOut.h"
 #include "plantainhold/base/InstanceContext.h"
--- a/plantainhold/membership/MembershipModule.cpp
+++ b/plantainhold/adapters/MembershipModule.cpp
@@ -1,7 +1,7 @@
 // Polls the platform's list, and compares digests with one random peer at a time.
 // A list that cannot be had leaves the last one in force.
 
-#include "plantainhold/membership/MembershipModule.h"
+#include "plantainhold/adapters/MembershipModule.h"
 
 #include "plantainhold/adapters/GrpcChannel.h"
 #include "plantainhold/base/InstanceContext.h"
--- a/plantainhold/scheduling/TaskCalls.cpp
+++ b/plantainhold/adapters/TaskCalls.cpp
@@ -1,7 +1,7 @@
 // Checks what callers send, appends, waits until it is read back, and reports
 // what the log made of it.
 
-#include "plantainhold/scheduling/TaskCalls.h"
+#include "plantainhold/adapters/TaskCalls.h"
 
 #include "plantainhold/base/ResultCode.h"
 #include "plantainhold/scheduling/ShardOwner.h"
--- a/plantainhold/scheduling/TaskModule.cpp
+++ b/plantainhold/adapters/TaskModule.cpp
@@ -1,12 +1,12 @@
 // The shards share one command pool, so that threads do not grow with shards.
 
-#include "plantainhold/scheduling/TaskModule.h"
+#include "plantainhold/adapters/TaskModule.h"
 
+#include "plantainhold/adapters/TaskCalls.h"
 #include "plantainhold/base/InstanceContext.h"
 #include "plantainhold/config/Settings.h"
 #include "plantainhold/scheduling/CommandPool.h"
 #include "plantainhold/scheduling/ShardOwner.h"
-#include "plantainhold/scheduling/TaskCalls.h"
 #include "plantainhold/scheduling/TaskMetrics.h"
 
 #include <algorithm>
--- a/plantainhold/config/ConfigFile.cpp
+++ b/plantainhold/config/ConfigParser.cpp
@@ -1,11 +1,12 @@
 // The table of keys of the operators' document.
 
-#include "plantainhold/config/ConfigFile.h"
+#include "plantainhold/config/ConfigParser.h"
 
 #include "plantainhold/config/TomlDocument.h"
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace plantainhold {
 
@@ -86,19 +87,19 @@
 
 } // namespace
 
-ConfigDocument readConfigFile(const std::filesystem::path& path, std::vector<Diagnostic>& faults)
+ConfigDocument parseConfig(std::string_view text, std::string name, std::vector<Diagnostic>& faults)
 {
-    TomlDocument document = TomlDocument::fromFile(path);
+    TomlDocument document = TomlDocument::fromText(text, std::move(name));
     ConfigDocument config;
     if (document.diagnostics().empty()) {
         static constexpr std::array<std::string_view, 3> s_sections { "profile", "team", "service" };
         document.allowSections(s_sections);
-        for (const std::string& name : document.entriesOf("profile"))
-            config.profiles.push_back(readProfile(document, name));
-        for (const std::string& name : document.entriesOf("team"))
-            config.teams.push_back(readTeam(document, name));
-        for (const std::string& name : document.entriesOf("service"))
-            config.services.push_back(readService(document, name));
+        for (const std::string& it : document.entriesOf("profile"))
+            config.profiles.push_back(readProfile(document, it));
+        for (const std::string& it : document.entriesOf("team"))
+            config.teams.push_back(readTeam(document, it));
+        for (const std::string& it : document.entriesOf("service"))
+            config.services.push_back(readService(document, it));
         for (const Service& it : config.services)
             checkService(document, config, it);
     }
--- a/plantainhold/config/Settings.cpp
+++ b/plantainhold/config/Settings.cpp
@@ -5,6 +5,7 @@
 #include "plantainhold/config/TomlDocument.h"
 
 #include <array>
+#include <utility>
 
 namespace plantainhold {
 
@@ -96,9 +97,9 @@
 
 } // namespace
 
-Settings readSettings(const std::filesystem::path& path, std::vector<Diagnostic>& faults)
+Settings parseSettings(std::string_view text, std::string name, std::vector<Diagnostic>& faults)
 {
-    TomlDocument document = TomlDocument::fromFile(path);
+    TomlDocument document = TomlDocument::fromText(text, std::move(name));
     Settings settings;
     if (document.diagnostics().empty()) {
         static constexpr std::array<std::string_view, 6> s_sections { "instance", "platform", "requests", "tasks", "drain", "report" };
--- a/plantainhold/config/Settings.h
+++ b/plantainhold/config/Settings.h
@@ -5,9 +5,8 @@
 #include "plantainhold/ports/Clock.h"
 
 #include <cstdint>
-#include <filesystem>
-#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace plantainhold {
@@ -59,8 +58,8 @@
     Milliseconds reportInterval { 60000 };
 };
 
-// Reads and checks a settings file; each fault is one diagnostic, and the
-// settings may only be used when there are none. Thread-safe.
-Settings readSettings(const std::filesystem::path& path, std::vector<Diagnostic>& faults);
+// Reads and checks the text of a settings file with this name; each fault is one
+// diagnostic, and the settings may only be used when there are none. Thread-safe.
+Settings parseSettings(std::string_view text, std::string name, std::vector<Diagnostic>& faults);
 
 } // namespace plantainhold
--- a/plantainhold/config/TomlDocument.cpp
+++ b/plantainhold/config/TomlDocument.cpp
@@ -2,21 +2,13 @@
 
 #include "plantainhold/config/TomlDocument.h"
 
+#include "plantainhold/util/NumericAddress.h"
+
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
-#include <fstream>
-#include <sstream>
 #include <toml++/toml.h>
 
 namespace plantainhold {
 
-namespace {
-
-    constexpr std::size_t s_fileLimitBytes = 1 << 20;
-    constexpr long s_lastPort = 65535;
-
-} // namespace
-
 struct TomlDocument::Content {
     std::string name;
     toml::table root;
@@ -121,20 +113,6 @@
 TomlDocument& TomlDocument::operator=(TomlDocument&&) noexcept = default;
 TomlDocument::~TomlDocument() = default;
 
-TomlDocument TomlDocument::fromFile(const std::filesystem::path& path)
-{
-    std::ifstream file(path, std::ios::binary);
-    std::ostringstream text;
-    if (file && !std::filesystem::is_directory(path))
-        text << file.rdbuf();
-    if (file && text.str().size() <= s_fileLimitBytes && text.tellp() > 0)
-        return fromText(text.str(), path.string());
-    auto content = std::make_unique<Content>();
-    content->name = path.string();
-    content->diagnostics.push_back({ ResultCode::SettingsUnreadable, path.string(), 0, "cannot be read, is empty, or is larger than 1 MiB" });
-    return TomlDocument(std::move(content));
-}
-
 TomlDocument TomlDocument::fromText(std::string_view text, std::string name)
 {
     auto content = std::make_unique<Content>();
@@ -206,21 +184,4 @@
     return m_content->diagnostics;
 }
 
-bool isNumericAddress(std::string_view text)
-{
-    auto colon = text.rfind(':');
-    if (colon == std::string_view::npos || colon + 1 == text.size())
-        return false;
-    std::string_view port = text.substr(colon + 1);
-    bool isPortNumeric = port.size() <= 5 && std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; });
-    if (!isPortNumeric || std::stol(std::string(port)) > s_lastPort)
-        return false;
-    std::string host(text.substr(0, colon));
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
-        host = host.substr(1, host.size() - 2);
-    boost::system::error_code ec;
-    boost::asio::ip::make_address(host, ec);
-    return !ec;
-}
-
 } // namespace plantainhold
--- a/plantainhold/config/TomlDocument.h
+++ b/plantainhold/config/TomlDocument.h
@@ -5,7 +5,6 @@
 #include "plantainhold/config/Diagnostic.h"
 #include "plantainhold/config/FieldBinding.h"
 
-#include <filesystem>
 #include <memory>
 #include <span>
 #include <string>
@@ -16,8 +15,7 @@
 
 class TomlDocument {
 public:
-    // Reads a file of at most 1 MiB. Faults are in diagnostics(). Never throws for bad input.
-    static TomlDocument fromFile(const std::filesystem::path& path);
+    // The name stands in each fault. Faults are in diagnostics(). Never throws for bad input.
     static TomlDocument fromText(std::string_view text, std::string name);
 
     TomlDocument(TomlDocument&&) noexcept;
@@ -46,7 +44,4 @@
     std::unique_ptr<Content> m_content;
 };
 
-// Whether the text is an IPv4 or bracketed IPv6 number and a port. Thread-safe.
-bool isNumericAddress(std::string_view text);
-
 } // namespace plantainhold
--- a/plantainhold/testing/config/SettingsTest.cpp
+++ b/plantainhold/testing/config/SettingsTest.cpp
@@ -1,9 +1,9 @@
 // Each kind of fault in a settings file is named with number, file and line.
 
 #include "plantainhold/config/Settings.h"
-#include "plantainhold/config/ConfigFile.h"
+#include "plantainhold/adapters/TomlFiles.h"
 #include "plantainhold/config/Diagnostic.h"
-#include "plantainhold/config/TomlDocument.h"
+#include "plantainhold/util/NumericAddress.h"
 
 #include <catch2/catch.hpp>
 #include <filesystem>
--- a/standin/NaiveDaemonMain.cpp
+++ b/standin/NaiveDaemonMain.cpp
@@ -2,6 +2,7 @@
 // guarding strategies, for the negative controls of proofs.
 
 #include "plantainhold/adapters/DaemonProcess.h"
+#include "plantainhold/adapters/TomlFiles.h"
 #include "plantainhold/config/Diagnostic.h"
 
 #include <iostream>
--- a/standin/proving/DaemonClient.cpp
+++ b/standin/proving/DaemonClient.cpp
@@ -3,9 +3,9 @@
 #include "standin/proving/DaemonClient.h"
 
 #include "plantainhold/adapters/GrpcChannel.h"
+#include "plantainhold/adapters/TomlFiles.h"
 #include "plantainhold/base/ResultCode.h"
 #include "plantainhold/config/ConfigCodec.h"
-#include "plantainhold/config/ConfigFile.h"
 #include "plantainhold/config/Diagnostic.h"
 #include "plantainhold/proto/config.grpc.pb.h"
 #include "plantainhold/proto/report.grpc.pb.h"
