--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -24,6 +24,8 @@
     constexpr Milliseconds s_storeRetry { 100 };
     // The instance that would take over reads along, so that it can do so soon.
     constexpr Milliseconds s_recordsPause { 2'000 };
+    // An owner has to be known before the store turns this instance away.
+    constexpr Milliseconds s_ownerPause { 2'000 };
     constexpr Milliseconds s_logPause { 200 };
     // A balancer needs a while to see that readiness is off.
     constexpr Milliseconds s_readinessNotice { 2'500 };
@@ -79,6 +81,7 @@
     });
     asio::co_spawn(executor, followConfig(), asio::detached);
     asio::co_spawn(executor, keepRecords(), asio::detached);
+    asio::co_spawn(executor, keepOwnerKnown(), asio::detached);
     asio::co_spawn(executor, flushLog(), asio::detached);
     asio::co_spawn(executor, m_keeper.run(), asio::detached);
     awaitSignals();
@@ -119,9 +122,16 @@
         StoreStatus status = StoreStatus::Ok;
         if (m_keeper.isSuccessor() && !m_owner)
             status = co_await m_records.catchUp(s_storeTimeout);
+        co_await sleepFor(m_context.get_executor(), status == StoreStatus::Ok ? s_recordsPause : s_storeRetry);
+    }
+}
+
+asio::awaitable<void> EntryInstance::keepOwnerKnown()
+{
+    for (;;) {
         if (!m_owner)
             co_await m_peerDirectory.findOwner(s_storeTimeout);
-        co_await sleepFor(m_context.get_executor(), status == StoreStatus::Ok ? s_recordsPause : s_storeRetry);
+        co_await sleepFor(m_context.get_executor(), s_ownerPause);
     }
 }
 
--- a/plantainhold/entry/EntryInstance.h
+++ b/plantainhold/entry/EntryInstance.h
@@ -52,7 +52,9 @@
 
 private:
     boost::asio::awaitable<void> followConfig();
+    // Reads records along while this instance is the next in line.
     boost::asio::awaitable<void> keepRecords();
+    boost::asio::awaitable<void> keepOwnerKnown();
     boost::asio::awaitable<void> flushLog();
     boost::asio::awaitable<void> stop();
     boost::asio::awaitable<HttpResponse> ready();
