--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -49,6 +49,10 @@
     // Nothing that we know of can run there after this moment.
     TimePoint leaseOver {};
 
+    // Runs were given up here that may have ended well: until then it is asked on,
+    // also while it is not listed.
+    TimePoint inDoubtUntil {};
+
     // Ends up to here are applied; up to there, they are in the store as well.
     std::uint64_t endsApplied = 0;
     std::uint64_t endsRecorded = 0;
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -340,7 +340,7 @@
     m_shortTask = std::max(static_cast<double>(largest) * s_taskShare, m_shortTask * (1 - share / s_taskMemory));
     m_shortRoom = 0;
     for (const ActiveExecutor* it : m_executorList)
-        m_shortRoom += shortRoom(*it, {});
+        m_shortRoom += it->isListed ? shortRoom(*it, {}) : 0;
 }
 
 std::int64_t JobScheduler::shortRoom(const ActiveExecutor& executor, const Resources& without) const
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -15,6 +15,8 @@
     constexpr Milliseconds s_leaseMargin { 50 };
     constexpr Milliseconds s_noRoomPause { 300 };
     constexpr Milliseconds s_unavailablePause { 1'000 };
+    // For answers about runs that were given up.
+    constexpr Milliseconds s_doubtTime { 8'000 };
     constexpr Milliseconds s_invalidPause { 2'000 };
     // Failures weigh less the more ends follow them.
     constexpr double s_failureDecay = 0.8;
@@ -145,8 +147,7 @@
         return;
     ActiveExecutor& executor = *it->second;
     if (outcome == OrderOutcome::OtherIncarnation) {
-        loseRuns(executor, "another executor answers at its address", now);
-        executor.isListed = false;
+        replaced(executor, now);
         return;
     }
     // Overtaken by a call with a newer token of our own.
@@ -172,6 +173,17 @@
     ++m_executorsVersion;
 }
 
+void JobScheduler::replaced(ActiveExecutor& executor, TimePoint now)
+{
+    loseRuns(executor, "another executor answers at its address", now);
+    executor.isListed = false;
+    executor.inDoubtUntil = now;
+    // Silent for good, so that it is forgotten.
+    executor.leaseOver = now;
+    ++executor.failedCalls;
+    wakeAt(now);
+}
+
 void JobScheduler::loseRuns(ActiveExecutor& executor, std::string_view reason, TimePoint now)
 {
     std::vector<ActiveRun*> runs = executor.runs;
@@ -191,8 +203,13 @@
         if (isSilent && now < executor.leaseOver)
             wakeAt(executor.leaseOver);
         if (isSilent && now >= executor.leaseOver) {
+            // A run without an answer may have ended before its lease did.
+            if (!executor.runs.empty())
+                executor.inDoubtUntil = now + s_doubtTime;
             loseRuns(executor, "its lease is over", now);
-            if (!executor.isListed) {
+            if (!executor.isListed && now < executor.inDoubtUntil) {
+                wakeAt(executor.inDoubtUntil);
+            } else if (!executor.isListed) {
                 std::erase_if(m_orders, [&](const ExecutorOrder& it) { return it.executor == executor.entry.id; });
                 forgetNominations(executor);
                 m_executorList.erase(m_executorList.begin() + static_cast<std::ptrdiff_t>(i));
@@ -425,8 +442,7 @@
         return;
     ActiveExecutor& executor = *found->second;
     if (outcome == OrderOutcome::OtherIncarnation) {
-        loseRuns(executor, "another executor answers at its address", now);
-        executor.isListed = false;
+        replaced(executor, now);
         return;
     }
     if (outcome == OrderOutcome::Fenced)
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -136,6 +136,8 @@
     void applyRow(ActiveExecutor& executor, const RunRow& row, TimePoint sentAt, TimePoint now);
     void resolveAbsent(ActiveExecutor& executor, const ReportOrder& order, const ExecutorReport& report, TimePoint sentAt, TimePoint now);
     void reborn(ActiveExecutor& executor, std::int64_t born, TimePoint now);
+    // Another executor has its address.
+    void replaced(ActiveExecutor& executor, TimePoint now);
     void loseRuns(ActiveExecutor& executor, std::string_view reason, TimePoint now);
     void expireLeases(TimePoint now);
     void forgetNominations(const ActiveExecutor& executor);
--- a/plantainhold/testing/jobs/JobSchedulerTest.cpp
+++ b/plantainhold/testing/jobs/JobSchedulerTest.cpp
@@ -109,6 +109,14 @@
             }
         }
 
+        // Calls to it have no answer any more, and it leaves the list.
+        void cutOff(const std::string& id)
+        {
+            m_scheduler.executorGone(id, m_now);
+            std::optional<ReportOrder> order = m_scheduler.nextReport(id, m_now);
+            m_scheduler.reportFailed(id, *order, OrderOutcome::Unknown, m_now);
+        }
+
         // As it is stored by now.
         const BookedJob& stored(const std::string& id) const { return *m_book.find(id); }
 
@@ -394,6 +402,35 @@
     CHECK(orders[0].percent == 100);
 }
 
+TEST_CASE("an executor whose runs were given up is asked on, and its good ends count before it is listed again")
+{
+    // A data centre that was cut off is back, and its executors are not in the list yet.
+    Bench bench;
+    bench.addExecutor("x", 8'000);
+    bench.submit("j", 0, { Bench::step(1, 1'000) });
+    bench.accept(bench.pass());
+    bench.cutOff("x");
+    CHECK(starts(bench.pass(Milliseconds(6'000))) == 0);
+    REQUIRE(bench.scheduler().nextReport("x", bench.now()));
+    bench.report("x", {}, { { 1, { "j", 0, 0, 0 }, 1, EndKind::Done, {} } });
+    bench.addExecutor("y", 8'000);
+    CHECK(starts(bench.pass()) == 0);
+    bench.pass();
+    CHECK(bench.stored("j").state == JobState::Completed);
+}
+
+TEST_CASE("an executor that stays silent is asked no longer after a while")
+{
+    Bench bench;
+    bench.addExecutor("x", 8'000);
+    bench.submit("j", 0, { Bench::step(1, 1'000) });
+    bench.accept(bench.pass());
+    bench.cutOff("x");
+    bench.pass(Milliseconds(6'000));
+    bench.pass(Milliseconds(10'000));
+    CHECK(bench.scheduler().executor("x") == nullptr);
+}
+
 TEST_CASE("an executor that was forgotten and is listed again gets a token above all that it has seen")
 {
     // A cut data centre: silent, out of the list, its lease over; then it is back.
