Send stops before other commands, and stop stray runs until they have ended

Also found by reading: commands of a round were sent before links to new executors existed, and were dropped; a run that the owner does not know, such as one of a job whose end is stored, was looked at only every 2.5 s if its executor was otherwise idle, while its lease was extended each time.

Change: CommandQueue gives stops calls of their own; links come first; stray runs keep their executor polled, are stopped every 1.2 s, and get no lease.

--- a/plantainhold/entry/ExecutorCalls.cpp
+++ b/plantainhold/entry/ExecutorCalls.cpp
@@ -1,5 +1,6 @@
 #include "plantainhold/entry/ExecutorCalls.h"
 
+#include "plantainhold/entry/CommandQueue.h"
 #include "plantainhold/entry/OwnershipManager.h"
 #include "plantainhold/util/BootClock.h"
 #include "plantainhold/util/Sleep.h"
@@ -9,7 +10,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <deque>
 #include <utility>
 
 namespace plantainhold {
@@ -26,7 +26,6 @@
     // Used while nothing runs on an executor.
     constexpr Milliseconds s_idleReportInterval { 2'500 };
     constexpr Milliseconds s_unconfirmedRetryDelay { 100 };
-    constexpr std::size_t s_maxCommandsInFlight = 3;
 
 } // namespace
 
@@ -38,8 +37,7 @@
     }
 
     ExecutorAddress to;
-    std::deque<ExecutorCommand> queue;
-    std::size_t inFlight = 0;
+    CommandQueue queue;
     bool isReporting = false;
     bool isUrgentReporting = false;
     bool isReachable = true;
@@ -107,18 +105,15 @@
     }
     if (command.kind == CommandKind::Start)
         link->idleTimer.cancel();
-    link->queue.push_back(std::move(command));
+    link->queue.push(std::move(command));
     startQueued(link);
 }
 
 void ExecutorCalls::startQueued(const std::shared_ptr<Link>& link)
 {
-    while (!link->queue.empty() && link->inFlight < s_maxCommandsInFlight) {
-        ExecutorCommand command = std::move(link->queue.front());
-        link->queue.pop_front();
-        ++link->inFlight;
+    while (std::optional<ExecutorCommand> next = link->queue.next()) {
         asio::co_spawn(
-            m_executor, [self = shared_from_this(), link, command = std::move(command)]() mutable { return self->send(link, std::move(command)); }, asio::detached);
+            m_executor, [self = shared_from_this(), link, command = std::move(*next)]() mutable { return self->send(link, std::move(command)); }, asio::detached);
     }
 }
 
@@ -136,7 +131,7 @@
         }
         m_listeners.replied();
     }
-    --link->inFlight;
+    link->queue.finished(command.kind);
     startQueued(link);
 }
 
@@ -198,7 +193,7 @@
 {
     std::size_t n = 0;
     for (const auto& [id, link] : m_links)
-        n += link->queue.size() + link->inFlight;
+        n += link->queue.size();
     return n;
 }
 
--- a/plantainhold/entry/ExecutorCalls.h
+++ b/plantainhold/entry/ExecutorCalls.h
@@ -1,5 +1,5 @@
 // ExecutorCalls makes an owner's calls to its executors: it requests reports from each
-// one and sends the scheduler's commands, at most a few to one executor at a time. It
+// one and sends the scheduler's commands, in the order that CommandQueue decides. It
 // passes the results to the scheduler. The object stays alive until its last call has
 // returned.
 #pragma once
--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -205,6 +205,8 @@
     m_lastRoundAt = std::chrono::steady_clock::now();
     ++m_rounds;
     TimePoint next = m_scheduler->advance(now, BootClock::unixMs());
+    // A command for an executor without a link would be dropped.
+    m_calls->updateLinks();
     for (ExecutorCommand& it : m_scheduler->takeCommands())
         m_calls->dispatch(std::move(it));
     for (AdviceRequest& it : m_scheduler->adviceRequests())
@@ -214,7 +216,6 @@
         asio::co_spawn(
             m_executor, [self = shared_from_this()]() { return self->adviceLoop(); }, asio::detached);
     }
-    m_calls->updateLinks();
     m_commitSignal.cancel();
     m_advanceTimer.expires_after(std::max<Duration>(next - now, s_minRoundInterval));
     m_advanceTimer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -28,6 +28,16 @@
     // Capacity held for tasks that wait for preempted runs here to stop.
     Resources nominated;
     std::vector<ActiveRun*> runs;
+    // A run that the executor reports but that should not exist: it belongs to a job that has ended
+    // or was given up.
+    struct StrayRun {
+        TaskName task;
+        std::uint32_t number = 0;
+        TimePoint stopSentAt {};
+        // Value of ActiveExecutor::reports when a report last listed the run.
+        std::uint64_t listedIn = 0;
+    };
+    std::vector<StrayRun> strayRuns;
     // Numbers of runs of latency-critical tasks, and of best-effort tasks, which may disturb them.
     std::uint32_t latencyCriticalRuns = 0;
     std::uint32_t bestEffortRuns = 0;
--- a/plantainhold/jobs/JobEvictions.cpp
+++ b/plantainhold/jobs/JobEvictions.cpp
@@ -18,7 +18,6 @@
     constexpr Milliseconds s_slowedLimit { 600 };
     constexpr Milliseconds s_preemptAfter { 40 };
     constexpr Milliseconds s_nominationLifetime { 3'000 };
-    constexpr Milliseconds s_stopRepeat { 1'200 };
     constexpr Milliseconds s_drainReserve { 1'200 };
     // Upper bound of the work lost by stopping a task that saves checkpoints.
     constexpr Milliseconds s_checkpointLoss { 300 };
@@ -128,7 +127,7 @@
     run.isStopSent = true;
     run.stopSentAt = now;
     m_commands.push_back({ CommandKind::Stop, run.executor->entry.id, run.task->name(), run.number, nullptr, {}, {}, 0 });
-    wakeAt(now + s_stopRepeat);
+    wakeAt(now + m_limits.stopRepeat);
 }
 
 void JobScheduler::drainExecutors(TimePoint now)
@@ -139,9 +138,9 @@
             if (run->phase == RunPhase::Recording)
                 continue;
             if (run->isStopRequested) {
-                if (!run->isStopSent || now - run->stopSentAt >= s_stopRepeat)
+                if (!run->isStopSent || now - run->stopSentAt >= m_limits.stopRepeat)
                     requestStop(*run, now);
-                wakeAt(run->stopSentAt + s_stopRepeat);
+                wakeAt(run->stopSentAt + m_limits.stopRepeat);
                 continue;
             }
             if (!executor->entry.isDraining || run->phase != RunPhase::Running)
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -88,7 +88,7 @@
 bool JobScheduler::isIdle(std::string_view id) const
 {
     const ActiveExecutor* executor = this->executor(id);
-    return executor && executor->runs.empty() && executor->isConfirmed() && !executor->failedCalls && executor->endsAcknowledged == executor->endsApplied;
+    return executor && executor->runs.empty() && executor->strayRuns.empty() && executor->isConfirmed() && !executor->failedCalls && executor->endsAcknowledged == executor->endsApplied;
 }
 
 std::optional<ReportRequest> JobScheduler::nextReport(std::string_view id, TimePoint now)
@@ -104,8 +104,9 @@
         executor.needsFence = false;
     }
     ReportRequest request { executor.token, executor.endsRecorded, std::nullopt, 0 };
-    // An executor that does not respond gets no further deadline, so that its lease can expire.
-    if (executor.hasClock && !executor.failedCalls)
+    // The lease may expire if the executor does not respond, and if nothing should run there.
+    bool isLeaseNeeded = !executor.runs.empty() || executor.endsAcknowledged != executor.endsApplied;
+    if (executor.hasClock && !executor.failedCalls && isLeaseNeeded)
         request.deadlineMs = extendLease(executor, now);
     if (executor.isConfirmed() && request.deadlineMs && !executor.runs.empty())
         request.waitMs = (isUnderPressure(executor) ? m_limits.pressuredReportWait : m_limits.reportWait).count();
@@ -137,6 +138,7 @@
     }
     for (const ReportedRun& reportedRun : report.running)
         applyReportedRun(executor, reportedRun, sentAt, now);
+    std::erase_if(executor.strayRuns, [&](const ActiveExecutor::StrayRun& stray) { return stray.listedIn != executor.reports; });
     resolveMissingRuns(executor, request, report, sentAt, now);
     sendPaces(executor, now);
 }
@@ -169,6 +171,7 @@
     executor.endsApplied = 0;
     executor.endsRecorded = 0;
     executor.endsAcknowledged = 0;
+    executor.strayRuns.clear();
     executor.failureScore = 0;
     executor.leaseExpiresAt = now;
     ++m_executorsVersion;
@@ -366,8 +369,7 @@
     auto it = m_jobs.find(reportedRun.task.job);
     ActiveTask* task = it == m_jobs.end() ? nullptr : it->second->find(reportedRun.task);
     if (!task || !task->run || task->run->executor != &executor || task->run->number != reportedRun.run) {
-        // The run belongs to a former owner or was given up.
-        m_commands.push_back({ CommandKind::Stop, executor.entry.id, reportedRun.task, reportedRun.run, nullptr, {}, {}, 0 });
+        stopStrayRun(executor, reportedRun, now);
         return;
     }
     ActiveRun& run = *task->run;
@@ -387,6 +389,19 @@
         run.checkpoint = reportedRun.checkpoint;
 }
 
+void JobScheduler::stopStrayRun(ActiveExecutor& executor, const ReportedRun& reportedRun, TimePoint now)
+{
+    auto isSame = [&](const ActiveExecutor::StrayRun& it) { return it.task == reportedRun.task && it.number == reportedRun.run; };
+    auto found = std::find_if(executor.strayRuns.begin(), executor.strayRuns.end(), isSame);
+    if (found == executor.strayRuns.end())
+        found = executor.strayRuns.insert(found, { reportedRun.task, reportedRun.run, TimePoint {}, 0 });
+    found->listedIn = executor.reports;
+    if (now < found->stopSentAt + m_limits.stopRepeat)
+        return;
+    found->stopSentAt = now;
+    m_commands.push_back({ CommandKind::Stop, executor.entry.id, reportedRun.task, reportedRun.run, nullptr, {}, {}, 0 });
+}
+
 void JobScheduler::resolveMissingRuns(ActiveExecutor& executor, const ReportRequest& request, const ExecutorReport& report, TimePoint sentAt, TimePoint now)
 {
     if (report.isTruncated)
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -138,6 +138,8 @@
     void completeJobs(TimePoint now);
     void applyTaskEnd(ActiveTask& task, ActiveExecutor& executor, const ReportedEnd& end, TimePoint now);
     void applyReportedRun(ActiveExecutor& executor, const ReportedRun& reportedRun, TimePoint sentAt, TimePoint now);
+    // Stops a reported run that should not exist, again after a while if it is still reported.
+    void stopStrayRun(ActiveExecutor& executor, const ReportedRun& reportedRun, TimePoint now);
     void resolveMissingRuns(ActiveExecutor& executor, const ReportRequest& request, const ExecutorReport& report, TimePoint sentAt, TimePoint now);
     void handleRestart(ActiveExecutor& executor, std::int64_t startedUnixMs, TimePoint now);
     // Handles a response from another executor at this executor's address.
--- a/plantainhold/jobs/SchedulerLimits.h
+++ b/plantainhold/jobs/SchedulerLimits.h
@@ -20,6 +20,8 @@
     // The same while a latency-critical task on the executor is near its target or misses it.
     Milliseconds pressuredReportWait { 350 };
     Milliseconds stopTimeout { 900 };
+    // Interval between two stop commands for a run that has not ended.
+    Milliseconds stopRepeat { 1'200 };
     // How long a latency-critical task may miss its target.
     Milliseconds interferenceLimit { 4'000 };
     // How long the final state of a job is kept.
--- a/plantainhold/testing/entry/JobOwnerTest.cpp
+++ b/plantainhold/testing/entry/JobOwnerTest.cpp
@@ -102,6 +102,8 @@
             store.put(std::string(s_submissionsTopic), JobTable::submissionKey(id), encodeSubmission(spec));
         }
 
+        void cancel(std::string_view id) { store.put(std::string(s_submissionsTopic), JobTable::cancelKey(id), "1"); }
+
         static std::shared_ptr<const FleetConfig> config(std::uint64_t version)
         {
             FleetConfig config;
@@ -217,6 +219,25 @@
     CHECK(isStarted());
 }
 
+TEST_CASE("a cancelled run is stopped at once although starts wait for the list of executors")
+{
+    Fixture fixture(1);
+    fixture.settings.maxExecutorListAge = Milliseconds(100);
+    fixture.runFor(Milliseconds(200));
+    REQUIRE(fixture.owner);
+    REQUIRE(fixture.owner->isRestored());
+    fixture.store.refusedReads = s_executorsTopic;
+    fixture.runFor(Milliseconds(400));
+    for (const char* id : { "0000000000000001", "0000000000000002", "0000000000000003", "0000000000000004" })
+        fixture.submit(id);
+    fixture.runFor(Milliseconds(400));
+    REQUIRE(fixture.executors.orders.empty());
+    fixture.cancel(s_job);
+    fixture.runFor(Milliseconds(300));
+    const std::vector<ExecutorCommand>& orders = fixture.executors.orders;
+    CHECK(std::any_of(orders.begin(), orders.end(), [](const ExecutorCommand& it) { return it.kind == CommandKind::Stop && it.task.job == s_job; }));
+}
+
 TEST_CASE("a stall is measured in the detector's steps, not in elapsed time")
 {
     constexpr Milliseconds s_step { 100 };
--- a/plantainhold/testing/jobs/JobSchedulerTest.cpp
+++ b/plantainhold/testing/jobs/JobSchedulerTest.cpp
@@ -167,6 +167,29 @@
     CHECK(fixture.scheduler().isIdle("x"));
 }
 
+TEST_CASE("a run that should not exist is stopped until it has ended, and its lease is not extended")
+{
+    SchedulerFixture fixture;
+    fixture.addExecutor("x", 8'000);
+    ReportedRun stray { { "ended-job", 0, 0, 0 }, 1, {}, 50, 0 };
+    auto stops = [&](const std::vector<ExecutorCommand>& commands) {
+        return std::count_if(commands.begin(), commands.end(), [](const ExecutorCommand& it) { return it.kind == CommandKind::Stop; });
+    };
+    fixture.report("x", { stray }, {});
+    CHECK(stops(fixture.advance()) == 1);
+    // A stop takes a moment. The executor is polled meanwhile as if it had work.
+    fixture.report("x", { stray }, {});
+    CHECK(stops(fixture.advance()) == 0);
+    CHECK_FALSE(fixture.scheduler().isIdle("x"));
+    CHECK_FALSE(fixture.scheduler().nextReport("x", fixture.now())->deadlineMs);
+    // The first stop was lost.
+    fixture.advance(Milliseconds(1'500));
+    fixture.report("x", { stray }, {});
+    CHECK(stops(fixture.advance()) == 1);
+    fixture.report("x", {}, {});
+    CHECK(fixture.scheduler().isIdle("x"));
+}
+
 TEST_CASE("a job whose tasks were all done when its owner died is completed by the next one")
 {
     SchedulerFixture fixture;
--- a/plantainhold/testing/jobs/JobSimulation.cpp
+++ b/plantainhold/testing/jobs/JobSimulation.cpp
@@ -175,6 +175,7 @@
     }
     if (m_now < m_options.faultsMs)
         faults();
+    checkCancelledRuns();
     bool hasOwner = !m_owners.empty() && !m_owners.back()->hasEnded && m_owners.back()->confirmedUntil > m_now;
     if (!hasOwner)
         startOwner();
@@ -199,6 +200,7 @@
     if (chance(0.002)) {
         auto i = static_cast<std::size_t>(random(0, static_cast<std::int64_t>(m_executors.size()) - 1));
         m_unreachableUntil[i] = m_now + random(500, 9'000);
+        disturb(m_unreachableUntil[i]);
     }
     if (chance(0.0012)) {
         auto i = static_cast<std::size_t>(random(0, static_cast<std::int64_t>(m_executors.size()) - 1));
@@ -207,6 +209,7 @@
                 m_history[name].running.erase({ i, it.run });
             m_executors[i]->crash();
             m_downUntil[i] = m_now + random(200, 9'000);
+            disturb(m_downUntil[i]);
         }
     }
     if (m_owners.empty())
@@ -216,7 +219,7 @@
     if (chance(0.0010))
         owner.hasEnded = true;
     else if (chance(0.0010))
-        owner.pausedUntil = m_now + random(500, 8'000);
+        disturb(owner.pausedUntil = m_now + random(500, 8'000));
     else if (chance(0.0010))
         owner.confirmedUntil = std::min(owner.confirmedUntil, m_now + random(0, 2'000));
 }
@@ -239,6 +242,7 @@
     }
     for (const auto& [id, job] : m_table.jobs())
         owner->scheduler->submit(id, job, at(m_now));
+    disturb(m_now);
     m_owners.push_back(std::move(owner));
     m_owners.back()->confirmedUntil = m_now + s_membership.count();
 }
@@ -336,6 +340,9 @@
         std::optional<JobScheduler::SendParameters> parameters = owner.scheduler->prepareSend(command, at(m_now));
         if (!parameters)
             continue;
+        bool isRepeatedStop = command.kind == CommandKind::Stop && !m_stopped.insert(command.task.text() + "/" + std::to_string(command.run)).second;
+        if (isRepeatedStop && m_options.sendsStopsOnlyOnce)
+            continue;
         Message message;
         message.generation = owner.generation;
         message.executor = static_cast<std::size_t>(std::stoi(command.executor.substr(1)));
@@ -345,6 +352,8 @@
         bool isFaulty = m_now < m_options.faultsMs;
         message.isResponseDelivered = !(isFaulty && chance(m_options.lostResponses));
         std::int64_t delay = !message.isResponseDelivered && chance(0.5) ? random(0, s_maxCommandDelayMs) : random(0, 30);
+        if (!message.isResponseDelivered)
+            disturb(m_now + std::max(delay, s_responseTimeoutMs));
         if (!message.isResponseDelivered) {
             Message timeout = message;
             timeout.isTimeout = true;
@@ -432,6 +441,19 @@
     m_deferredEvents.emplace(owner.pausedUntil, [this, &owner, what = std::move(what)]() { notify(owner, what); });
 }
 
+void JobSimulation::checkCancelledRuns()
+{
+    for (const auto& [id, cancelledAt] : m_cancelAt) {
+        std::int64_t since = std::max(m_disturbedUntil, cancelledAt);
+        if (m_now < since + s_cancelMs + m_options.limits.stopTimeout.count() || m_now >= since + s_cancelMs + m_options.limits.stopTimeout.count() + s_stepMs)
+            continue;
+        for (const auto& [name, history] : m_history) {
+            if (name.starts_with(id + ".") && !history.running.empty())
+                fail(name + " runs on after its job was cancelled");
+        }
+    }
+}
+
 void JobSimulation::noteStart(std::size_t executor, const FakeExecutor::Running& run)
 {
     ++m_starts;
--- a/plantainhold/testing/jobs/JobSimulation.h
+++ b/plantainhold/testing/jobs/JobSimulation.h
@@ -8,6 +8,7 @@
 #include "plantainhold/jobs/JobTable.h"
 #include "plantainhold/testing/jobs/FakeExecutor.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -32,6 +33,7 @@
     bool sendsBeforeStored = false;
     bool acknowledgesBeforeStored = false;
     bool ignoresFencing = false;
+    bool sendsStopsOnlyOnce = false;
 };
 
 class JobSimulation {
@@ -58,6 +60,10 @@
     void submit(const std::string& id, const JobSpec& spec);
     void step();
     void faults();
+    // Notes that something is out of order until then, so that bounds on time do not hold.
+    void disturb(std::int64_t until) { m_disturbedUntil = std::max(m_disturbedUntil, until); }
+    // Checks that no run of a cancelled job goes on in a calm stretch.
+    void checkCancelledRuns();
     void startOwner();
     void runOwner(Owner& owner);
     void commit(Owner& owner);
@@ -91,6 +97,9 @@
     std::map<std::string, JobSpec> m_specs;
     std::uint64_t m_offset = 0;
     std::uint64_t m_starts = 0;
+    std::int64_t m_disturbedUntil = 0;
+    // Names of runs for which a stop was sent.
+    std::set<std::string> m_stopped;
     std::vector<std::string> m_violations;
 };
 
--- a/plantainhold/testing/jobs/JobSimulationTest.cpp
+++ b/plantainhold/testing/jobs/JobSimulationTest.cpp
@@ -63,6 +63,13 @@
     CHECK(countViolatingSeeds(options) > 0);
 }
 
+TEST_CASE("control: a stop that is not repeated after it was lost is detected")
+{
+    SimulationOptions options;
+    options.sendsStopsOnlyOnce = true;
+    CHECK(countViolatingSeeds(options) > 0);
+}
+
 TEST_CASE("control: owners whose tokens do not increase are detected")
 {
     SimulationOptions options;
