Follow the headroom of a step's tasks by one trend, and pace by its prediction

Change: HeadroomTrend, a level and a slope that all tasks of a step update; a pace counts on the least headroom until the next choice, less half a standard deviation of what is not known. Noise is a fraction of the headroom.

--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -3,10 +3,10 @@
 #pragma once
 
 #include "plantainhold/jobs/ExecutorReport.h"
+#include "plantainhold/jobs/HeadroomTrend.h"
 #include "plantainhold/jobs/JobProgress.h"
 #include "plantainhold/jobs/JobSpec.h"
 #include "plantainhold/jobs/Queue.h"
-#include "plantainhold/policy/Estimate.h"
 #include "plantainhold/ports/Clock.h"
 
 #include <cstdint>
@@ -64,10 +64,8 @@
     TimePoint slowedSince = TimePoint::max();
     // For a latency-critical task: since when its target has been missed; max() if it is met.
     TimePoint missedSince = TimePoint::max();
-    // The image's id in the InterferenceTable, and the estimated headroom of a latency-critical
-    // task without neighbours.
+    // The image's id in the InterferenceTable.
     std::uint32_t image = s_noImage;
-    Estimate ownHeadroom;
     TimePoint pacedAt {};
     bool wasPaced = false;
     // Checkpoint of the newest report, and when the checkpoint or the progress last changed.
@@ -116,6 +114,8 @@
     // Duration of the longest run of its tasks that was neither slowed down nor resumed; 0 if there
     // was none.
     Milliseconds longestRun { 0 };
+    // Of latency-critical tasks: their headroom without neighbours.
+    HeadroomTrend headroom;
 
     bool isDone() const { return doneTasks == tasks.size(); }
     std::uint32_t waitingTasks() const { return static_cast<std::uint32_t>(tasks.size()) - doneTasks - placedTasks; }
--- a/plantainhold/jobs/InterferenceTable.h
+++ b/plantainhold/jobs/InterferenceTable.h
@@ -3,17 +3,17 @@
 // the utilization. The model is therefore linear in the headroom, target / tail, which is 1 at the
 // target and less if the target is missed:
 //
-//   headroom = ownHeadroom(run) - sum over neighbours of effect(images) * cores in use
+//   headroom = trend(step) - sum over neighbours of effect(images) * cores in use
 //
-// where ownHeadroom follows the load of the run and an effect belongs to a pair of images. All
-// estimates are Gaussian. Each sample updates them together with a Kalman filter that keeps only
+// where the trend follows the load of the step's tasks and an effect belongs to a pair of images.
+// All estimates are Gaussian. Each sample updates them together with a Kalman filter that keeps only
 // variances, not covariances, so an update costs O(neighbours).
 #pragma once
 
 #include "plantainhold/jobs/LearnedState.h"
 #include "plantainhold/policy/Estimate.h"
+#include "plantainhold/ports/Clock.h"
 
-#include <chrono>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -23,6 +23,8 @@
 
 namespace plantainhold {
 
+class HeadroomTrend;
+
 class InterferenceTable {
 public:
     using ImageId = std::uint32_t;
@@ -41,21 +43,19 @@
         // Both in ms; executors round the tail to whole ms.
         double tail = 0;
         double target = 0;
-        // Time since the previous sample.
-        std::chrono::duration<double> elapsed { 0 };
+        // The time that the measurement stands for.
+        TimePoint takenAt {};
     };
 
-    // Processes one sample. ownHeadroom is the state of the run, kept by the caller. Precondition:
-    // tail and target are positive.
-    void learn(ImageId latencyCritical, Estimate& ownHeadroom, const Sample& sample, std::span<const Neighbour> neighbours);
+    // Processes one sample. The trend belongs to the step of the measured task and is kept by the
+    // caller. Precondition: tail and target are positive.
+    void learn(ImageId latencyCritical, HeadroomTrend& trend, const Sample& sample, std::span<const Neighbour> neighbours);
     // Returns the headroom that one core of the best-effort image takes.
     Estimate effect(ImageId latencyCritical, ImageId bestEffort) const;
     // Returns the effects whose estimates have become clearly more certain than the initial one.
     std::vector<LearnedEffect> learned() const;
     // Restores effects that another table had learned.
     void restore(std::span<const LearnedEffect> effects);
-    // Returns the initial headroom estimate of a run that was never measured.
-    static Estimate initialHeadroom();
 
 private:
     // Returns nullptr for images beyond the size limit of the table.
