Tell refused callers when to come back by the outages observed

Cause: Retry-After was the constant 1, chosen in the adapter; four retries were used up 4 s into an outage, and all callers came back in the same second. Change: RetryAdvice, in the product: half of the outage's age, or what is left of the typical length of earlier ones, 1 to 4 s, spread by the job's id. Kept for the callers: one who obeys outlasts 7 s and more. Backlog is not looked at yet.

--- a/plantainhold/entry/JobService.cpp
+++ b/plantainhold/entry/JobService.cpp
@@ -72,6 +72,21 @@
 }
 
 asio::awaitable<StoreStatus> JobService::store(JobRequest request, TimePoint deadline)
+{
+    StoreStatus status = co_await storeHereOrThroughOwner(std::move(request), deadline);
+    if (status == StoreStatus::Ok)
+        m_retryAdvice.recordStored(BootClock::now());
+    else if (status == StoreStatus::Refused)
+        m_retryAdvice.recordRefused(BootClock::now());
+    co_return status;
+}
+
+std::uint32_t JobService::retryAfterSeconds(std::string_view id) const
+{
+    return m_retryAdvice.retryAfterSeconds(id, BootClock::now());
+}
+
+asio::awaitable<StoreStatus> JobService::storeHereOrThroughOwner(JobRequest request, TimePoint deadline)
 {
     auto executor = co_await asio::this_coro::executor;
     auto left = [deadline]() { return std::chrono::duration_cast<Milliseconds>(deadline - std::chrono::steady_clock::now()); };
--- a/plantainhold/entry/JobService.h
+++ b/plantainhold/entry/JobService.h
@@ -5,6 +5,7 @@
 
 #include "plantainhold/base/EventSink.h"
 #include "plantainhold/entry/JobDirectory.h"
+#include "plantainhold/entry/RetryAdvice.h"
 #include "plantainhold/jobs/JobSpec.h"
 #include "plantainhold/ports/Clock.h"
 #include "plantainhold/store/StorePort.h"
@@ -43,6 +44,12 @@
     // Counts the accepted jobs of the queue that have not started.
     boost::asio::awaitable<JobReply> pending(std::string queue, Milliseconds timeout);
 
+    // After how many seconds a lookup that no instance could answer should be retried: a change of
+    // owner takes less.
+    static constexpr std::uint32_t s_lookupRetrySeconds = 1;
+    // Returns after how many seconds the caller of a refused request about this job should retry.
+    std::uint32_t retryAfterSeconds(std::string_view id) const;
+
     const ServiceCounters& counters() const { return m_counters; }
 
 private:
@@ -50,14 +57,16 @@
     struct LocalAppend;
 
     boost::asio::awaitable<void> append(std::shared_ptr<LocalAppend> localAppend, JobRequest request, TimePoint deadline);
-    // Stores the request's record. Also sends it to the owner if this instance's own
-    // append fails or is slow.
+    // Stores the request's record, and notes for later callers whether that was possible.
     boost::asio::awaitable<StoreStatus> store(JobRequest request, TimePoint deadline);
+    // Also sends the record to the owner if this instance's own append fails or is slow.
+    boost::asio::awaitable<StoreStatus> storeHereOrThroughOwner(JobRequest request, TimePoint deadline);
 
     OwnerDirectory& m_ownerDirectory;
     PeerDirectory& m_peerDirectory;
     EventSink& m_events;
     SubmissionWriter& m_writer;
+    RetryAdvice m_retryAdvice;
     ServiceCounters m_counters;
 };
 
