--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -15,6 +15,7 @@
     constexpr double s_remoteDataCost = 1'000;
     constexpr double s_avoidedExecutorCost = 500;
     constexpr double s_otherRackCost = 200;
+    constexpr double s_sameStepCost = 30;
     constexpr double s_freeCapacityWeight = 10;
     // Cost of pressure that exceeds the headroom, where a starved task is placed despite it.
     constexpr double s_excessWeight = 250;
@@ -88,11 +89,10 @@
         double left = static_cast<double>(freeCapacity.millicores - spec.reserved().millicores) / static_cast<double>(std::max<std::int64_t>(1, executor.entry.capacity.millicores));
         if (spec.isLongRunning) {
             // Latency-critical tasks of one image are kept together, so that what slows them down
-            // can run on other executors. Those of one step may share an executor: as their load
-            // rises and falls together, best-effort tasks can use the time when it is low.
+            // can run on other executors.
             for (const ActiveRun* it : executor.runs)
                 sum += it->task->step->spec->isLatencyCritical() && it->task->step->spec->image != spec.image ? s_otherImageCost : 0;
-            return sum + s_freeCapacityWeight * left;
+            return sum + s_sameStepCost * tasksOn(executor, *task.step) + s_freeCapacityWeight * left;
         }
         // Executors without latency-critical tasks are left to best-effort tasks that would slow
         // such tasks down.
