Let the trend of a step's headroom return to the mean of all steps

Change: level and slope return to the mean headroom of all steps within 5 s, so that a difference remains, which the effects then explain.

--- a/plantainhold/jobs/HeadroomTrend.cpp
+++ b/plantainhold/jobs/HeadroomTrend.cpp
@@ -17,6 +17,9 @@
     constexpr std::chrono::seconds s_longestGap { 3 };
     // Number of standard deviations by which a lower bound lies below the expected headroom.
     constexpr double s_caution = 0.5;
+    // Time constant of the return to the long-run mean, with no slope. Without it, the pressure of neighbours that
+    // are always there would pass for a low headroom of the step's own.
+    constexpr double s_returnSeconds = 5;
     // A prediction extends the slope by no more than this.
     constexpr double s_longestPredictionSeconds = 1;
 
@@ -34,7 +37,7 @@
 {
 }
 
-void HeadroomTrend::advance(TimePoint when)
+void HeadroomTrend::advance(TimePoint when, double mean)
 {
     if (m_at == TimePoint {})
         m_at = when;
@@ -47,7 +50,9 @@
     }
     double t = secondsBetween(m_at, when);
     m_at = when;
-    m_level += m_slope * t;
+    double remaining = std::exp(-t / s_returnSeconds);
+    m_level += m_slope * t + (mean - m_level) * (1 - remaining);
+    m_slope *= remaining;
     m_levelVariance += 2 * t * m_covariance + t * t * m_slopeVariance + s_slopeDrift * t * t * t / 3;
     m_covariance += t * m_slopeVariance + s_slopeDrift * t * t / 2;
     m_slopeVariance += s_slopeDrift * t;
--- a/plantainhold/jobs/HeadroomTrend.h
+++ b/plantainhold/jobs/HeadroomTrend.h
@@ -14,10 +14,11 @@
 public:
     HeadroomTrend();
 
-    // Moves the state forward to a time; an earlier time than the present one has no effect. After
-    // a gap in which the load may have taken any direction, the trend starts anew. No method of
-    // this class is thread-safe.
-    void advance(TimePoint when);
+    // Moves the state forward to a time; an earlier time than the present one has no effect. The
+    // level slowly returns to `mean`, the headroom without neighbours in the long run. After a gap
+    // in which the load may have taken any direction, the trend starts anew. No method of this
+    // class is thread-safe.
+    void advance(TimePoint when, double mean);
     // Corrects the state by the difference between a sample and its prediction. `variance` is that
     // of the difference, including variance() of this trend.
     void correct(double difference, double variance);
--- a/plantainhold/jobs/InterferenceTable.cpp
+++ b/plantainhold/jobs/InterferenceTable.cpp
@@ -26,6 +26,8 @@
     constexpr double s_maxEffect = 2.0;
     // A full queue does not show how far it is overloaded, so headroom below this is only an upper bound.
     constexpr double s_fullQueue = 0.35;
+    // Weight of a sample in the mean headroom of all steps.
+    constexpr double s_meanGain = 0.0002;
     // An effect is reported as learned once its variance is below this fraction of the initial one.
     constexpr double s_learnedVarianceShare = 0.7;
     // Images beyond this number are treated as unknown.
@@ -34,6 +36,11 @@
 
 } // namespace
 
+InterferenceTable::InterferenceTable()
+    : m_meanHeadroom(HeadroomTrend().level())
+{
+}
+
 InterferenceTable::ImageId InterferenceTable::idOf(std::string_view image)
 {
     auto [it, isNew] = m_images.try_emplace(std::string(image), static_cast<ImageId>(m_images.size()));
@@ -69,7 +76,7 @@
         double slope;
     };
     std::vector<Coordinate> coordinates;
-    trend.advance(sample.takenAt);
+    trend.advance(sample.takenAt, m_meanHeadroom);
     double predicted = trend.level();
     for (const Neighbour& it : neighbours) {
         auto* effect = const_cast<Estimate*>(find(latencyCritical, it.image));
@@ -89,6 +96,7 @@
     if (headroom < s_fullQueue && innovation > 0)
         return;
     trend.correct(innovation, total);
+    m_meanHeadroom += s_meanGain * (trend.level() - m_meanHeadroom);
     for (const Coordinate& it : coordinates) {
         double gain = it.estimate->variance * it.slope / total;
         it.estimate->mean += gain * innovation;
--- a/plantainhold/jobs/InterferenceTable.h
+++ b/plantainhold/jobs/InterferenceTable.h
@@ -34,6 +34,8 @@
         double cores = 0;
     };
 
+    InterferenceTable();
+
     // Returns the same id for the same name during the lifetime of the table. No method of this
     // class is thread-safe.
     ImageId idOf(std::string_view image);
@@ -65,6 +67,8 @@
     // Square matrix with one row per latency-critical image; read for each pair of neighbours.
     std::vector<Estimate> m_effects;
     std::size_t m_side = 0;
+    // Smoothed headroom without neighbours, of all steps.
+    double m_meanHeadroom;
 };
 
 } // namespace plantainhold
--- a/plantainhold/testing/jobs/HeadroomTrendTest.cpp
+++ b/plantainhold/testing/jobs/HeadroomTrendTest.cpp
@@ -38,7 +38,7 @@
         constexpr int s_rounds = 2'000;
         for (int i = 0; i < s_warmUp + s_rounds; ++i) {
             now += s_reportInterval / tasks;
-            trend.advance(now);
+            trend.advance(now, s_mean);
             double sample = trueHeadroom(now) * (1 + noise(random));
             trend.correct(sample - trend.level(), trend.variance() + s_noise * sample * s_noise * sample);
             if (i < s_warmUp)
@@ -65,11 +65,11 @@
 {
     HeadroomTrend trend;
     TimePoint now { std::chrono::hours(1) };
-    trend.advance(now);
+    trend.advance(now, s_mean);
     double unknown = trend.expectedAt(now) - trend.lowerBoundAt(now);
     for (int i = 0; i < 20; ++i) {
         now += s_reportInterval;
-        trend.advance(now);
+        trend.advance(now, s_mean);
         trend.correct(s_mean - trend.level(), trend.variance() + s_noise);
     }
     CHECK(trend.expectedAt(now) - trend.lowerBoundAt(now) < unknown);
@@ -80,13 +80,30 @@
 {
     HeadroomTrend trend;
     TimePoint now { std::chrono::hours(1) };
-    trend.advance(now);
+    trend.advance(now, s_mean);
     trend.correct(-2, trend.variance() + s_noise);
     double low = trend.level();
-    trend.advance(now - std::chrono::seconds(5));
+    trend.advance(now - std::chrono::seconds(5), s_mean);
     CHECK(trend.level() == low);
-    trend.advance(now + std::chrono::seconds(10));
+    trend.advance(now + std::chrono::seconds(10), s_mean);
     CHECK(trend.level() > low);
 }
 
+TEST_CASE("a pressure that never ends is not taken for the step's own load for good")
+{
+    HeadroomTrend trend;
+    TimePoint now { std::chrono::hours(1) };
+    trend.advance(now, s_mean);
+    double last = 0;
+    constexpr double s_pressed = 1;
+    for (int i = 0; i < 200; ++i) {
+        now += s_reportInterval;
+        trend.advance(now, s_mean);
+        last = s_pressed - trend.level();
+        trend.correct(last, trend.variance() + s_noise);
+    }
+    // A difference remains, which the effects of neighbours have to explain.
+    CHECK(last < 0);
+}
+
 } // namespace plantainhold
