--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -27,27 +27,14 @@
     // is reserved, when such runs would slow down many callers and get nowhere.
     constexpr Milliseconds s_starvedAfter { 1'500 };
     constexpr std::uint32_t s_starvedNeighbours = 1;
-    constexpr double s_fullyReservedShare = 0.7;
     constexpr double s_otherImageCost = 40;
     // Cost of placing a task that causes no pressure on an executor without latency-critical tasks.
     constexpr double s_unpressuredTask = 50;
     // Pressure that counts as heavy, in units of headroom.
     constexpr double s_heavyPressure = 0.6;
-    // Time constant of the smoothed demand of short tasks, in seconds.
-    constexpr double s_demandSeconds = 6;
-    // Initial estimates, until demand has been observed: fraction of the capacity, and millicores
-    // of a task.
-    constexpr double s_initialDemandShare = 0.05;
-    constexpr double s_initialTaskSize = 2'500;
-    // Fraction of the largest waiting task; free capacity of at least that size counts as useful.
-    constexpr double s_taskShare = 0.7;
-    // The remembered task size decays this many times more slowly than the demand.
-    constexpr double s_taskMemory = 3;
     constexpr double s_slowWeight = 150;
     // Logarithm of an executor's slowdown up to which it is ignored.
     constexpr double s_slowIgnored = 0.35;
-    // Long-running tasks leave this multiple of the demand of short tasks free.
-    constexpr double s_demandMargin = 1.3;
     // Fraction of its reservation that a latency-critical task is assumed to use.
     constexpr double s_latencyCriticalUse = 0.45;
     constexpr double s_bestEffortLoadLimit = 1.0;
@@ -111,7 +98,7 @@
     m_placeAgainAt = TimePoint::max();
     m_round.begin();
     std::size_t scanned = 0;
-    updateLoad(now);
+    m_load.update(m_executorList, m_ready, now);
     std::vector<ActiveStep*> steps(m_ready.begin(), m_ready.end());
     m_prioritizer.sort(steps, now);
     for (ActiveStep* it : steps) {
@@ -237,7 +224,7 @@
 TimePoint JobScheduler::starvedSince(const ActiveTask& task) const
 {
     const ActiveStep& step = *task.step;
-    if (!step.spec->isBestEffort() || step.occurrence->placedTasks() || m_isMostlyReserved)
+    if (!step.spec->isBestEffort() || step.occurrence->placedTasks() || m_load.isMostlyReserved())
         return TimePoint::max();
     return task.waitingSince + s_starvedAfter;
 }
@@ -262,7 +249,7 @@
     if (spec.isBestEffort() && !isStarvedHere && bestEffortLoad(executor, spec) > s_bestEffortLoadLimit)
         return std::nullopt;
     // A long-running task that never ran leaves capacity to short tasks, which are worth more per core.
-    if (spec.isLongRunning && !task.lastRun && m_shortTaskCapacity - shortTaskCapacity(executor, {}) + shortTaskCapacity(executor, needs.wanted) < static_cast<std::int64_t>(s_demandMargin * m_shortTaskDemand))
+    if (spec.isLongRunning && !task.lastRun && !m_load.leavesRoomForShortTasks(executor, needs.wanted))
         return std::nullopt;
     BestEffortPacer::Pressure pressure = spec.isBestEffort() ? m_pacer.pressureOn(executor, spec) : BestEffortPacer::Pressure();
     if (pressure.excess > 0 && !isStarvedHere)
@@ -308,9 +295,9 @@
         m_candidates.clear();
     clearNomination(task);
     ActiveJob& job = step.job();
-    m_shortTaskCapacity -= shortTaskCapacity(*best, {});
+    m_load.remove(*best);
     addRun(task, *best, RunPhase::Recording, now);
-    m_shortTaskCapacity += shortTaskCapacity(*best, {});
+    m_load.add(*best);
     task.run->number = ++task.lastRun;
     job.wasPlaced = true;
     job.state = JobState::Running;
@@ -322,46 +309,4 @@
     return true;
 }
 
-void JobScheduler::updateLoad(TimePoint now)
-{
-    double demand = 0;
-    std::int64_t capacity = 0;
-    std::int64_t reserved = 0;
-    std::int64_t largest = 0;
-    for (const ActiveExecutor* it : m_executorList) {
-        reserved += it->reserved.millicores;
-        demand += static_cast<double>(it->reserved.millicores - it->latencyCriticalMillicores);
-        capacity += it->entry.capacity.millicores;
-    }
-    for (const ActiveStep* it : m_ready) {
-        if (it->spec->isLongRunning || it->spec->isBestEffort())
-            continue;
-        demand += static_cast<double>(it->waitingTasks() * it->spec->resources.millicores);
-        largest = std::max(largest, it->spec->resources.millicores);
-    }
-    m_isMostlyReserved = static_cast<double>(reserved) >= s_fullyReservedShare * static_cast<double>(capacity);
-    double seconds = std::chrono::duration<double>(now - m_shortTaskDemandAt).count();
-    double share = 1 - std::exp(-seconds / s_demandSeconds);
-    if (m_shortTaskDemandAt == TimePoint {}) {
-        // At the beginning of a term no demand has been observed.
-        m_shortTaskDemand = s_initialDemandShare * static_cast<double>(capacity);
-        m_shortTaskSize = s_initialTaskSize;
-        share = 0;
-    }
-    if (capacity)
-        m_shortTaskDemandAt = now;
-    m_shortTaskDemand += share * (demand - m_shortTaskDemand);
-    m_shortTaskSize = std::max(static_cast<double>(largest) * s_taskShare, m_shortTaskSize * (1 - share / s_taskMemory));
-    m_shortTaskCapacity = 0;
-    for (const ActiveExecutor* it : m_executorList)
-        m_shortTaskCapacity += it->isListed ? shortTaskCapacity(*it, {}) : 0;
-}
-
-std::int64_t JobScheduler::shortTaskCapacity(const ActiveExecutor& executor, const Resources& without) const
-{
-    std::int64_t freeCapacity = executor.freeCapacity().millicores - without.millicores;
-    std::int64_t inUse = executor.reserved.millicores - executor.latencyCriticalMillicores;
-    return (freeCapacity >= static_cast<std::int64_t>(m_shortTaskSize) ? freeCapacity : 0) + inUse;
-}
-
 } // namespace plantainhold
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -17,6 +17,7 @@
 #include "plantainhold/jobs/AdvicePort.h"
 #include "plantainhold/jobs/BestEffortPacer.h"
 #include "plantainhold/jobs/ExecutorCommand.h"
+#include "plantainhold/jobs/FleetLoad.h"
 #include "plantainhold/jobs/JobPrioritizer.h"
 #include "plantainhold/jobs/LearnedState.h"
 #include "plantainhold/jobs/OwnerTerm.h"
@@ -164,13 +165,8 @@
     void clearNomination(ActiveTask& task);
     void drainExecutors(TimePoint now);
     void moveSlowedRuns(TimePoint now);
-    // Sums up what is reserved and wanted by the executors and waiting steps.
-    void updateLoad(TimePoint now);
     // Returns when the task is placed despite heavy pressure; max() if never.
     TimePoint starvedSince(const ActiveTask& task) const;
-    // Returns the millicores that short tasks use or can use here. Free capacity smaller than a
-    // typical short task does not count.
-    std::int64_t shortTaskCapacity(const ActiveExecutor& executor, const Resources& without) const;
     void sendPaces(ActiveExecutor& executor, TimePoint now);
     void requestStop(ActiveRun& run, TimePoint now);
     void fence(ActiveExecutor& executor);
@@ -202,13 +198,7 @@
     PlacementRound m_round;
     // Candidates for the step that is being placed.
     PlacementCandidates m_candidates;
-    // Smoothed millicores that short tasks use or request; long-running tasks leave this capacity free.
-    double m_shortTaskDemand = 0;
-    double m_shortTaskSize = 0;
-    TimePoint m_shortTaskDemandAt {};
-    std::int64_t m_shortTaskCapacity = 0;
-    // Most of the millicores of all executors are reserved.
-    bool m_isMostlyReserved = false;
+    FleetLoad m_load;
     std::vector<ActiveJob*> m_dirty;
     std::vector<CommitBatch::Start> m_starts;
     std::vector<std::string> m_dropped;
