Report tasks that wait although executors have room, and starts without a result

"Could run and doesn't" could not be traced: no line told what keeps a task from an executor with room, which start stayed without a result, or which report was dropped as old. Placement now names the obstacle it meets, one type for the decision and the log: TaskStalled (647), StartStalled (648), ReportIgnored (649).

--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -125,10 +125,6 @@
     // clock in its response or a report that was requested afterwards proves.
     bool areStartsSettled() const { return !startsInFlight && reportRequestedAt >= uncertainStartAt; }
     bool isConfirmed() const { return hasClock && confirmedToken == token && !needsFence; }
-    bool acceptsWork(TimePoint now) const
-    {
-        return isListed && isConfirmed() && !entry.isDraining && !failedCalls && now >= avoidedUntil;
-    }
 };
 
 } // namespace plantainhold
--- a/plantainhold/jobs/Eligibility.cpp
+++ b/plantainhold/jobs/Eligibility.cpp
@@ -21,16 +21,37 @@
     return n;
 }
 
-bool isEligible(const ActiveExecutor& executor, const ActiveStep& step, TimePoint now)
+PlacementObstacle workObstacle(const ActiveExecutor& executor, TimePoint now)
+{
+    if (!executor.isListed)
+        return PlacementObstacle::Unlisted;
+    if (!executor.isConfirmed())
+        return PlacementObstacle::Unconfirmed;
+    if (executor.entry.isDraining)
+        return PlacementObstacle::Draining;
+    if (executor.failedCalls)
+        return PlacementObstacle::Unreachable;
+    return now < executor.avoidedUntil ? PlacementObstacle::Avoided : PlacementObstacle::None;
+}
+
+PlacementObstacle eligibilityObstacle(const ActiveExecutor& executor, const ActiveStep& step, TimePoint now)
 {
     const StepSpec& spec = *step.spec;
-    if (!executor.acceptsWork(now) || executor.entry.service != step.job().queue.service)
-        return false;
+    if (executor.entry.service != step.job().queue.service)
+        return PlacementObstacle::OtherService;
+    if (PlacementObstacle obstacle = workObstacle(executor, now); obstacle != PlacementObstacle::None)
+        return obstacle;
     if (!hasLabel(executor, spec.requiredLabel))
-        return false;
+        return PlacementObstacle::MissingLabel;
     if (step.job().queue.needsAdvice && !step.tickets.contains(executor.entry.id))
-        return false;
-    return !spec.maxPerExecutor || tasksOn(executor, step) < spec.maxPerExecutor;
+        return PlacementObstacle::NoTicket;
+    bool isOneTooMany = spec.maxPerExecutor && tasksOn(executor, step) >= spec.maxPerExecutor;
+    return isOneTooMany ? PlacementObstacle::TooManyOfStep : PlacementObstacle::None;
+}
+
+bool isEligible(const ActiveExecutor& executor, const ActiveStep& step, TimePoint now)
+{
+    return eligibilityObstacle(executor, step, now) == PlacementObstacle::None;
 }
 
 } // namespace plantainhold
--- a/plantainhold/jobs/Eligibility.h
+++ b/plantainhold/jobs/Eligibility.h
@@ -1,6 +1,7 @@
 // Checks whether an executor may run a task at all, apart from free capacity.
 #pragma once
 
+#include "plantainhold/jobs/PlacementObstacle.h"
 #include "plantainhold/ports/Clock.h"
 
 #include <cstdint>
@@ -15,8 +16,11 @@
 // empty label.
 bool hasLabel(const ActiveExecutor& executor, std::string_view label);
 std::uint32_t tasksOn(const ActiveExecutor& executor, const ActiveStep& step);
-// True if the executor accepts work, serves the queue, was approved by advice if the queue requires
+// Returns why the executor accepts no work; None if it does.
+PlacementObstacle workObstacle(const ActiveExecutor& executor, TimePoint now);
+// Returns None if the executor accepts work, serves the queue, was approved by advice if the queue requires
 // it, has the required label, and runs fewer of the step's tasks than the limit per executor.
+PlacementObstacle eligibilityObstacle(const ActiveExecutor& executor, const ActiveStep& step, TimePoint now);
 bool isEligible(const ActiveExecutor& executor, const ActiveStep& step, TimePoint now);
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -132,7 +132,7 @@
     std::vector<const ActiveExecutor*> open;
     for (const ActiveExecutor* it : m_executorList) {
         bool fits = step.spec->reserved().fitsIn(it->entry.capacity) && hasLabel(*it, step.spec->requiredLabel);
-        if (fits && it->acceptsWork(now) && it->entry.service == step.job().queue.service)
+        if (fits && workObstacle(*it, now) == PlacementObstacle::None && it->entry.service == step.job().queue.service)
             open.push_back(it);
     }
     // Each executor in the request costs time, so only those with most free capacity are included.
@@ -235,29 +235,64 @@
     return { spec.reserved(), spec.isBestEffort() ? m_pacer.meanPressure(spec) : 0, now >= starvedSince(task) };
 }
 
-std::optional<double> JobScheduler::placementCost(ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs, TimePoint now)
+Resources JobScheduler::freeCapacityFor(const ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs)
 {
-    const ActiveStep& step = *task.step;
-    const StepSpec& spec = *step.spec;
-    bool isNominated = task.nominated == &executor;
     Resources freeCapacity = executor.freeCapacity();
-    if (isNominated)
+    if (task.nominated == &executor)
         freeCapacity += needs.wanted;
-    if (!needs.wanted.fitsIn(freeCapacity) || !isEligible(executor, step, now))
-        return std::nullopt;
-    bool isStarvedHere = needs.isStarved && executor.bestEffortRuns <= s_starvedNeighbours;
-    if (spec.isBestEffort() && !isStarvedHere && bestEffortLoad(executor, spec) > s_bestEffortLoadLimit)
-        return std::nullopt;
+    return freeCapacity;
+}
+
+bool JobScheduler::isStarvedOn(const ActiveExecutor& executor, const PlacementNeeds& needs)
+{
+    return needs.isStarved && executor.bestEffortRuns <= s_starvedNeighbours;
+}
+
+PlacementObstacle JobScheduler::obstacleOn(const ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs, TimePoint now) const
+{
+    const StepSpec& spec = *task.step->spec;
+    if (!needs.wanted.fitsIn(freeCapacityFor(executor, task, needs)))
+        return PlacementObstacle::NoRoom;
+    if (PlacementObstacle obstacle = eligibilityObstacle(executor, *task.step, now); obstacle != PlacementObstacle::None)
+        return obstacle;
+    if (spec.isBestEffort() && !isStarvedOn(executor, needs) && bestEffortLoad(executor, spec) > s_bestEffortLoadLimit)
+        return PlacementObstacle::BestEffortLoad;
     // A long-running task that never ran leaves capacity to short tasks, which are worth more per core.
-    if (spec.isLongRunning && !task.lastRun && !m_load.leavesRoomForShortTasks(executor, needs.wanted))
+    bool isLeftToShortTasks = spec.isLongRunning && !task.lastRun && !m_load.leavesRoomForShortTasks(executor, needs.wanted);
+    return isLeftToShortTasks ? PlacementObstacle::RoomForShortTasks : PlacementObstacle::None;
+}
+
+BestEffortPacer::Pressure JobScheduler::pressureOn(ActiveExecutor& executor, const ActiveTask& task)
+{
+    const StepSpec& spec = *task.step->spec;
+    return spec.isBestEffort() ? m_pacer.pressureOn(executor, spec) : BestEffortPacer::Pressure();
+}
+
+std::optional<double> JobScheduler::placementCost(ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs, TimePoint now)
+{
+    if (obstacleOn(executor, task, needs, now) != PlacementObstacle::None)
         return std::nullopt;
-    BestEffortPacer::Pressure pressure = spec.isBestEffort() ? m_pacer.pressureOn(executor, spec) : BestEffortPacer::Pressure();
-    if (pressure.excess > 0 && !isStarvedHere)
+    BestEffortPacer::Pressure pressure = pressureOn(executor, task);
+    if (pressure.excess > 0 && !isStarvedOn(executor, needs))
         return std::nullopt;
-    double sum = isNominated ? -1 : cost(executor, task, freeCapacity, needs.pressure);
+    bool isNominated = task.nominated == &executor;
+    double sum = isNominated ? -1 : cost(executor, task, freeCapacityFor(executor, task, needs), needs.pressure);
     return sum + s_excessWeight * pressure.excess + s_pressureWeight * pressure.largest;
 }
 
+void JobScheduler::reportStalledTasks(TimePoint now)
+{
+    auto explain = [&](ActiveExecutor& executor, const ActiveTask& task) {
+        PlacementNeeds needs = needsOf(task, now);
+        PlacementObstacle obstacle = obstacleOn(executor, task, needs, now);
+        if (obstacle != PlacementObstacle::None)
+            return obstacle;
+        bool isPressured = pressureOn(executor, task).excess > 0 && !isStarvedOn(executor, needs);
+        return isPressured ? PlacementObstacle::Pressure : PlacementObstacle::None;
+    };
+    m_waitingTaskMonitor.check(m_ready, m_executorList, explain, m_needsPlacement, now);
+}
+
 // Tasks without special conditions share the candidates of their step; for others, a search of
 // their own is made.
 ActiveExecutor* JobScheduler::chooseExecutor(const ActiveTask& task, TimePoint now, double& cost)
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -21,8 +21,10 @@
 void JobScheduler::executorListed(const ExecutorEntry& entry, TimePoint now)
 {
     ActiveExecutor& executor = executorFor(entry.id, entry.startedUnixMs);
-    if (entry.startedUnixMs < executor.entry.startedUnixMs)
+    if (entry.startedUnixMs < executor.entry.startedUnixMs) {
+        noteIgnored(executor, entry.startedUnixMs, "list");
         return;
+    }
     if (entry.startedUnixMs > executor.entry.startedUnixMs)
         handleRestart(executor, entry.startedUnixMs, "list", now);
     bool hasChanged = !executor.isListed || executor.entry.isDraining != entry.isDraining || executor.entry.capacity != entry.capacity || executor.entry.address != entry.address;
@@ -38,6 +40,11 @@
     m_needsPlacement = m_needsPlacement || hasChanged;
 }
 
+void JobScheduler::noteIgnored(const ActiveExecutor& executor, std::int64_t startedUnixMs, std::string_view source)
+{
+    m_events.note(EventId::ReportIgnored, { { "executor", executor.entry.id }, { "incarnation", startedUnixMs }, { "known", executor.entry.startedUnixMs }, { "listed", executor.listedUnixMs }, { "source", source }, { "runs", executor.runs.size() } });
+}
+
 void JobScheduler::executorUnlisted(std::string_view id, TimePoint now)
 {
     auto it = m_executors.find(std::string(id));
@@ -97,8 +104,10 @@
     if (it == m_executors.end())
         return;
     ActiveExecutor& executor = *it->second;
-    if (report.startedUnixMs && report.startedUnixMs < executor.entry.startedUnixMs)
+    if (report.startedUnixMs && report.startedUnixMs < executor.entry.startedUnixMs) {
+        noteIgnored(executor, report.startedUnixMs, "report");
         return;
+    }
     bool isNewIncarnation = report.startedUnixMs > executor.entry.startedUnixMs;
     if (isNewIncarnation)
         handleRestart(executor, report.startedUnixMs, "report", now);
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -2,6 +2,7 @@
 // placement, evictions, reports, ends, commands and leases are in files of their own.
 
 #include "plantainhold/jobs/JobScheduler.h"
+#include "plantainhold/jobs/Eligibility.h"
 
 #include <algorithm>
 
@@ -19,6 +20,7 @@
     : m_limits(limits)
     , m_events(events)
     , m_runEvents(events)
+    , m_waitingTaskMonitor(events)
     , m_generation(generation << s_tokenBits)
     , m_lastToken(m_generation)
     , m_claimedAt(now)
@@ -186,6 +188,7 @@
     } else if (m_needsPlacement) {
         wakeAt(m_placedAt + s_placementInterval);
     }
+    reportStalledTasks(now);
     if (m_placeAgainAt != TimePoint::max())
         wakeAt(std::max(m_placeAgainAt, now + s_placementInterval));
     while (!m_forgetAt.empty() && m_forgetAt.begin()->first <= now) {
@@ -238,7 +241,7 @@
         capacity += it->entry.capacity;
         reserved += it->reserved;
         nominated += it->nominated;
-        open += it->acceptsWork(now);
+        open += workObstacle(*it, now) == PlacementObstacle::None;
         runs += it->runs.size();
         for (const ActiveRun* run : it->runs) {
             if (!run->task->step->spec->isBestEffort())
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -27,6 +27,7 @@
 #include "plantainhold/jobs/Queue.h"
 #include "plantainhold/jobs/RunEventLog.h"
 #include "plantainhold/jobs/SchedulerLimits.h"
+#include "plantainhold/jobs/WaitingTaskMonitor.h"
 
 #include <map>
 #include <memory>
@@ -155,6 +156,8 @@
     void stopStrayRun(ActiveExecutor& executor, const ReportedRun& reportedRun, TimePoint now);
     void noteUnexpectedRun(const ActiveExecutor& executor, const ReportedRun& reportedRun);
     void resolveMissingRuns(ActiveExecutor& executor, const ReportRequest& request, const ExecutorReport& report, TimePoint sentAt, TimePoint now);
+    // Logs that something which the executor said of itself in this incarnation was not applied.
+    void noteIgnored(const ActiveExecutor& executor, std::int64_t startedUnixMs, std::string_view source);
     // Begins a new incarnation of the executor. Its runs stay until a report or the lease proves
     // that they are over. `source` is what told of the restart, for the log.
     void handleRestart(ActiveExecutor& executor, std::int64_t startedUnixMs, std::string_view source, TimePoint now);
@@ -181,6 +184,15 @@
     void placeGang(ActiveStep& step, TimePoint now);
     bool placeTask(ActiveTask& task, TimePoint now);
     PlacementNeeds needsOf(const ActiveTask& task, TimePoint now);
+    // Includes the capacity that is held for the task there.
+    static Resources freeCapacityFor(const ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs);
+    // True if a starved task may be placed on the executor under relaxed conditions.
+    static bool isStarvedOn(const ActiveExecutor& executor, const PlacementNeeds& needs);
+    // Returns what keeps the task from the executor, apart from the pressure that it would cause.
+    PlacementObstacle obstacleOn(const ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs, TimePoint now) const;
+    // Returns the pressure on latency-critical tasks; none for a task that does not slow them down.
+    BestEffortPacer::Pressure pressureOn(ActiveExecutor& executor, const ActiveTask& task);
+    void reportStalledTasks(TimePoint now);
     // Returns std::nullopt if the task cannot run there now. The lowest cost is best.
     std::optional<double> placementCost(ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs, TimePoint now);
     // Returns nullptr if no executor can run the task now.
@@ -214,6 +226,7 @@
     const SchedulerLimits m_limits;
     EventSink& m_events;
     RunEventLog m_runEvents;
+    WaitingTaskMonitor m_waitingTaskMonitor;
     const std::uint64_t m_generation;
     // The highest fencing token given to any executor.
     std::uint64_t m_lastToken;
--- a/plantainhold/testing/jobs/RunEventLogTest.cpp
+++ b/plantainhold/testing/jobs/RunEventLogTest.cpp
@@ -1,6 +1,7 @@
 // Tests RunEventLog under thousands of starts and ends a second, each of which must be found in the log.
 
 #include "plantainhold/jobs/RunEventLog.h"
+#include "plantainhold/testing/jobs/KeptEvents.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -11,27 +12,6 @@
 
 namespace {
 
-    class KeptEvents final : public EventSink {
-    public:
-        void note(EventId id, std::initializer_list<EventField> fields) override
-        {
-            std::string line = std::to_string(static_cast<int>(id));
-            for (const EventField& it : fields)
-                line += " " + std::string(it.key) + "=" + textOf(it);
-            lines.push_back(line);
-        }
-
-        std::vector<std::string> lines;
-
-    private:
-        static std::string textOf(const EventField& field)
-        {
-            if (const auto* text = std::get_if<std::string_view>(&field.value))
-                return std::string(*text);
-            return std::to_string(std::get<std::int64_t>(field.value));
-        }
-    };
-
     TaskName task(std::uint32_t step, std::uint32_t index)
     {
         return { "0123456789abcdef", 0, step, index };
--- a/plantainhold/testing/jobs/SchedulerFixture.h
+++ b/plantainhold/testing/jobs/SchedulerFixture.h
@@ -5,6 +5,7 @@
 #include "plantainhold/jobs/JobCodec.h"
 #include "plantainhold/jobs/JobScheduler.h"
 #include "plantainhold/jobs/JobTable.h"
+#include "plantainhold/testing/jobs/KeptEvents.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -156,6 +157,7 @@
     }
 
     JobScheduler& scheduler() { return m_scheduler; }
+    const KeptEvents& events() const { return m_events; }
     TimePoint now() const { return m_now; }
 
 private:
@@ -166,7 +168,7 @@
     }
 
     SchedulerLimits m_limits;
-    NullEventSink m_events;
+    KeptEvents m_events;
     TimePoint m_now { std::chrono::hours(1) };
     JobTable m_table;
     std::uint64_t m_offset = 0;
