--- /dev/null
+++ b/plantainhold/testing/jobs/StalledPlacementTest.cpp
@@ -0,0 +1,123 @@
+// Tests that a task which could run is started, whatever kept it away before: no placement decision is
+// final, and what cannot run anywhere keeps nothing else away.
+
+#include "plantainhold/testing/jobs/SchedulerFixture.h"
+
+#include <catch2/catch.hpp>
+
+namespace plantainhold {
+
+namespace {
+
+    // The bound on a task that could run and does not.
+    constexpr Milliseconds s_bound { 3'000 };
+
+    StepSpec longRunning(std::uint32_t tasks, std::int64_t millicores)
+    {
+        StepSpec spec = SchedulerFixture::step(tasks, millicores);
+        spec.isLongRunning = true;
+        return spec;
+    }
+
+    void addExecutors(SchedulerFixture& fixture, std::int64_t millicores)
+    {
+        for (const char* it : { "w", "x", "y", "z" })
+            fixture.addExecutor(it, millicores);
+    }
+
+    // Reports of idle executors arrive in between.
+    std::size_t startsOfIdleFleet(SchedulerFixture& fixture, Milliseconds time)
+    {
+        std::size_t n = 0;
+        for (Milliseconds passed { 0 }; passed < time; passed += Milliseconds(100))
+            n += starts(fixture.advance(Milliseconds(100)));
+        return n;
+    }
+
+} // namespace
+
+// LOST: short tasks too large for any executor counted as demand, so the room of an idle fleet was kept for
+// them for ever, and a long-running task that had never run was not started.
+TEST_CASE("short tasks that fit nowhere keep no room from long-running tasks")
+{
+    SchedulerFixture fixture;
+    addExecutors(fixture, 8'000);
+    fixture.submit("large", 0, { SchedulerFixture::step(8, 9'000) });
+    fixture.advance();
+    startsOfIdleFleet(fixture, Milliseconds(20'000));
+    fixture.submit("j", 0, { longRunning(1, 1'000) });
+    CHECK(startsOfIdleFleet(fixture, s_bound) == 1);
+}
+
+// LOST: the same after the capacity of all executors had shrunk.
+TEST_CASE("short tasks that fit nowhere since capacity shrank keep no room from long-running tasks")
+{
+    SchedulerFixture fixture;
+    addExecutors(fixture, 8'000);
+    for (const char* it : { "w", "x", "y", "z" })
+        fixture.list(it, 4'000, 1);
+    fixture.submit("large", 0, { SchedulerFixture::step(8, 6'000) });
+    startsOfIdleFleet(fixture, Milliseconds(20'000));
+    fixture.submit("j", 0, { longRunning(1, 1'000) });
+    CHECK(startsOfIdleFleet(fixture, s_bound) == 1);
+}
+
+// LOST: tasks that wait for a label which no executor has were counted as demand.
+TEST_CASE("short tasks without an executor of their label keep no room from long-running tasks")
+{
+    SchedulerFixture fixture;
+    addExecutors(fixture, 8'000);
+    StepSpec labelled = SchedulerFixture::step(20, 4'000);
+    labelled.requiredLabel = "nobody has it";
+    fixture.submit("labelled", 0, { labelled });
+    startsOfIdleFleet(fixture, Milliseconds(20'000));
+    fixture.submit("j", 0, { longRunning(1, 1'000) });
+    CHECK(startsOfIdleFleet(fixture, s_bound) == 1);
+}
+
+// LOST: executors were avoided for a moment after they had refused a start. When that was over, nothing
+// asked for another round of placement.
+TEST_CASE("a task is placed again once the only executor is no longer avoided, without any other event")
+{
+    SchedulerFixture fixture;
+    fixture.addExecutor("x", 8'000);
+    fixture.answer(startJob(fixture), CommandResult::Unavailable);
+    CHECK(startsWithin(fixture, s_bound) == 1);
+}
+
+// LOST: a member of a gang may not start for a moment after a refusal. When that was over, nothing asked for
+// another round of placement.
+TEST_CASE("a gang is placed again after one of its starts was refused, without any other event")
+{
+    SchedulerFixture fixture;
+    fixture.addExecutor("x", 8'000);
+    fixture.addExecutor("y", 8'000);
+    StepSpec gang = SchedulerFixture::step(2, 1'000);
+    gang.isGang = true;
+    fixture.submit("j", 0, { gang });
+    std::vector<ExecutorCommand> commands = fixture.advance();
+    REQUIRE(starts(commands) == 2);
+    fixture.answer(commands, CommandResult::Unavailable);
+    CHECK(startsWithin(fixture, s_bound) == 2);
+}
+
+// LOST: a long-running task that never ran, and was kept away by the demand of short tasks, ended the turn of
+// its step. Another task of the step, which had run before, was not started again.
+TEST_CASE("a long-running task that ran before is started again though one before it waits")
+{
+    SchedulerFixture fixture;
+    JobProgress progress { JobState::Running, true, { { 0, 0, 1, 3, 0, false, {}, 0, {} } } };
+    fixture.addExecutor("x", 8'000);
+    // Demand that leaves no room for a task that never ran.
+    fixture.submit("short", 0, { SchedulerFixture::step(40, 3'900) });
+    startsOfIdleFleet(fixture, Milliseconds(10'000));
+    fixture.restore("j", { longRunning(2, 100) }, progress);
+    bool isStarted = false;
+    for (int i = 0; i < 30; ++i) {
+        for (const ExecutorCommand& it : fixture.advance(Milliseconds(100)))
+            isStarted = isStarted || (it.kind == CommandKind::Start && it.task == TaskName { "j", 0, 0, 1 });
+    }
+    CHECK(isStarted);
+}
+
+} // namespace plantainhold
