Take no order between incarnations from their start times

A restarted executor whose clock had been set back was ignored for ever: its reports and entries counted as those of a former incarnation, yet its calls succeeded, so no lease expired and its former runs counted as alive. An entry with a start time far ahead made its executor unusable in the same way.

Cause: a start time is a time of day, taken for an order. Class: a belief that no later event can correct. Now it only identifies an incarnation. What is newer follows from the order of our own calls: a report that was requested after the newest evidence of another incarnation arrived is later than it; one requested before may be either, is dropped with a line, and the next one tells. An incarnation that a report has replaced is remembered, so that a delayed write of its entry changes nothing. A list entry may be out of date, so it ends no run, and a 421 at a listed address only proves that the incarnation which the list names is gone.

Ruled out: keeping the order for the list alone; the list carries the same clock.

--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -22,6 +22,15 @@
     // Incarnation that the list of executors named last. The entry's may be newer, as a report or a
     // record told; its address is then that of a former one.
     std::int64_t listedUnixMs = 0;
+    // Incarnation that reported last; 0 if none has in this term.
+    std::int64_t reportedUnixMs = 0;
+    // When the newest evidence of the entry's incarnation arrived. A start time only identifies an
+    // incarnation: it comes from a clock that may be set back. Another incarnation is newer if its
+    // report was requested after this time.
+    TimePoint incarnationSeenAt {};
+    // Incarnations that are over, as later reports of others have proved; the newest ones.
+    static constexpr std::size_t s_maxFormerIncarnations = 8;
+    std::vector<std::int64_t> formerIncarnations;
     // True while the executor is in the list of executors.
     bool isListed = false;
     Resources reserved;
@@ -55,7 +64,7 @@
     std::uint64_t confirmedToken = 0;
     bool needsFence = true;
 
-    // Address from which this incarnation has reported, and when its first report from there arrived.
+    // Address from which the incarnation that reported last has done so, and when its first report from there arrived.
     std::string reportedAddress;
     TimePoint reportedSince {};
     // The executor's clock in its newest report, and when that report was requested and arrived. The
@@ -118,6 +127,7 @@
             sum += preemptible[i];
         return sum;
     }
+    bool isFormer(std::int64_t startedUnixMs) const { return std::find(formerIncarnations.begin(), formerIncarnations.end(), startedUnixMs) != formerIncarnations.end(); }
     Resources freeCapacity() const { return entry.capacity - reserved - nominated; }
     // True if best-effort tasks run beside latency-critical ones and may slow them down.
     bool isShared() const { return bestEffortRuns && latencyCriticalRuns; }
--- a/plantainhold/jobs/ActiveJob.cpp
+++ b/plantainhold/jobs/ActiveJob.cpp
@@ -111,7 +111,7 @@
                 it = { occurrence.number, step.number, task.index, task.lastRun, task.failures, isDone, {}, 0, isDone ? std::string() : task.checkpoint };
                 if (task.run) {
                     it.executor = task.run->executor->entry.id;
-                    it.executorStartedUnixMs = task.run->executor->entry.startedUnixMs;
+                    it.executorStartedUnixMs = task.run->incarnation ? task.run->incarnation : task.run->executor->entry.startedUnixMs;
                 }
             }
         }
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -52,6 +52,8 @@
     RunPhase phase = RunPhase::Recording;
     // Priority of the queue at the time of assignment.
     std::int32_t priority = 0;
+    // Incarnation of the executor to which the start was sent, or which listed the run.
+    std::int64_t incarnation = 0;
     // The newest fencing token that a start command for this run may have carried.
     std::uint64_t token = 0;
     TimePoint assignedAt {};
--- a/plantainhold/jobs/JobCommands.cpp
+++ b/plantainhold/jobs/JobCommands.cpp
@@ -43,6 +43,7 @@
     }
     ++executor.startsInFlight;
     task->run->token = executor.token;
+    task->run->incarnation = executor.entry.startedUnixMs;
     task->run->unseenLeaseExpiresAt = longestLeaseFrom(now + ExecutorPort::s_callTimeout);
     return SendParameters { executor.token, extendLease(executor, now) };
 }
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -156,16 +156,22 @@
     void stopStrayRun(ActiveExecutor& executor, const ReportedRun& reportedRun, TimePoint now);
     void noteUnexpectedRun(const ActiveExecutor& executor, const ReportedRun& reportedRun);
     void resolveMissingRuns(ActiveExecutor& executor, const ReportRequest& request, const ExecutorReport& report, TimePoint sentAt, TimePoint now);
+    // Notes that this incarnation has reported, so that the one that reported before is over.
+    static void noteReporting(ActiveExecutor& executor, std::int64_t startedUnixMs, TimePoint now);
+    static void addFormer(ActiveExecutor& executor, std::int64_t startedUnixMs);
     // Logs that something which the executor said of itself in this incarnation was not applied.
     void noteIgnored(const ActiveExecutor& executor, std::int64_t startedUnixMs, std::string_view source);
-    // Begins a new incarnation of the executor. Its runs stay until a report or the lease proves
-    // that they are over. `source` is what told of the restart, for the log.
-    void handleRestart(ActiveExecutor& executor, std::int64_t startedUnixMs, std::string_view source, TimePoint now);
+    // Takes another incarnation of the executor for the present one. Its runs stay until a report or the
+    // lease proves that they are over. A report proves that the incarnation known so far is over; the
+    // list may be out of date.
+    enum class RestartSource : std::uint8_t { List,
+        Report };
+    void handleRestart(ActiveExecutor& executor, std::int64_t startedUnixMs, RestartSource source, TimePoint now);
     // Handles a response from another executor at the address that was called.
     void handleReplacement(ActiveExecutor& executor, const CallResult& result, TimePoint now);
     void noteReplacement(const ActiveExecutor& executor, const CallResult& result, TimePoint now);
-    // Returns whether a response of another executor proves that this one is gone.
-    bool isGoneFrom(const ActiveExecutor& executor, const CallResult& result) const;
+    // Returns whether a response of another executor proves that the incarnation with the run is gone.
+    bool isGoneFrom(const ActiveRun& run, const CallResult& result) const;
     // Ends a run without a reported end. `reportAge` is the time since the report that proves it was
     // sent; zero if no report does.
     void loseRun(ActiveRun& run, std::string_view reason, Milliseconds reportAge, TimePoint now);
