Place waiting tasks again after a while, whether or not an event asks for it

The only executors for a task were avoided for a moment (after a refusal, an error or failures).

Cause: each condition that passes with time alone needs somebody who wakes, and several had nobody; wakeAt() outside of advance() is overwritten by it. Class: a decision that is not taken again. Now a round follows 500 ms after the last one while anything waits, so no condition needs a wake of its own.

Evidence: the test was red before. The case of a gang was green before and stays as a guard.

--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -13,6 +13,9 @@
     constexpr Milliseconds s_idleWake { 1'000 };
     // Minimum interval between two rounds of placement, so that changes close together are handled in one.
     constexpr Milliseconds s_placementInterval { 10 };
+    // While tasks wait, a round follows after this time though nothing has asked for one: what kept a task
+    // away may have passed with time alone.
+    constexpr Milliseconds s_placementRetry { 500 };
 
 } // namespace
 
@@ -181,13 +184,16 @@
     completeJobs(now);
     drainExecutors(now);
     moveSlowedRuns(now);
-    m_needsPlacement = m_needsPlacement || now >= m_placeAgainAt;
+    bool isRetryDue = !m_ready.empty() && now >= m_placedAt + s_placementRetry;
+    m_needsPlacement = m_needsPlacement || now >= m_placeAgainAt || isRetryDue;
     if (m_needsPlacement && now >= m_placedAt + s_placementInterval) {
         m_placedAt = now;
         place(now);
     } else if (m_needsPlacement) {
         wakeAt(m_placedAt + s_placementInterval);
     }
+    if (!m_ready.empty())
+        wakeAt(m_placedAt + s_placementRetry);
     reportStalledTasks(now);
     if (m_placeAgainAt != TimePoint::max())
         wakeAt(std::max(m_placeAgainAt, now + s_placementInterval));
