Let a task that cannot be placed end only the turn of tasks like it

In a long-running step, a task that never ran waits while short tasks need the room; one that ran before must be back within seconds. If the first one came first in the step, it ended the step's turn, and the other was not placed.

Cause: a rejection on one set of terms was applied to tasks with others. Now it counts for the tasks of the step that have the same terms: never run, or run before.

--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -4,6 +4,7 @@
 #include "plantainhold/jobs/JobScheduler.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -174,8 +175,11 @@
 void JobScheduler::placeStep(ActiveStep& step, TimePoint now)
 {
     m_candidates.clear();
+    // Whether a task that never ran, or one that did, found no executor. Others like it will not either.
+    std::array<bool, 2> isRejected {};
     for (ActiveTask& task : step.tasks) {
-        if (!task.isWaiting())
+        bool hasRun = task.lastRun > 0;
+        if (!task.isWaiting() || isRejected[hasRun])
             continue;
         if (task.notBefore > now) {
             wakeAt(task.notBefore);
@@ -186,8 +190,7 @@
             continue;
         // Runs that were stopped before they started may have freed capacity.
         m_candidates.clear();
-        if (!preemptFor(task, now))
-            return;
+        isRejected[hasRun] = !preemptFor(task, now);
     }
 }
 
