Count only demand that some executor of the service can serve

Short tasks that fit nowhere (too large, also since a capacity shrank; a label that nobody has) counted as demand, so a long-running task that never ran was kept out of an idle fleet for ever. All sums ran over all services together: a full service kept the room of an idle one, and also the way out of a starved best-effort job depended on it. Besides, steps that nobody can run used up the 400 steps of a round.

Cause: a sum over everything was taken for a statement about one thing. Now the load is kept by service, steps that no listed executor could run take part in neither the sums nor the round, and a long-running task that never ran waits for short tasks for at most 1.5 s while less than half of its service is reserved.

--- a/plantainhold/jobs/Eligibility.cpp
+++ b/plantainhold/jobs/Eligibility.cpp
@@ -21,6 +21,15 @@
     return n;
 }
 
+bool canRunSomewhere(const ActiveStep& step, std::span<ActiveExecutor* const> executors)
+{
+    const StepSpec& spec = *step.spec;
+    const std::string& service = step.job().queue.service;
+    return std::any_of(executors.begin(), executors.end(), [&](const ActiveExecutor* it) {
+        return it->isListed && it->entry.service == service && spec.reserved().fitsIn(it->entry.capacity) && hasLabel(*it, spec.requiredLabel);
+    });
+}
+
 PlacementObstacle workObstacle(const ActiveExecutor& executor, TimePoint now)
 {
     if (!executor.isListed)
--- a/plantainhold/jobs/Eligibility.h
+++ b/plantainhold/jobs/Eligibility.h
@@ -5,6 +5,7 @@
 #include "plantainhold/ports/Clock.h"
 
 #include <cstdint>
+#include <span>
 #include <string_view>
 
 namespace plantainhold {
@@ -16,6 +17,9 @@
 // empty label.
 bool hasLabel(const ActiveExecutor& executor, std::string_view label);
 std::uint32_t tasksOn(const ActiveExecutor& executor, const ActiveStep& step);
+// True if an executor that is listed has the service, the label and, when empty, the capacity for a task of the
+// step. Whether it accepts work now does not count.
+bool canRunSomewhere(const ActiveStep& step, std::span<ActiveExecutor* const> executors);
 // Returns why the executor accepts no work; None if it does.
 PlacementObstacle workObstacle(const ActiveExecutor& executor, TimePoint now);
 // Returns None if the executor accepts work, serves the queue, was approved by advice if the queue requires
--- a/plantainhold/jobs/FleetLoad.cpp
+++ b/plantainhold/jobs/FleetLoad.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr double s_fullyReservedShare = 0.7;
+    constexpr double s_mostlyFreeShare = 0.5;
     // Time constant of the smoothed demand of short tasks, in seconds.
     constexpr double s_demandSeconds = 6;
     // Initial estimates, until demand has been observed: fraction of the capacity, and millicores
@@ -27,57 +28,93 @@
 
 } // namespace
 
-void FleetLoad::update(std::span<ActiveExecutor* const> executors, const std::unordered_set<ActiveStep*>& readySteps, TimePoint now)
+void FleetLoad::update(std::span<ActiveExecutor* const> executors, std::span<ActiveStep* const> steps, TimePoint now)
 {
-    double demand = 0;
-    std::int64_t capacity = 0;
-    std::int64_t reserved = 0;
-    std::int64_t largest = 0;
+    for (auto& [name, it] : m_services) {
+        it.capacity = it.reserved = it.largest = it.shortTaskCapacity = 0;
+        it.demand = 0;
+    }
     for (const ActiveExecutor* it : executors) {
-        reserved += it->reserved.millicores;
-        demand += static_cast<double>(it->reserved.millicores - it->latencyCriticalMillicores);
-        capacity += it->entry.capacity.millicores;
+        ServiceLoad& load = m_services[it->entry.service];
+        load.capacity += it->entry.capacity.millicores;
+        load.reserved += it->reserved.millicores;
+        load.demand += static_cast<double>(it->reserved.millicores - it->latencyCriticalMillicores);
     }
-    for (const ActiveStep* it : readySteps) {
+    for (const ActiveStep* it : steps) {
         if (it->spec->isLongRunning || it->spec->isBestEffort())
             continue;
-        demand += static_cast<double>(it->waitingTasks() * it->spec->resources.millicores);
-        largest = std::max(largest, it->spec->resources.millicores);
+        ServiceLoad& load = m_services[it->job().queue.service];
+        load.demand += static_cast<double>(it->waitingTasks() * it->spec->resources.millicores);
+        load.largest = std::max(load.largest, it->spec->resources.millicores);
+    }
+    for (auto& [name, it] : m_services)
+        it.smoothDemand(now);
+    for (const ActiveExecutor* it : executors) {
+        if (it->isListed)
+            add(*it);
     }
-    m_isMostlyReserved = static_cast<double>(reserved) >= s_fullyReservedShare * static_cast<double>(capacity);
-    smoothDemand(demand, largest, capacity, now);
-    m_shortTaskCapacity = 0;
-    for (const ActiveExecutor* it : executors)
-        m_shortTaskCapacity += it->isListed ? shortTaskCapacity(*it, {}) : 0;
 }
 
-void FleetLoad::smoothDemand(double demand, std::int64_t largest, std::int64_t capacity, TimePoint now)
+void FleetLoad::ServiceLoad::smoothDemand(TimePoint now)
 {
-    double seconds = std::chrono::duration<double>(now - m_demandAt).count();
+    double seconds = std::chrono::duration<double>(now - demandAt).count();
     double share = 1 - std::exp(-seconds / s_demandSeconds);
-    if (m_demandAt == TimePoint {}) {
+    if (demandAt == TimePoint {}) {
         // At the beginning of a term no demand has been observed.
-        m_shortTaskDemand = s_initialDemandShare * static_cast<double>(capacity);
-        m_shortTaskSize = s_initialTaskSize;
+        shortTaskDemand = s_initialDemandShare * static_cast<double>(capacity);
+        shortTaskSize = s_initialTaskSize;
         share = 0;
     }
     if (capacity)
-        m_demandAt = now;
-    m_shortTaskDemand += share * (demand - m_shortTaskDemand);
-    m_shortTaskSize = std::max(static_cast<double>(largest) * s_taskShare, m_shortTaskSize * (1 - share / s_taskMemory));
+        demandAt = now;
+    shortTaskDemand += share * (demand - shortTaskDemand);
+    shortTaskSize = std::max(static_cast<double>(largest) * s_taskShare, shortTaskSize * (1 - share / s_taskMemory));
+}
+
+std::int64_t FleetLoad::ServiceLoad::shortTaskCapacityOn(const ActiveExecutor& executor, const Resources& without) const
+{
+    std::int64_t freeCapacity = executor.freeCapacity().millicores - without.millicores;
+    std::int64_t inUse = executor.reserved.millicores - executor.latencyCriticalMillicores;
+    return (freeCapacity >= static_cast<std::int64_t>(shortTaskSize) ? freeCapacity : 0) + inUse;
+}
+
+const FleetLoad::ServiceLoad* FleetLoad::find(std::string_view service) const
+{
+    auto it = m_services.find(service);
+    return it == m_services.end() ? nullptr : &it->second;
+}
+
+bool FleetLoad::isMostlyReserved(std::string_view service) const
+{
+    const ServiceLoad* load = find(service);
+    return load && static_cast<double>(load->reserved) >= s_fullyReservedShare * static_cast<double>(load->capacity);
+}
+
+bool FleetLoad::isMostlyFree(std::string_view service) const
+{
+    const ServiceLoad* load = find(service);
+    return load && static_cast<double>(load->reserved) < s_mostlyFreeShare * static_cast<double>(load->capacity);
 }
 
 bool FleetLoad::leavesRoomForShortTasks(const ActiveExecutor& executor, const Resources& wanted) const
 {
-    std::int64_t left = m_shortTaskCapacity - shortTaskCapacity(executor, {}) + shortTaskCapacity(executor, wanted);
-    return left >= static_cast<std::int64_t>(s_demandMargin * m_shortTaskDemand);
+    const ServiceLoad* load = find(executor.entry.service);
+    if (!load)
+        return true;
+    std::int64_t left = load->shortTaskCapacity - load->shortTaskCapacityOn(executor, {}) + load->shortTaskCapacityOn(executor, wanted);
+    return left >= static_cast<std::int64_t>(s_demandMargin * load->shortTaskDemand);
 }
 
-std::int64_t FleetLoad::shortTaskCapacity(const ActiveExecutor& executor, const Resources& without) const
+void FleetLoad::remove(const ActiveExecutor& executor)
 {
-    std::int64_t freeCapacity = executor.freeCapacity().millicores - without.millicores;
-    std::int64_t inUse = executor.reserved.millicores - executor.latencyCriticalMillicores;
-    return (freeCapacity >= static_cast<std::int64_t>(m_shortTaskSize) ? freeCapacity : 0) + inUse;
+    ServiceLoad& load = m_services[executor.entry.service];
+    load.shortTaskCapacity -= load.shortTaskCapacityOn(executor, {});
+}
+
+void FleetLoad::add(const ActiveExecutor& executor)
+{
+    ServiceLoad& load = m_services[executor.entry.service];
+    load.shortTaskCapacity += load.shortTaskCapacityOn(executor, {});
 }
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace plantainhold {
@@ -25,7 +26,8 @@
     constexpr double s_pressureWeight = 200;
     // A best-effort job without a running task for this long gets one task placed despite the
     // pressure, on an executor with few other best-effort runs; but not while most of the capacity
-    // is reserved, when such runs would slow down many callers and get nowhere.
+    // is reserved, when such runs would slow down many callers and get nowhere. A long-running task that
+    // never ran waits as long for short tasks while most of the capacity is free.
     constexpr Milliseconds s_starvedAfter { 1'500 };
     constexpr std::uint32_t s_starvedNeighbours = 1;
     constexpr double s_otherImageCost = 40;
@@ -99,8 +101,10 @@
     m_placeAgainAt = TimePoint::max();
     m_round.begin();
     std::size_t scanned = 0;
-    m_load.update(m_executorList, m_ready, now);
-    std::vector<ActiveStep*> steps(m_ready.begin(), m_ready.end());
+    // What no executor can run takes no turn from others.
+    std::vector<ActiveStep*> steps;
+    std::copy_if(m_ready.begin(), m_ready.end(), std::back_inserter(steps), [this](const ActiveStep* it) { return canRunSomewhere(*it, m_executorList); });
+    m_load.update(m_executorList, steps, now);
     m_prioritizer.sort(steps, now);
     for (ActiveStep* it : steps) {
         ActiveStep& step = *it;
@@ -109,7 +113,7 @@
         const StepSpec& spec = *step.spec;
         auto waiting = std::find_if(step.tasks.begin(), step.tasks.end(), [](const ActiveTask& task) { return task.isWaiting(); });
         TimePoint starved = waiting == step.tasks.end() ? TimePoint::max() : starvedSince(*waiting);
-        if (spec.isBestEffort() && now < starved)
+        if (now < starved)
             m_placeAgainAt = std::min(m_placeAgainAt, starved);
         if (step.lacksAdvice(now))
             requestAdvice(step, now);
@@ -227,9 +231,14 @@
 TimePoint JobScheduler::starvedSince(const ActiveTask& task) const
 {
     const ActiveStep& step = *task.step;
-    if (!step.spec->isBestEffort() || step.occurrence->placedTasks() || m_load.isMostlyReserved())
-        return TimePoint::max();
-    return task.waitingSince + s_starvedAfter;
+    bool isBestEffort = step.spec->isBestEffort() && !step.occurrence->placedTasks();
+    if (isBestEffort && !m_load.isMostlyReserved(step.job().queue.service))
+        return task.waitingSince + s_starvedAfter;
+    // A long-running task that never ran gives way to short tasks only while there are many of them.
+    bool isNew = step.spec->isLongRunning && !task.lastRun;
+    if (isNew && m_load.isMostlyFree(step.job().queue.service))
+        return task.waitingSince + s_starvedAfter;
+    return TimePoint::max();
 }
 
 PlacementNeeds JobScheduler::needsOf(const ActiveTask& task, TimePoint now)
@@ -261,7 +270,7 @@
     if (spec.isBestEffort() && !isStarvedOn(executor, needs) && bestEffortLoad(executor, spec) > s_bestEffortLoadLimit)
         return PlacementObstacle::BestEffortLoad;
     // A long-running task that never ran leaves capacity to short tasks, which are worth more per core.
-    bool isLeftToShortTasks = spec.isLongRunning && !task.lastRun && !m_load.leavesRoomForShortTasks(executor, needs.wanted);
+    bool isLeftToShortTasks = spec.isLongRunning && !task.lastRun && !needs.isStarved && !m_load.leavesRoomForShortTasks(executor, needs.wanted);
     return isLeftToShortTasks ? PlacementObstacle::RoomForShortTasks : PlacementObstacle::None;
 }
 
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -207,7 +207,7 @@
     void clearNomination(ActiveTask& task);
     void drainExecutors(TimePoint now);
     void moveSlowedRuns(TimePoint now);
-    // Returns when the task is placed despite heavy pressure; max() if never.
+    // Returns when the task is placed despite heavy pressure, or despite the demand of short tasks; max() if never.
     TimePoint starvedSince(const ActiveTask& task) const;
     void sendPaces(ActiveExecutor& executor, TimePoint now);
     void requestStop(ActiveRun& run, TimePoint now);
--- a/plantainhold/testing/jobs/FleetLoadTest.cpp
+++ b/plantainhold/testing/jobs/FleetLoadTest.cpp
@@ -36,7 +36,7 @@
     Fleet fleet;
     fleet.load.update(fleet.list, {}, s_start);
     CHECK(fleet.load.leavesRoomForShortTasks(fleet.executors[0], s_longRunning));
-    CHECK_FALSE(fleet.load.isMostlyReserved());
+    CHECK_FALSE(fleet.load.isMostlyReserved({}));
 }
 
 TEST_CASE("long-running tasks leave room for short tasks that keep arriving")
@@ -49,7 +49,7 @@
     for (int i = 0; i < 60; ++i)
         fleet.load.update(fleet.list, {}, s_start + std::chrono::seconds(i));
     CHECK_FALSE(fleet.load.leavesRoomForShortTasks(fleet.executors[1], { 4'000, 0, 0 }));
-    CHECK(fleet.load.isMostlyReserved());
+    CHECK(fleet.load.isMostlyReserved({}));
 }
 
 TEST_CASE("a placement within a round counts at once")
@@ -65,6 +65,22 @@
     CHECK_FALSE(fleet.load.leavesRoomForShortTasks(fleet.executors[0], { 1'000, 0, 0 }));
 }
 
+// Sums over all services spoke about each of them: a full service kept the room of an idle one.
+TEST_CASE("the load of one service says nothing about another")
+{
+    Fleet fleet;
+    fleet.executors[0].entry.service = "full";
+    fleet.executors[0].reserved = { 10'000, 0, 0 };
+    fleet.executors[1].entry.service = "idle";
+    for (int i = 0; i < 60; ++i)
+        fleet.load.update(fleet.list, {}, s_start + std::chrono::seconds(i));
+    CHECK(fleet.load.isMostlyReserved("full"));
+    CHECK_FALSE(fleet.load.isMostlyReserved("idle"));
+    CHECK(fleet.load.isMostlyFree("idle"));
+    CHECK_FALSE(fleet.load.isMostlyFree("full"));
+    CHECK(fleet.load.leavesRoomForShortTasks(fleet.executors[1], s_longRunning));
+}
+
 TEST_CASE("an empty fleet holds nothing back for short tasks")
 {
     FleetLoad load;
