Give up tasks that crash the executors that start them

Cause: nothing connected a crash with the runs that had begun there. Class: evidence without an owner.

Now each crash of an executor (a new incarnation reports, another executor has its address, or it left the list and its lease expired; not a cut, not an announced leave) counts under the tasks whose runs had begun there or may have. The counts are stored with the job's progress before the next start, so they survive a change of owner. Neighbours must not be convicted: the moment tells. A run that began within 250 ms before the executor was last heard makes its task a suspect; one that worked for 5 s is cleared. Suspects run on an empty executor, or else on one where nothing has begun for 400 ms, nothing is placed beside them, and one of a step runs at a time. A task is given up after two crashes soon after its start, one of them with no other possible cause and no unexplained crash of another executor within 2 s before and 1 s after; or after four crashes, whatever they tell. An end, also a failure, clears it. Gangs are not secluded; a member is counted like any task. A long-running task is cleared by 5 s at work.

Ruled out: a bound on lost runs alone, which gives up neighbours.

--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -2,6 +2,7 @@
 // how many run ends are recorded, and its recent behaviour.
 #pragma once
 
+#include "plantainhold/jobs/CrashEvidence.h"
 #include "plantainhold/jobs/ExecutorReport.h"
 #include "plantainhold/ports/Clock.h"
 
@@ -16,6 +17,15 @@
 
 struct ActiveRun;
 
+// A run that was given up because the lease of its executor expired.
+struct ExpiredRun {
+    TaskName task;
+    std::uint32_t number = 0;
+    std::string executor;
+    std::int64_t incarnation = 0;
+    CrashRelation crash = CrashRelation::None;
+};
+
 struct ActiveExecutor {
     ExecutorEntry entry;
     std::string rack;
@@ -53,6 +63,8 @@
     // Numbers of runs of latency-critical tasks, and of best-effort tasks, which may disturb them.
     std::uint32_t latencyCriticalRuns = 0;
     std::uint32_t bestEffortRuns = 0;
+    // Number of runs of tasks that may crash the executor. Nothing else is placed beside them.
+    std::uint32_t suspectRuns = 0;
     // Millicores requested by best-effort tasks, and reserved by latency-critical tasks.
     std::int64_t bestEffortMillicores = 0;
     std::int64_t latencyCriticalMillicores = 0;
@@ -67,6 +79,10 @@
     // Address from which the incarnation that reported last has done so, and when its first report from there arrived.
     std::string reportedAddress;
     TimePoint reportedSince {};
+    // When the newest response that shows the present incarnation arrived.
+    TimePoint heardAt {};
+    // Runs given up here whose executor may have crashed, or may have been cut off: its next report tells.
+    std::vector<ExpiredRun> expiredRuns;
     // The executor's clock in its newest report, and when that report was requested and arrived. The
     // executor read the clock at some time in between.
     bool hasClock = false;
--- a/plantainhold/jobs/ActiveJob.cpp
+++ b/plantainhold/jobs/ActiveJob.cpp
@@ -22,6 +22,11 @@
     return it == tickets.end() ? std::string() : it->second;
 }
 
+bool ActiveStep::hasSuspectRun() const
+{
+    return std::any_of(tasks.begin(), tasks.end(), [](const ActiveTask& it) { return it.run && it.run->isSuspect; });
+}
+
 bool ActiveStep::lacksAdvice(TimePoint now) const
 {
     return job().queue.needsAdvice && now >= ticketsUntil;
@@ -104,11 +109,11 @@
     for (const ActiveOccurrence& occurrence : occurrences) {
         for (const ActiveStep& step : occurrence.steps) {
             for (const ActiveTask& task : step.tasks) {
-                if (!task.lastRun && !task.failures && !task.isDone)
+                if (!task.lastRun && !task.failures && !task.isDone && task.crashes == CrashCounts {})
                     continue;
                 bool isDone = task.isDone || task.wasDoneByEarlierRun;
                 TaskProgress& it = progress.tasks.emplace_back();
-                it = { occurrence.number, step.number, task.index, task.lastRun, task.failures, isDone, {}, 0, isDone ? std::string() : task.checkpoint };
+                it = { occurrence.number, step.number, task.index, task.lastRun, task.failures, isDone, {}, 0, isDone ? std::string() : task.checkpoint, task.crashes };
                 if (task.run) {
                     it.executor = task.run->executor->entry.id;
                     it.executorStartedUnixMs = task.run->incarnation ? task.run->incarnation : task.run->executor->entry.startedUnixMs;
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -2,6 +2,7 @@
 // newest checkpoint.
 #pragma once
 
+#include "plantainhold/jobs/CrashEvidence.h"
 #include "plantainhold/jobs/ExecutorReport.h"
 #include "plantainhold/jobs/HeadroomTrend.h"
 #include "plantainhold/jobs/JobProgress.h"
@@ -57,6 +58,13 @@
     // The newest fencing token that a start command for this run may have carried.
     std::uint64_t token = 0;
     TimePoint assignedAt {};
+    // When this owner sent the start.
+    TimePoint sentAt {};
+    // How the run relates to the crash of its executor, if that has crashed; the task counts it once the run
+    // is lost.
+    CrashRelation crash = CrashRelation::None;
+    // The task was a suspect when the run was placed, so it runs alone.
+    bool isSuspect = false;
     // Until a report lists the run, an incarnation that the owner does not know of may have it, under a
     // lease that lasts up to this time.
     TimePoint unseenLeaseExpiresAt {};
@@ -97,6 +105,7 @@
     std::uint32_t index = 0;
     std::uint32_t lastRun = 0;
     std::uint32_t failures = 0;
+    CrashCounts crashes;
     bool isDone = false;
     // An earlier run completed after it had been given up. The task becomes done once its present
     // run has ended.
@@ -128,6 +137,8 @@
     TimePoint ticketsUntil {};
     bool isAdviceRequested = false;
     TimePoint requestAdviceAfter {};
+    // Until this time it is not decided whether one of the tasks crashes its executors.
+    TimePoint verdictAt {};
     // Duration of the longest run of its tasks that was neither slowed down nor resumed; 0 if there
     // was none.
     Milliseconds longestRun { 0 };
@@ -139,6 +150,8 @@
     ActiveJob& job() const;
     // Returns an empty string if the executor has no ticket.
     std::string ticketFor(const std::string& executor) const;
+    // True if a task of the step that may crash its executor has a run.
+    bool hasSuspectRun() const;
     // True if the queue needs advice and no valid advice is held.
     bool lacksAdvice(TimePoint now) const;
 };
--- /dev/null
+++ b/plantainhold/jobs/CrashEvidence.h
@@ -0,0 +1,65 @@
+// What crashes of executors tell about a task that ran there. A task may crash each executor that
+// starts it; but an executor carries many tasks, and all of them are on it when it crashes. So a crash
+// alone convicts nobody: it makes those tasks suspects that it followed closely, suspects run alone, and a
+// crash under a task that ran alone convicts it. An end, or some seconds of work, clears it.
+#pragma once
+
+#include "plantainhold/ports/Clock.h"
+
+#include <cstdint>
+#include <deque>
+
+namespace plantainhold {
+
+enum class CrashRelation : std::uint8_t { None,
+    // The executor crashed some time after the run had begun.
+    Later,
+    // It crashed soon after, but soon after others had begun too.
+    Soon,
+    // It crashed soon after this run had begun, and no other.
+    SoonAlone };
+
+// The crashes under one task, stored with its progress. No method is thread-safe.
+struct CrashCounts {
+    // Executors that crashed while a run of the task had begun there, or may have.
+    std::uint32_t all = 0;
+    // Those of them that crashed soon after the run had begun.
+    std::uint32_t soon = 0;
+    // Those of them that crashed soon after no other run had begun, and while no other executor crashed.
+    std::uint32_t alone = 0;
+
+    // Begun this long before the crash, or less, a run counts as a possible cause.
+    static constexpr Milliseconds s_soonLimit { 250 };
+    // A run that was at work for this long is no cause.
+    static constexpr Milliseconds s_soundAfter { 5'000 };
+    // Crashes after which a task is given up, whatever else they tell.
+    static constexpr std::uint32_t s_limit = 4;
+    static constexpr std::uint32_t s_limitSoon = 2;
+
+    void add(CrashRelation relation);
+    // True if the task should run alone.
+    bool isSuspect() const { return soon > 0 || all >= s_limitSoon; }
+    // True if the task should not be started again.
+    bool isConvicted() const { return all >= s_limit || (alone > 0 && soon >= s_limitSoon); }
+    bool operator==(const CrashCounts&) const = default;
+};
+
+// Tells whether executors crash at the same time for another reason, such as a lost rack. No method is
+// thread-safe.
+class CrashSeries {
+public:
+    // How long after a crash others are still waited for, and how long before it they count.
+    static constexpr Milliseconds s_after { 1'000 };
+    static constexpr Milliseconds s_before { 2'000 };
+
+    // Notes a crash of an executor on which no run had begun shortly before.
+    void addUnexplained(TimePoint when) { m_unexplained.push_back(when); }
+    // Returns whether such a crash was noticed near the time. Precondition: it is over by s_after. Forgets
+    // earlier ones, so times must not decrease by more than s_after.
+    bool hasUnexplainedNear(TimePoint when);
+
+private:
+    std::deque<TimePoint> m_unexplained;
+};
+
+} // namespace plantainhold
--- a/plantainhold/jobs/Eligibility.cpp
+++ b/plantainhold/jobs/Eligibility.cpp
@@ -54,6 +54,8 @@
         return PlacementObstacle::MissingLabel;
     if (step.job().queue.needsAdvice && !step.tickets.contains(executor.entry.id))
         return PlacementObstacle::NoTicket;
+    if (executor.suspectRuns)
+        return PlacementObstacle::SuspectThere;
     bool isOneTooMany = spec.maxPerExecutor && tasksOn(executor, step) >= spec.maxPerExecutor;
     return isOneTooMany ? PlacementObstacle::TooManyOfStep : PlacementObstacle::None;
 }
--- a/plantainhold/jobs/JobCodec.cpp
+++ b/plantainhold/jobs/JobCodec.cpp
@@ -67,6 +67,9 @@
         record.set_executor(task.executor);
         record.set_executor_born_unix_ms(task.executorStartedUnixMs);
         record.set_checkpoint(task.checkpoint);
+        record.set_crashes(task.crashes.all);
+        record.set_soon_crashes(task.crashes.soon);
+        record.set_alone_crashes(task.crashes.alone);
     }
 
     TaskProgress decodeTask(const wire::TaskProgressRecord& record)
@@ -81,6 +84,7 @@
         task.executor = record.executor();
         task.executorStartedUnixMs = record.executor_born_unix_ms();
         task.checkpoint = record.checkpoint();
+        task.crashes = { record.crashes(), record.soon_crashes(), record.alone_crashes() };
         return task;
     }
 
--- a/plantainhold/jobs/JobCommands.cpp
+++ b/plantainhold/jobs/JobCommands.cpp
@@ -43,6 +43,7 @@
     }
     ++executor.startsInFlight;
     task->run->token = executor.token;
+    task->run->sentAt = now;
     task->run->incarnation = executor.entry.startedUnixMs;
     task->run->unseenLeaseExpiresAt = longestLeaseFrom(now + ExecutorPort::s_callTimeout);
     return SendParameters { executor.token, extendLease(executor, now) };
@@ -56,6 +57,8 @@
         return;
     ActiveExecutor& executor = *found->second;
     bool isSameIncarnation = result.clockMs && fitsClock(executor, *result.clockMs, result.sentAt, now);
+    if (isSameIncarnation)
+        executor.heardAt = now;
     if (command.kind == CommandKind::Start && executor.startsInFlight) {
         --executor.startsInFlight;
         if (!isSameIncarnation)
--- /dev/null
+++ b/plantainhold/jobs/JobCrashes.cpp
@@ -0,0 +1,140 @@
+// The part of JobScheduler that finds tasks which crash their executors, lets suspects run alone, and gives
+// up the jobs of those that are convicted.
+
+#include "plantainhold/jobs/JobScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantainhold {
+
+namespace {
+
+    // How long a suspect waits for an executor of its own, and for one where nothing has begun for a while.
+    // After that it runs anywhere.
+    constexpr Milliseconds s_emptyWait { 1'000 };
+    constexpr Milliseconds s_seclusionWait { 4'000 };
+    // Longer than CrashCounts::s_soonLimit, so that a crash can be told from that of a run which began before.
+    constexpr Milliseconds s_quietTime { 400 };
+
+    std::string_view nameOf(CrashRelation relation)
+    {
+        constexpr std::string_view s_names[] = { "none", "later", "soon", "soon_alone" };
+        return s_names[static_cast<std::size_t>(relation)];
+    }
+
+} // namespace
+
+bool JobScheduler::awaitsSeclusion(const ActiveTask& task, TimePoint now)
+{
+    return task.crashes.isSuspect() && !task.step->spec->isGang && now < task.waitingSince + s_seclusionWait;
+}
+
+bool JobScheduler::isSecludedOn(const ActiveExecutor& executor, const ActiveTask& task, TimePoint now)
+{
+    if (!awaitsSeclusion(task, now) || executor.runs.empty())
+        return true;
+    if (now < task.waitingSince + s_emptyWait)
+        return false;
+    return std::all_of(executor.runs.begin(), executor.runs.end(), [&](const ActiveRun* it) { return it->phase == RunPhase::Running && now >= it->assignedAt + s_quietTime; });
+}
+
+void JobScheduler::markCrash(ActiveExecutor& executor, std::int64_t survivor, TimePoint now)
+{
+    // What runs on an executor that leaves as announced ends with it.
+    if (executor.entry.isDraining)
+        return;
+    std::vector<ActiveRun*> soon;
+    for (ActiveRun* it : executor.runs) {
+        bool isConcerned = it->phase != RunPhase::Recording && it->incarnation != survivor && it->crash == CrashRelation::None;
+        if (!isConcerned || executor.heardAt >= it->assignedAt + CrashCounts::s_soundAfter)
+            continue;
+        it->crash = CrashRelation::Later;
+        if (it->sentAt != TimePoint {} && it->sentAt + CrashCounts::s_soonLimit >= executor.heardAt)
+            soon.push_back(it);
+    }
+    for (ActiveRun* it : soon)
+        it->crash = soon.size() == 1 ? CrashRelation::SoonAlone : CrashRelation::Soon;
+    if (soon.empty() && executor.reportedUnixMs)
+        m_crashSeries.addUnexplained(now);
+}
+
+void JobScheduler::countCrash(ActiveTask& task, const ExpiredRun& run, TimePoint now)
+{
+    task.crashes.add(run.crash);
+    m_events.note(EventId::TaskCrashedExecutor, { { "task", task.name().text() }, { "run", run.number }, { "executor", run.executor }, { "incarnation", run.incarnation }, { "relation", nameOf(run.crash) }, { "crashes", task.crashes.all }, { "soon", task.crashes.soon }, { "alone", task.crashes.alone } });
+    judgeLater(task, run.crash, now);
+    markDirty(task.step->job());
+}
+
+void JobScheduler::judgeLater(ActiveTask& task, CrashRelation relation, TimePoint now)
+{
+    m_suspicions.push_back({ task.name(), relation, now });
+    CrashCounts worst = task.crashes;
+    worst.alone += relation == CrashRelation::SoonAlone;
+    if (!worst.isConvicted())
+        return;
+    // Other crashes of the same moment may not be known yet. The step's other suspects wait as well.
+    task.notBefore = std::max(task.notBefore, now + CrashSeries::s_after);
+    task.step->verdictAt = task.notBefore;
+}
+
+void JobScheduler::noteExpired(ActiveExecutor& executor, ActiveRun& run)
+{
+    bool isSound = executor.heardAt >= run.assignedAt + CrashCounts::s_soundAfter;
+    if (isSound || executor.entry.isDraining || run.crash != CrashRelation::None)
+        return;
+    if (executor.isListed)
+        executor.expiredRuns.push_back({ run.task->name(), run.number, executor.entry.id, run.incarnation, CrashRelation::Later });
+    else
+        run.crash = CrashRelation::Later;
+}
+
+void JobScheduler::countExpired(ActiveExecutor& executor, std::int64_t survivor, TimePoint now)
+{
+    for (const ExpiredRun& it : std::exchange(executor.expiredRuns, {})) {
+        auto found = m_jobs.find(it.task.job);
+        ActiveTask* task = found == m_jobs.end() ? nullptr : found->second->find(it.task);
+        if (task && !task->isDone && it.incarnation != survivor && !isFinal(found->second->state))
+            countCrash(*task, it, now);
+    }
+}
+
+void JobScheduler::judgeSuspects(TimePoint now)
+{
+    while (!m_suspicions.empty() && now >= m_suspicions.front().when + CrashSeries::s_after) {
+        Suspicion suspicion = std::move(m_suspicions.front());
+        m_suspicions.pop_front();
+        auto found = m_jobs.find(suspicion.task.job);
+        ActiveTask* task = found == m_jobs.end() ? nullptr : found->second->find(suspicion.task);
+        if (!task || task->isDone || isFinal(found->second->state))
+            continue;
+        bool isAlone = suspicion.relation == CrashRelation::SoonAlone && !m_crashSeries.hasUnexplainedNear(suspicion.when);
+        task->crashes.alone += isAlone;
+        if (task->crashes.isConvicted())
+            giveUp(*task, now);
+        else if (isAlone)
+            markDirty(task->step->job());
+    }
+    if (!m_suspicions.empty())
+        wakeAt(m_suspicions.front().when + CrashSeries::s_after);
+}
+
+void JobScheduler::giveUp(ActiveTask& task, TimePoint now)
+{
+    ActiveJob& job = task.step->job();
+    m_events.note(EventId::JobEnded, { { "job", job.id }, { "state", "failed" }, { "reason", "executors crashed under a task" }, { "task", task.name().text() }, { "crashes", task.crashes.all }, { "soon", task.crashes.soon }, { "alone", task.crashes.alone } });
+    finish(job, JobState::Failed, now);
+}
+
+void JobScheduler::clearSuspect(ActiveTask& task)
+{
+    if (task.crashes == CrashCounts {})
+        return;
+    task.crashes = {};
+    markDirty(task.step->job());
+    if (task.run && std::exchange(task.run->isSuspect, false))
+        --task.run->executor->suspectRuns;
+}
+
+} // namespace plantainhold
--- a/plantainhold/jobs/JobEnds.cpp
+++ b/plantainhold/jobs/JobEnds.cpp
@@ -89,6 +89,8 @@
     if (!end.checkpoint.empty())
         task.run->checkpoint = end.checkpoint;
     bool wasStopWanted = task.run->isStopRequested;
+    if (end.kind == EndKind::Done || end.kind == EndKind::Failed)
+        clearSuspect(task);
     if (end.kind == EndKind::Done && !isLongRunning)
         learnDuration(task, executor, now);
     if (end.kind == EndKind::Done && !isLongRunning) {
--- a/plantainhold/jobs/JobLeases.cpp
+++ b/plantainhold/jobs/JobLeases.cpp
@@ -17,6 +17,8 @@
     constexpr Milliseconds s_clockTolerance { 5 };
     // How long an executor is polled for the ends of runs that were given up.
     constexpr Milliseconds s_uncertainTime { 8'000 };
+    // No incarnation has this start time.
+    constexpr std::int64_t s_noIncarnation = -1;
 
 } // namespace
 
@@ -106,13 +108,17 @@
         noteReplacement(executor, result, now);
     executor.isListed = false;
     ++executor.failedCalls;
-    std::vector<ActiveRun*> runs = executor.runs;
-    for (ActiveRun* it : runs) {
+    auto isOver = [&](const ActiveRun& run) {
         // Whichever incarnation may have accepted the start did so at the address to which it was sent.
-        bool isStartGone = it->sentTo == result.address && result.sentAt >= it->confirmedAt;
-        if (it->isIncarnationKnown() ? isGoneFrom(*it, result) : isStartGone)
-            loseRun(*it, "another executor responds at its address", Milliseconds(0), now);
-    }
+        bool isStartGone = run.sentTo == result.address && result.sentAt >= run.confirmedAt;
+        return run.isIncarnationKnown() ? isGoneFrom(run, result) : isStartGone;
+    };
+    std::vector<ActiveRun*> runs = executor.runs;
+    std::erase_if(runs, [&](const ActiveRun* it) { return !isOver(*it); });
+    if (!runs.empty())
+        markCrash(executor, s_noIncarnation, now);
+    for (ActiveRun* it : runs)
+        loseRun(*it, "another executor responds at its address", Milliseconds(0), now);
 }
 
 void JobScheduler::noteReplacement(const ActiveExecutor& executor, const CallResult& result, TimePoint now)
@@ -136,7 +142,11 @@
     auto since = [now](TimePoint when) { return when == TimePoint {} ? -1 : std::chrono::duration_cast<Milliseconds>(now - when).count(); };
     m_events.note(EventId::RunLost, { { "task", run.task->name().text() }, { "run", run.number }, { "executor", executor.entry.id }, { "reason", reason }, { "phase", nameOf(run.phase) }, { "incarnation", executor.entry.startedUnixMs }, { "token", run.token }, { "assigned_ms_ago", since(run.assignedAt) }, { "confirmed_ms_ago", since(run.confirmedAt) }, { "report_ms_ago", reportAge.count() }, { "lease_left_ms", -since(executor.leaseExpiresAt) }, { "failed_calls", executor.failedCalls } });
     ++m_counters.lostRuns;
-    endRun(*run.task, now);
+    ActiveTask& task = *run.task;
+    ExpiredRun lost { task.name(), run.number, executor.entry.id, run.incarnation, run.crash };
+    endRun(task, now);
+    if (lost.crash != CrashRelation::None && !task.isDone)
+        countCrash(task, lost, now);
 }
 
 void JobScheduler::expireLeases(TimePoint now)
@@ -149,7 +159,7 @@
         if (isUnresponsive && now >= executor.leaseExpiresAt) {
             loseExpiredRuns(executor, now);
             if (mayForget(executor, now)) {
-                forget(i);
+                forget(i, now);
                 continue;
             }
         }
@@ -164,10 +174,12 @@
         executor.uncertainUntil = now + s_uncertainTime;
     std::vector<ActiveRun*> runs = executor.runs;
     for (ActiveRun* it : runs) {
-        if (now < it->unseenLeaseExpiresAt)
+        if (now < it->unseenLeaseExpiresAt) {
             wakeAt(it->unseenLeaseExpiresAt);
-        else
-            loseRun(*it, "its lease expired", Milliseconds(0), now);
+            continue;
+        }
+        noteExpired(executor, *it);
+        loseRun(*it, "its lease expired", Milliseconds(0), now);
     }
 }
 
@@ -180,12 +192,13 @@
     return now >= executor.uncertainUntil;
 }
 
-void JobScheduler::forget(std::size_t index)
+void JobScheduler::forget(std::size_t index, TimePoint now)
 {
     const ActiveExecutor& executor = *m_executorList[index];
     const std::string id = executor.entry.id;
     std::erase_if(m_commands, [&](const ExecutorCommand& it) { return it.executor == id; });
     forgetNominations(executor);
+    countExpired(*m_executorList[index], s_noIncarnation, now);
     m_executorList.erase(m_executorList.begin() + static_cast<std::ptrdiff_t>(index));
     m_executors.erase(id);
     ++m_executorsVersion;
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -17,6 +17,8 @@
     constexpr double s_remoteDataCost = 1'000;
     constexpr double s_avoidedExecutorCost = 500;
     constexpr double s_otherRackCost = 200;
+    // Cost of each run that a suspect would take down with the executor.
+    constexpr double s_companyCost = 400;
     constexpr double s_sameStepCost = 30;
     constexpr double s_freeCapacityWeight = 10;
     // Cost of pressure that exceeds the headroom, where a starved task is placed despite it.
@@ -44,6 +46,8 @@
     constexpr double s_bestEffortLoadWeight = 100;
     constexpr std::size_t s_advisedExecutors = 30;
     constexpr Milliseconds s_adviceRetry { 300 };
+    // Interval at which an executor without runs is sought for a suspect.
+    constexpr Milliseconds s_seclusionRetry { 50 };
     // Time reserved for a command to reach the executor before its ticket expires.
     constexpr Milliseconds s_ticketReserve { 500 };
     // Maximum number of steps considered in one round.
@@ -66,6 +70,8 @@
             sum += s_remoteDataCost;
         if (task.avoided == &executor)
             sum += s_avoidedExecutorCost;
+        if (task.crashes.isSuspect())
+            sum += s_companyCost * static_cast<double>(executor.runs.size());
         if (!spec.isLongRunning)
             sum += s_slowWeight * std::max(0.0, executor.slowness - s_slowIgnored);
         if (spec.prefersOneRack) {
@@ -190,8 +196,14 @@
             m_needsPlacement = true;
             continue;
         }
-        if (placeTask(task, now))
+        bool isSecluded = awaitsSeclusion(task, now);
+        bool isHeldBack = isSecluded && (step.hasSuspectRun() || now < step.verdictAt);
+        if (!isHeldBack && placeTask(task, now))
             continue;
+        if (isSecluded) {
+            m_placeAgainAt = std::min(m_placeAgainAt, now + s_seclusionRetry);
+            continue;
+        }
         // Runs that were stopped before they started may have freed capacity.
         m_candidates.clear();
         isRejected[hasRun] = !preemptFor(task, now);
@@ -267,6 +279,8 @@
         return PlacementObstacle::NoRoom;
     if (PlacementObstacle obstacle = eligibilityObstacle(executor, *task.step, now); obstacle != PlacementObstacle::None)
         return obstacle;
+    if (!isSecludedOn(executor, task, now))
+        return PlacementObstacle::NotAlone;
     if (spec.isBestEffort() && !isStarvedOn(executor, needs) && bestEffortLoad(executor, spec) > s_bestEffortLoadLimit)
         return PlacementObstacle::BestEffortLoad;
     // A long-running task that never ran leaves capacity to short tasks, which are worth more per core.
@@ -312,7 +326,7 @@
     PlacementNeeds needs = needsOf(task, now);
     auto evaluate = [&](std::size_t i) { return placementCost(*m_executorList[i], task, needs, now); };
     bool isReturning = task.step->spec->isLongRunning && task.lastRun;
-    bool isPlain = !task.nominated && !task.avoided && !needs.isStarved && !isReturning;
+    bool isPlain = !task.nominated && !task.avoided && !needs.isStarved && !isReturning && !task.crashes.isSuspect();
     PlacementCandidates own;
     PlacementCandidates& candidates = isPlain ? m_candidates : own;
     if (!candidates.isBuilt())
@@ -328,12 +342,13 @@
 {
     ActiveStep& step = *task.step;
     bool isStarved = now >= starvedSince(task);
-    if (!task.nominated && !isStarved && m_round.isRejected(task, PlacementRound::Means::FreeCapacity))
+    bool isSuspect = task.crashes.isSuspect();
+    if (!task.nominated && !isStarved && !isSuspect && m_round.isRejected(task, PlacementRound::Means::FreeCapacity))
         return false;
     double cost = 0;
     ActiveExecutor* best = chooseExecutor(task, now, cost);
     if (!best) {
-        if (!task.nominated)
+        if (!task.nominated && !isSuspect)
             m_round.reject(task, PlacementRound::Means::FreeCapacity);
         return false;
     }
--- a/plantainhold/jobs/JobProgress.h
+++ b/plantainhold/jobs/JobProgress.h
@@ -1,6 +1,8 @@
 // The part of a job's state that is stored, so that it survives a change of owner.
 #pragma once
 
+#include "plantainhold/jobs/CrashEvidence.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -38,6 +40,7 @@
     std::string executor;
     std::int64_t executorStartedUnixMs = 0;
     std::string checkpoint;
+    CrashCounts crashes;
 };
 
 struct JobProgress {
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -74,8 +74,10 @@
 void JobScheduler::noteReporting(ActiveExecutor& executor, std::int64_t startedUnixMs, TimePoint now)
 {
     executor.incarnationSeenAt = now;
+    countExpired(executor, startedUnixMs, now);
     if (!startedUnixMs || executor.reportedUnixMs == startedUnixMs)
         return;
+    markCrash(executor, startedUnixMs, now);
     std::erase(executor.formerIncarnations, startedUnixMs);
     addFormer(executor, executor.reportedUnixMs);
     executor.reportedUnixMs = startedUnixMs;
@@ -134,14 +136,15 @@
     if (isNewIncarnation)
         handleRestart(executor, report.startedUnixMs, RestartSource::Report, now);
     noteReporting(executor, report.startedUnixMs, now);
-    if (executor.failedCalls || !executor.hasClock)
-        m_needsPlacement = true;
+    executor.heardAt = now;
+    bool acceptedNoWork = executor.failedCalls || !executor.isConfirmed();
     executor.failedCalls = 0;
     executor.hasClock = true;
     executor.clockMs = report.clockMs;
     executor.clockRequestedAt = sentAt;
     executor.clockReadAt = now;
     executor.confirmedToken = std::max(executor.confirmedToken, request.token);
+    m_needsPlacement = m_needsPlacement || (acceptedNoWork && executor.isConfirmed());
     // A request that was sent to a former incarnation acknowledged ends of that one.
     if (!isNewIncarnation)
         executor.endsAcknowledged = std::max(executor.endsAcknowledged, request.ackCursor);
@@ -195,6 +198,9 @@
     ActiveRun& run = *task->run;
     run.listedIn = executor.reports;
     run.incarnation = executor.entry.startedUnixMs;
+    run.crash = CrashRelation::None;
+    if (now >= run.assignedAt + CrashCounts::s_soundAfter)
+        clearSuspect(*task);
     run.unseenLeaseExpiresAt = {};
     if (run.phase == RunPhase::Starting || run.phase == RunPhase::Unconfirmed) {
         run.phase = RunPhase::Running;
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -102,6 +102,8 @@
     run.phase = phase;
     run.token = executor.token;
     run.assignedAt = now;
+    run.isSuspect = task.crashes.isSuspect();
+    executor.suspectRuns += run.isSuspect;
     run.progressedAt = now;
     run.checkpoint = task.checkpoint;
     const StepSpec& spec = *task.step->spec;
@@ -130,6 +132,7 @@
     executor.bestEffortRuns -= spec.isBestEffort();
     executor.bestEffortMillicores -= spec.isBestEffort() ? spec.resources.millicores : 0;
     executor.latencyCriticalMillicores -= spec.isLatencyCritical() ? spec.resources.millicores : 0;
+    executor.suspectRuns -= run.isSuspect;
     std::erase(executor.runs, &run);
     executor.areDeficitsStale = true;
     if (!run.checkpoint.empty())
@@ -181,6 +184,7 @@
     m_runEvents.flushIfDue(now);
     applyDueTimes(now, nowUnixMs);
     expireLeases(now);
+    judgeSuspects(now);
     completeJobs(now);
     drainExecutors(now);
     moveSlowedRuns(now);
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -16,6 +16,7 @@
 #include "plantainhold/jobs/ActiveJob.h"
 #include "plantainhold/jobs/AdvicePort.h"
 #include "plantainhold/jobs/BestEffortPacer.h"
+#include "plantainhold/jobs/CrashEvidence.h"
 #include "plantainhold/jobs/ExecutorCommand.h"
 #include "plantainhold/jobs/FleetLoad.h"
 #include "plantainhold/jobs/JobPrioritizer.h"
@@ -29,6 +30,7 @@
 #include "plantainhold/jobs/SchedulerLimits.h"
 #include "plantainhold/jobs/WaitingTaskMonitor.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <span>
@@ -157,7 +159,7 @@
     void noteUnexpectedRun(const ActiveExecutor& executor, const ReportedRun& reportedRun);
     void resolveMissingRuns(ActiveExecutor& executor, const ReportRequest& request, const ExecutorReport& report, TimePoint sentAt, TimePoint now);
     // Notes that this incarnation has reported, so that the one that reported before is over.
-    static void noteReporting(ActiveExecutor& executor, std::int64_t startedUnixMs, TimePoint now);
+    void noteReporting(ActiveExecutor& executor, std::int64_t startedUnixMs, TimePoint now);
     static void addFormer(ActiveExecutor& executor, std::int64_t startedUnixMs);
     // Logs that something which the executor said of itself in this incarnation was not applied.
     void noteIgnored(const ActiveExecutor& executor, std::int64_t startedUnixMs, std::string_view source);
@@ -172,6 +174,24 @@
     void noteReplacement(const ActiveExecutor& executor, const CallResult& result, TimePoint now);
     // Returns whether a response of another executor proves that the incarnation with the run is gone.
     bool isGoneFrom(const ActiveRun& run, const CallResult& result) const;
+    // Notes that all incarnations of the executor but this one are over, without having announced it. Each
+    // run that may have begun in one of them counts the crash when it is lost.
+    void markCrash(ActiveExecutor& executor, std::int64_t survivor, TimePoint now);
+    void countCrash(ActiveTask& task, const ExpiredRun& run, TimePoint now);
+    // Prepares the loss of a run whose lease has expired: its executor is gone if it left the list.
+    // Otherwise countExpired() counts a crash once it is known that it was not a cut.
+    static void noteExpired(ActiveExecutor& executor, ActiveRun& run);
+    void countExpired(ActiveExecutor& executor, std::int64_t survivor, TimePoint now);
+    // Decides about suspects once other crashes of the same moment are known.
+    void judgeSuspects(TimePoint now);
+    void judgeLater(ActiveTask& task, CrashRelation relation, TimePoint now);
+    void giveUp(ActiveTask& task, TimePoint now);
+    void clearSuspect(ActiveTask& task);
+    // True if the task is a suspect that still waits to run alone, and before others of its step.
+    static bool awaitsSeclusion(const ActiveTask& task, TimePoint now);
+    // True if a crash of the executor soon after the start could be told from that of other runs there, or if
+    // the task waits for that no longer.
+    static bool isSecludedOn(const ActiveExecutor& executor, const ActiveTask& task, TimePoint now);
     // Ends a run without a reported end. `reportAge` is the time since the report that proves it was
     // sent; zero if no report does.
     void loseRun(ActiveRun& run, std::string_view reason, Milliseconds reportAge, TimePoint now);
@@ -179,7 +199,7 @@
     void loseExpiredRuns(ActiveExecutor& executor, TimePoint now);
     bool mayForget(const ActiveExecutor& executor, TimePoint now);
     // Precondition: the executor has no runs.
-    void forget(std::size_t index);
+    void forget(std::size_t index, TimePoint now);
     void forgetNominations(const ActiveExecutor& executor);
     void learnDuration(const ActiveTask& task, ActiveExecutor& executor, TimePoint now);
     void recordFailure(ActiveExecutor& executor, TimePoint now);
@@ -261,6 +281,14 @@
     std::vector<ExecutorCommand> m_commands;
     std::vector<AdviceRequest> m_adviceRequests;
     std::vector<ActiveJob*> m_timed;
+    // Crashes about whose tasks is not decided yet, by time.
+    struct Suspicion {
+        TaskName task;
+        CrashRelation relation = CrashRelation::None;
+        TimePoint when {};
+    };
+    std::deque<Suspicion> m_suspicions;
+    CrashSeries m_crashSeries;
     // Ids of jobs that may have become complete.
     std::vector<std::string> m_possiblyComplete;
     std::uint64_t m_nextSerial = 1;
--- a/plantainhold/jobs/JobStorage.cpp
+++ b/plantainhold/jobs/JobStorage.cpp
@@ -91,6 +91,9 @@
     }
     task->lastRun = progress.run;
     task->failures = progress.failures;
+    task->crashes = progress.crashes;
+    if (task->crashes.isConvicted())
+        judgeLater(*task, CrashRelation::None, now);
     task->checkpoint = progress.checkpoint;
     if (progress.isDone) {
         task->isDone = true;
--- a/plantainhold/jobs/PlacementObstacle.h
+++ b/plantainhold/jobs/PlacementObstacle.h
@@ -21,6 +21,10 @@
     Avoided,
     MissingLabel,
     NoTicket,
+    // A task that may crash the executor runs there.
+    SuspectThere,
+    // The task may crash the executor, and waits for one where nothing else has begun shortly before.
+    NotAlone,
     // The step's limit of tasks on one executor is reached.
     TooManyOfStep,
     // Best-effort tasks have been given the processors that others leave idle.
@@ -34,7 +38,7 @@
 
 constexpr std::string_view nameOf(PlacementObstacle obstacle)
 {
-    constexpr std::array<std::string_view, s_placementObstacles> s_names { "none", "other_service", "no_room", "unlisted", "unconfirmed", "draining", "unreachable", "avoided", "missing_label", "no_ticket", "too_many_of_step", "best_effort_load", "room_for_short_tasks", "pressure" };
+    constexpr std::array<std::string_view, s_placementObstacles> s_names { "none", "other_service", "no_room", "unlisted", "unconfirmed", "draining", "unreachable", "avoided", "missing_label", "no_ticket", "suspect_there", "not_alone", "too_many_of_step", "best_effort_load", "room_for_short_tasks", "pressure" };
     return s_names[static_cast<std::size_t>(obstacle)];
 }
 
