Send no start once the executor's capacity has shrunk below what is reserved

A start that was decided before a shrink was sent after it, and brought an executor that does not enforce its capacity over it; one that does refuses the start, which is priced.

Cause: the room was asked for when the executor was chosen, not when the start was sent. Now it is asked for again; runs that are being stopped still count.

--- a/plantainhold/jobs/JobCommands.cpp
+++ b/plantainhold/jobs/JobCommands.cpp
@@ -37,7 +37,9 @@
         return std::nullopt;
     if (task->run->phase != RunPhase::Starting)
         return std::nullopt;
-    if (task->run->isStopRequested || !executor.isListed || executor.entry.isDraining || !executor.hasClock) {
+    // The capacity may have shrunk since the executor was chosen; what is being stopped still counts.
+    bool hasRoom = executor.reserved.fitsIn(executor.entry.capacity);
+    if (task->run->isStopRequested || !executor.isListed || executor.entry.isDraining || !executor.hasClock || !hasRoom) {
         endRun(*task, now);
         return std::nullopt;
     }
