Simulate start times that go back, and entries with start times that no incarnation had

Callers saw accepted tasks that were never started (LOST). A start time is a time of day, which may jump, but simulated executors always restarted with a later one. Now a fraction of restarts shows an earlier start time, and another writer may name one long past or far ahead for a while. A control takes the order of incarnations from their start times, and is found.

Whether a call was closed before a process began now follows from the real time of its start.

--- a/plantainhold/testing/jobs/EvidenceFilter.cpp
+++ b/plantainhold/testing/jobs/EvidenceFilter.cpp
@@ -27,6 +27,11 @@
     return report;
 }
 
+bool EvidenceFilter::isNoticed(std::int64_t startedUnixMs, const ActiveExecutor* executor) const
+{
+    return !m_disabled.ordersByStartTime || !executor || startedUnixMs >= executor->entry.startedUnixMs;
+}
+
 CallResult EvidenceFilter::commandResult(CallResult result, const ActiveExecutor* executor, TimePoint now) const
 {
     result.address = address(result, executor);
--- a/plantainhold/testing/jobs/EvidenceFilter.h
+++ b/plantainhold/testing/jobs/EvidenceFilter.h
@@ -7,6 +7,7 @@
 #include "plantainhold/ports/Clock.h"
 #include "plantainhold/testing/jobs/SimulationOptions.h"
 
+#include <cstdint>
 #include <string_view>
 
 namespace plantainhold {
@@ -23,6 +24,8 @@
     // All methods are thread-safe.
     ExecutorEntry entry(ExecutorEntry entry) const;
     ExecutorReport report(ExecutorReport report) const;
+    // Returns false if the owner ignores what names this start time. `executor` is as below.
+    bool isNoticed(std::int64_t startedUnixMs, const ActiveExecutor* executor) const;
     // `executor` is the scheduler's view of the executor that was called; nullptr if it has none.
     CallResult commandResult(CallResult result, const ActiveExecutor* executor, TimePoint now) const;
     CallResult reportResult(CallResult result, const ActiveExecutor* executor, TimePoint now) const;
--- a/plantainhold/testing/jobs/FakeExecutor.h
+++ b/plantainhold/testing/jobs/FakeExecutor.h
@@ -55,6 +55,8 @@
     // Returns what the clock shows now, in milliseconds.
     std::int64_t clockMs() const;
     const Incarnation& incarnation() const { return m_incarnation; }
+    // Returns the real time of the start, whatever start time the executor shows.
+    std::int64_t startedAtMs() const { return m_startedAtMs; }
 
     CommandResult start(const Running& what, std::int64_t deadlineMs, std::uint64_t token);
     CommandResult stop(const TaskName& task, std::uint32_t run, std::uint64_t token);
--- a/plantainhold/testing/jobs/JobSimulationTest.cpp
+++ b/plantainhold/testing/jobs/JobSimulationTest.cpp
@@ -68,6 +68,16 @@
         return faults;
     }
 
+    // Restarts with an earlier start time than before, and entries that name a start time no incarnation had.
+    SimulationFaults unorderedStartTimes()
+    {
+        SimulationFaults faults;
+        faults.restartRate = 0.004;
+        faults.clockSetBackFraction = 0.5;
+        faults.oddStartTimeRate = 0.02;
+        return faults;
+    }
+
     struct SingleFault {
         std::string_view name;
         // Copies the fault from the other.
@@ -104,6 +114,7 @@
     };
 
     constexpr std::string_view s_twice = "runs twice at once";
+    constexpr std::string_view s_notEnded = "did not come to its end";
     constexpr std::string_view s_afterEnd = "starts after its end was acknowledged";
 
     // Returns the number of seeds with violations whose text contains `kind`.
@@ -156,6 +167,31 @@
     }
 }
 
+// An executor whose clock was set back before it restarted counted as its former incarnation for ever.
+TEST_CASE("every job ends although start times of executors go back")
+{
+    SimulationFaults faults = unorderedStartTimes();
+    faults.oddStartTimeRate = 0;
+    checkNoViolations(withFaults(faults), s_seeds);
+}
+
+// After an entry of another writer, all that its executor said counted as said by a former incarnation.
+TEST_CASE("every job ends although entries name start times that no incarnation had")
+{
+    SimulationFaults faults = unorderedStartTimes();
+    faults.clockSetBackFraction = 0;
+    checkNoViolations(withFaults(faults), s_seeds);
+}
+
+// As with all faults: evidence of former incarnations must not pass for that of the present one.
+TEST_CASE("no task runs twice if start times go back under all faults")
+{
+    SimulationFaults faults = SimulationFaults::all();
+    faults.clockSetBackFraction = 0.3;
+    faults.oddStartTimeRate = 0.001;
+    checkNoViolations(withFaults(faults), s_seeds);
+}
+
 TEST_CASE("control: commands sent before they are stored are detected")
 {
     SimulationOptions options;
@@ -208,6 +244,14 @@
     CHECK(countViolatingSeeds(options, s_afterEnd) > 0);
 }
 
+// Shows that executors whose start time went back run nothing if their start times are taken for an order.
+TEST_CASE("control: an order of incarnations taken from their start times is detected")
+{
+    SimulationOptions options = withFaults(unorderedStartTimes());
+    options.disabled.ordersByStartTime = true;
+    CHECK(countViolatingSeeds(options, s_notEnded) > 0);
+}
+
 // Shows that calls and reports cross a change of the listed address.
 TEST_CASE("control: responses attributed to the address that is listed now are detected")
 {
--- a/plantainhold/testing/jobs/SimulatedFleet.cpp
+++ b/plantainhold/testing/jobs/SimulatedFleet.cpp
@@ -27,6 +27,11 @@
     constexpr std::int64_t s_maxUnlistedMs = 12'000;
     // Shorter than the time to the next report.
     constexpr std::int64_t s_maxIsolationDelayAtStartMs = 50;
+    // Time of day at the start of a simulation, and what an odd entry adds to it.
+    constexpr std::int64_t s_firstStartUnixMs = 1'000'000;
+    constexpr std::int64_t s_farAheadMs = 1'000'000'000;
+    constexpr std::int64_t s_longPastUnixMs = 1;
+    constexpr std::int64_t s_maxSetBackMs = 20'000;
     constexpr Resources s_capacity { 8'000, 16'000, 0 };
 
 } // namespace
@@ -40,7 +45,7 @@
         std::string id = "x" + std::to_string(m_nextId++);
         double drift = s_maxClockDrift * static_cast<double>(context.random(0, 10)) / 10;
         FakeExecutor::Hardware hardware { s_capacity, 1 - drift, context.options().maxLeaseMs };
-        auto executor = std::make_unique<FakeExecutor>(FakeExecutor::Incarnation { id, chooseAddress(), 1, context.random(0, s_maxClockStartMs) }, hardware);
+        auto executor = std::make_unique<FakeExecutor>(FakeExecutor::Incarnation { id, chooseAddress(), s_firstStartUnixMs, context.random(0, s_maxClockStartMs) }, hardware);
         executor->onStart = [this, i](const FakeExecutor::Running& it) { runStarted(i, it); };
         executor->onEnd = [this, i](const FakeExecutor::Running& it, EndKind kind) { m_history.ended(i, it, kind); };
         executor->onAcknowledged = [this](const ReportedEnd& it) { m_history.acknowledged(it); };
@@ -100,6 +105,8 @@
         misnameAddress();
     if (m_context.chance(faults.missingEntryRate))
         hideEntry();
+    if (faults.oddStartTimeRate > 0 && m_context.chance(faults.oddStartTimeRate))
+        misnameStartTime();
 }
 
 void SimulatedFleet::cutOff(std::size_t slot, std::int64_t ms)
@@ -152,7 +159,7 @@
 FakeExecutor::Incarnation SimulatedFleet::nextIncarnation(const FakeExecutor::Incarnation& former)
 {
     FakeExecutor::Incarnation next = former;
-    next.startedUnixMs = m_context.now() + SimulationContext::s_stepMs;
+    next.startedUnixMs = nextStartTime(former.startedUnixMs);
     next.clockMs = m_context.random(0, m_context.chance(0.5) ? s_maxClockStartMs : 0);
     if (m_context.chance(m_context.faults().renamedFraction))
         next.id = "x" + std::to_string(m_nextId++);
@@ -161,6 +168,17 @@
     return next;
 }
 
+std::int64_t SimulatedFleet::nextStartTime(std::int64_t former)
+{
+    double setBack = m_context.faults().clockSetBackFraction;
+    std::int64_t next = s_firstStartUnixMs + m_context.now() + SimulationContext::s_stepMs;
+    if (setBack > 0 && m_context.chance(setBack))
+        next = former - m_context.random(1, s_maxSetBackMs);
+    while (setBack > 0 && !m_startTimes.insert(next).second)
+        --next;
+    return next;
+}
+
 bool SimulatedFleet::isTaken(std::string_view address) const
 {
     return std::any_of(m_slots.begin(), m_slots.end(), [&](const Slot& it) { return it.executor && it.executor->isUp() && it.executor->incarnation().address == address; });
@@ -247,4 +265,18 @@
     m_context.disturb(backAt);
 }
 
+// Another writer names a start time that no incarnation had; the executor's next entry corrects it.
+void SimulatedFleet::misnameStartTime()
+{
+    std::size_t slot = randomSlot();
+    if (!m_slots[slot].executor->isUp())
+        return;
+    ExecutorEntry entry = m_slots[slot].executor->entry();
+    entry.startedUnixMs = m_context.chance(0.5) ? s_longPastUnixMs : s_firstStartUnixMs + s_farAheadMs + m_context.now();
+    publish(entry);
+    std::int64_t correctAt = m_context.now() + m_context.random(100, s_maxEntryFaultMs);
+    publishLater(slot, correctAt);
+    m_context.disturb(correctAt);
+}
+
 } // namespace plantainhold
--- a/plantainhold/testing/jobs/SimulatedFleet.h
+++ b/plantainhold/testing/jobs/SimulatedFleet.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,6 +59,8 @@
     void crash(std::size_t slot, std::int64_t downMs);
     void restart(std::size_t slot);
     FakeExecutor::Incarnation nextIncarnation(const FakeExecutor::Incarnation& former);
+    // Returns what a restarting executor shows as its start time; it differs from all before.
+    std::int64_t nextStartTime(std::int64_t former);
     bool isTaken(std::string_view address) const;
     std::string chooseAddress();
 
@@ -65,6 +68,7 @@
     void isolateSoon(std::size_t slot);
     void misnameAddress();
     void hideEntry();
+    void misnameStartTime();
     void announce(std::size_t slot, const ExecutorEntry& former);
     void unlistUnlessRestarted(const std::string& id);
     void publish(const ExecutorEntry& entry, bool isMisnamed = false);
@@ -77,6 +81,8 @@
     std::vector<Slot> m_slots;
     std::vector<std::string> m_addresses;
     std::vector<ListRecord> m_list;
+    // Start times of all incarnations so far.
+    std::set<std::int64_t> m_startTimes;
     std::size_t m_nextId = 0;
 };
 
--- a/plantainhold/testing/jobs/SimulatedOwner.cpp
+++ b/plantainhold/testing/jobs/SimulatedOwner.cpp
@@ -176,6 +176,8 @@
         const SimulatedFleet::ListRecord& it = list[m_listPosition];
         if (it.isMisnamed && !hasHeard(it.id))
             continue;
+        if (it.entry && !m_evidence.isNoticed(it.entry->startedUnixMs, m_scheduler->executor(it.id)))
+            continue;
         if (it.entry)
             m_scheduler->executorListed(m_evidence.entry(*it.entry), m_context.timePoint());
         else
@@ -404,7 +406,7 @@
         return;
     FakeExecutor* executor = m_world.fleet.at(call->address);
     // The connection ends with the process, and after that none is made for this call.
-    bool isClosed = executor && (executor->incarnation().startedUnixMs > call->closesAt || (call->connectedTo && call->connectedTo != executor->incarnation().startedUnixMs));
+    bool isClosed = executor && (executor->startedAtMs() + SimulationContext::s_stepMs > call->closesAt || (call->connectedTo && call->connectedTo != executor->incarnation().startedUnixMs));
     if (isClosed && !m_context.faults().lateCallsOutliveConnections)
         return;
     if (!executor) {
@@ -468,9 +470,9 @@
         result = m_evidence.reportResult(result, m_scheduler->executor(executor), now);
         (call->isUrgent ? m_urgentlyReporting : m_reporting).erase(executor);
         bool isOk = outcome == CommandResult::Accepted;
-        if (isOk)
+        if (isOk && m_evidence.isNoticed(report.startedUnixMs, m_scheduler->executor(executor)))
             m_scheduler->reported(executor, call->request, m_evidence.report(report), result, now);
-        else
+        else if (!isOk)
             m_scheduler->reportFailed(executor, call->request, result, now);
         if (!call->isUrgent)
             m_nextReport[executor] = m_context.now() + (!isOk ? s_reportRetryMs : m_scheduler->isIdle(executor) ? s_idleReportIntervalMs
--- a/plantainhold/testing/jobs/SimulationOptions.h
+++ b/plantainhold/testing/jobs/SimulationOptions.h
@@ -21,6 +21,11 @@
     double isolatedFraction = 0;
     // Fraction of restarts after which the executor cannot be reached as soon as a run has started there.
     double isolatedAtStartFraction = 0;
+    // Fraction of restarts whose start time is earlier than that of the incarnation before, since the
+    // clock of the machine was set back.
+    double clockSetBackFraction = 0;
+    // Rate of entries under the id of a running executor that name a start time long past or far ahead for a while.
+    double oddStartTimeRate = 0;
     // Fraction of restarts that enter the list seconds late, and of former entries that return for a while.
     double lateEntryFraction = 0;
     // Rate of entries that name the address of another executor for a while.
@@ -62,6 +67,8 @@
     bool hidesCalledAddress = false;
     // Owners see in each response to a command the clock of the incarnation that they know.
     bool hidesHandlingClock = false;
+    // Owners ignore what names an earlier start time than the one that they know.
+    bool ordersByStartTime = false;
     // How long before their claim owners begin to count the leases of the former owner.
     std::int64_t claimTakenEarlyMs = 0;
 };
