Simulate capacity that shrinks and grows while an executor runs

Callers saw tasks that could run and were not started (LOST); among the newer disruptions is a capacity that changes. Simulated executors had a fixed one and always enforced it. Now it changes at random, its entry shows that within a heartbeat, and executors may start whatever they are told to. Such a start must not exceed what the entry has shown for 3 s and a heartbeat. A control in which owners do not see the changes is found.

--- a/plantainhold/testing/jobs/EvidenceFilter.cpp
+++ b/plantainhold/testing/jobs/EvidenceFilter.cpp
@@ -1,6 +1,7 @@
 #include "plantainhold/testing/jobs/EvidenceFilter.h"
 
 #include "plantainhold/jobs/ActiveExecutor.h"
+#include "plantainhold/testing/jobs/SimulatedFleet.h"
 
 #include <chrono>
 
@@ -17,6 +18,8 @@
 {
     if (m_disabled.hidesRestarts)
         entry.startedUnixMs = s_firstStartMs;
+    if (m_disabled.hidesCapacityChanges)
+        entry.capacity = SimulatedFleet::s_capacity;
     return entry;
 }
 
--- a/plantainhold/testing/jobs/FakeExecutor.cpp
+++ b/plantainhold/testing/jobs/FakeExecutor.cpp
@@ -97,7 +97,7 @@
     if (deadlineMs <= clockMs())
         return CommandResult::TooLate;
     extendLease(deadlineMs);
-    if (!(used() + what.resources).fitsIn(m_hardware.capacity))
+    if (m_hardware.enforcesCapacity && !(used() + what.resources).fitsIn(m_hardware.capacity))
         return CommandResult::InsufficientCapacity;
     m_running[name] = what;
     if (onStart)
--- a/plantainhold/testing/jobs/FakeExecutor.h
+++ b/plantainhold/testing/jobs/FakeExecutor.h
@@ -41,6 +41,7 @@
         double clockRate = 1;
         // A longer lease is shortened to this.
         std::int64_t maxLeaseMs = 0;
+        bool enforcesCapacity = true;
     };
 
     // No method of this class is thread-safe.
@@ -69,6 +70,9 @@
     ExecutorEntry entry() const;
     const std::map<std::string, Running>& running() const { return m_running; }
     Resources used() const;
+    // What runs keeps running, even if it exceeds the new capacity.
+    void setCapacity(const Resources& capacity) { m_hardware.capacity = capacity; }
+    const Resources& capacity() const { return m_hardware.capacity; }
 
     // Called for each run that starts, and for each end that is added to the report.
     std::function<void(const Running&)> onStart;
@@ -80,7 +84,7 @@
     void extendLease(std::int64_t deadlineMs);
     void end(const std::string& name, EndKind kind);
 
-    const Hardware m_hardware;
+    Hardware m_hardware;
     Incarnation m_incarnation;
     std::int64_t m_trueMs = 0;
     // Real time of the start.
--- a/plantainhold/testing/jobs/JobSimulation.cpp
+++ b/plantainhold/testing/jobs/JobSimulation.cpp
@@ -26,6 +26,10 @@
     queue.maxAttempts = RunHistory::s_maxAttempts;
     queue.targetLatencyMs = 500;
     m_config->queues.push_back(queue);
+    ServiceRule service;
+    service.name = queue.service;
+    service.enforcesCapacity = options.enforcesCapacity;
+    m_config->services.push_back(service);
 }
 
 JobSimulation::~JobSimulation() = default;
--- a/plantainhold/testing/jobs/JobSimulationTest.cpp
+++ b/plantainhold/testing/jobs/JobSimulationTest.cpp
@@ -78,6 +78,18 @@
         return faults;
     }
 
+    // Executors that start whatever they are told to, with a capacity that changes. No start is carried
+    // out late, since none can be recalled when capacity shrinks.
+    SimulationOptions withChangingCapacity()
+    {
+        SimulationFaults faults;
+        faults.capacityChangeRate = 0.01;
+        SimulationOptions options = withFaults(faults);
+        options.enforcesCapacity = false;
+        options.lostResponses = 0;
+        return options;
+    }
+
     struct SingleFault {
         std::string_view name;
         // Copies the fault from the other.
@@ -115,6 +127,7 @@
 
     constexpr std::string_view s_twice = "runs twice at once";
     constexpr std::string_view s_notEnded = "did not come to its end";
+    constexpr std::string_view s_overCapacity = "is over its capacity";
     constexpr std::string_view s_afterEnd = "starts after its end was acknowledged";
 
     // Returns the number of seeds with violations whose text contains `kind`.
@@ -192,6 +205,20 @@
     checkNoViolations(withFaults(faults), s_seeds);
 }
 
+// After capacity shrank, executors that do not enforce it were given more than they could hold.
+TEST_CASE("no start exceeds a capacity that shrinks and grows")
+{
+    checkNoViolations(withChangingCapacity(), s_seeds);
+}
+
+// Jobs must end although a start may be rejected for capacity that the entry does not show yet.
+TEST_CASE("every job ends although executors enforce a capacity that shrinks and grows")
+{
+    SimulationFaults faults = SimulationFaults::all();
+    faults.capacityChangeRate = 0.01;
+    checkNoViolations(withFaults(faults), s_seeds);
+}
+
 TEST_CASE("control: commands sent before they are stored are detected")
 {
     SimulationOptions options;
@@ -252,6 +279,14 @@
     CHECK(countViolatingSeeds(options, s_notEnded) > 0);
 }
 
+// Shows that capacity shrinks below what owners would use.
+TEST_CASE("control: owners that do not see capacity shrink are detected")
+{
+    SimulationOptions options = withChangingCapacity();
+    options.disabled.hidesCapacityChanges = true;
+    CHECK(countViolatingSeeds(options, s_overCapacity) > 0);
+}
+
 // Shows that calls and reports cross a change of the listed address.
 TEST_CASE("control: responses attributed to the address that is listed now are detected")
 {
--- a/plantainhold/testing/jobs/RunHistory.cpp
+++ b/plantainhold/testing/jobs/RunHistory.cpp
@@ -100,6 +100,11 @@
         std::erase_if(history.running, [&](const auto& it) { return it.first == executor; });
 }
 
+void RunHistory::exceeded(const std::string& executor)
+{
+    fail(executor + " is over its capacity after a start");
+}
+
 void RunHistory::checkCompleted(const std::string& job)
 {
     const JobSpec& spec = m_jobs.specs().at(job);
--- a/plantainhold/testing/jobs/RunHistory.h
+++ b/plantainhold/testing/jobs/RunHistory.h
@@ -33,6 +33,8 @@
     void acknowledged(const ReportedEnd& end);
     // The executor crashes with all its runs.
     void crashed(std::size_t executor);
+    // A start has brought the executor over its capacity, which its entry had shown for long enough.
+    void exceeded(const std::string& executor);
 
     // Checks that a job which is shown as completed has ended.
     void checkCompleted(const std::string& job);
--- a/plantainhold/testing/jobs/SimulatedFleet.cpp
+++ b/plantainhold/testing/jobs/SimulatedFleet.cpp
@@ -32,7 +32,12 @@
     constexpr std::int64_t s_farAheadMs = 1'000'000'000;
     constexpr std::int64_t s_longPastUnixMs = 1;
     constexpr std::int64_t s_maxSetBackMs = 20'000;
-    constexpr Resources s_capacity { 8'000, 16'000, 0 };
+    // No less than an ordinary task needs.
+    constexpr std::int64_t s_minMillicores = 3'000;
+    constexpr std::int64_t s_capacityUnitMillicores = 500;
+    constexpr std::int64_t s_heartbeatMs = 1'500;
+    // How long after its entry has shown less capacity an executor may be given tasks that need more.
+    constexpr std::int64_t s_capacityGraceMs = 3'000 + s_heartbeatMs;
 
 } // namespace
 
@@ -44,7 +49,7 @@
     for (std::size_t i = 0; i < m_slots.size(); ++i) {
         std::string id = "x" + std::to_string(m_nextId++);
         double drift = s_maxClockDrift * static_cast<double>(context.random(0, 10)) / 10;
-        FakeExecutor::Hardware hardware { s_capacity, 1 - drift, context.options().maxLeaseMs };
+        FakeExecutor::Hardware hardware { s_capacity, 1 - drift, context.options().maxLeaseMs, context.options().enforcesCapacity };
         auto executor = std::make_unique<FakeExecutor>(FakeExecutor::Incarnation { id, chooseAddress(), s_firstStartUnixMs, context.random(0, s_maxClockStartMs) }, hardware);
         executor->onStart = [this, i](const FakeExecutor::Running& it) { runStarted(i, it); };
         executor->onEnd = [this, i](const FakeExecutor::Running& it, EndKind kind) { m_history.ended(i, it, kind); };
@@ -67,6 +72,7 @@
 void SimulatedFleet::runStarted(std::size_t slot, const FakeExecutor::Running& run)
 {
     m_history.started(slot, run);
+    checkCapacity(slot);
     if (!std::exchange(m_slots[slot].isIsolatedAtStart, false))
         return;
     std::int64_t cutAt = m_context.now() + m_context.random(0, s_maxIsolationDelayAtStartMs);
@@ -107,6 +113,8 @@
         hideEntry();
     if (faults.oddStartTimeRate > 0 && m_context.chance(faults.oddStartTimeRate))
         misnameStartTime();
+    if (faults.capacityChangeRate > 0 && m_context.chance(faults.capacityChangeRate))
+        changeCapacity(randomSlot());
 }
 
 void SimulatedFleet::cutOff(std::size_t slot, std::int64_t ms)
@@ -135,6 +143,9 @@
     ExecutorEntry former = executor.entry();
     executor.restart(nextIncarnation(executor.incarnation()));
     m_slots[slot].downUntil = -1;
+    // Its entry could not change while it was down.
+    for (FormerCapacity& it : m_slots[slot].formerCapacities)
+        it.listedUntil = std::max(it.listedUntil, m_context.now());
     double isolatedAtStart = m_context.faults().isolatedAtStartFraction;
     m_slots[slot].isIsolatedAtStart = isolatedAtStart > 0 && m_context.chance(isolatedAtStart);
     const FakeExecutor::Incarnation& now = executor.incarnation();
@@ -279,4 +290,31 @@
     m_context.disturb(correctAt);
 }
 
+void SimulatedFleet::changeCapacity(std::size_t slot)
+{
+    FakeExecutor& executor = *m_slots[slot].executor;
+    if (!executor.isUp())
+        return;
+    Resources former = executor.capacity();
+    Resources capacity = s_capacity;
+    capacity.millicores = s_capacityUnitMillicores * m_context.random(s_minMillicores / s_capacityUnitMillicores, s_capacity.millicores / s_capacityUnitMillicores);
+    capacity.memoryMib = s_capacity.memoryMib * capacity.millicores / s_capacity.millicores;
+    executor.setCapacity(capacity);
+    m_context.trace().add("capacity changes", { { "executor", executor.incarnation().id }, { "slot", slot }, { "millicores", capacity.millicores } });
+    std::int64_t listedAt = m_context.now() + m_context.random(0, s_heartbeatMs);
+    m_slots[slot].formerCapacities.push_back({ former, listedAt });
+    publishLater(slot, listedAt);
+    m_context.disturb(listedAt + s_capacityGraceMs);
+}
+
+void SimulatedFleet::checkCapacity(std::size_t slot)
+{
+    const FakeExecutor& executor = *m_slots[slot].executor;
+    std::vector<FormerCapacity>& former = m_slots[slot].formerCapacities;
+    std::erase_if(former, [this](const FormerCapacity& it) { return m_context.now() >= it.listedUntil + s_capacityGraceMs; });
+    bool fits = executor.used().fitsIn(executor.capacity()) || std::any_of(former.begin(), former.end(), [&](const FormerCapacity& it) { return executor.used().fitsIn(it.capacity); });
+    if (!fits)
+        m_history.exceeded(executor.incarnation().id);
+}
+
 } // namespace plantainhold
--- a/plantainhold/testing/jobs/SimulatedFleet.h
+++ b/plantainhold/testing/jobs/SimulatedFleet.h
@@ -29,6 +29,9 @@
         bool isMisnamed = false;
     };
 
+    // Capacity of each executor when a simulation begins.
+    static constexpr Resources s_capacity { 8'000, 16'000, 0 };
+
     // No method of this class is thread-safe.
     SimulatedFleet(SimulationContext& context, RunHistory& history);
 
@@ -45,6 +48,12 @@
     const std::vector<ListRecord>& list() const { return m_list; }
 
 private:
+    // A capacity that an executor had, and when its entry showed the next one.
+    struct FormerCapacity {
+        Resources capacity;
+        std::int64_t listedUntil = 0;
+    };
+
     // A place for one process at a time.
     struct Slot {
         std::unique_ptr<FakeExecutor> executor;
@@ -52,6 +61,7 @@
         std::int64_t downUntil = -1;
         // The executor is cut off when its next run has started.
         bool isIsolatedAtStart = false;
+        std::vector<FormerCapacity> formerCapacities;
     };
 
     std::size_t randomSlot();
@@ -69,6 +79,9 @@
     void misnameAddress();
     void hideEntry();
     void misnameStartTime();
+    void changeCapacity(std::size_t slot);
+    // Checks that what runs there fits in what an owner may take for the capacity. Call after each start.
+    void checkCapacity(std::size_t slot);
     void announce(std::size_t slot, const ExecutorEntry& former);
     void unlistUnlessRestarted(const std::string& id);
     void publish(const ExecutorEntry& entry, bool isMisnamed = false);
--- a/plantainhold/testing/jobs/SimulationOptions.h
+++ b/plantainhold/testing/jobs/SimulationOptions.h
@@ -26,6 +26,8 @@
     double clockSetBackFraction = 0;
     // Rate of entries under the id of a running executor that name a start time long past or far ahead for a while.
     double oddStartTimeRate = 0;
+    // Rate at which the capacity of an executor shrinks or grows while it runs; its entry shows it later.
+    double capacityChangeRate = 0;
     // Fraction of restarts that enter the list seconds late, and of former entries that return for a while.
     double lateEntryFraction = 0;
     // Rate of entries that name the address of another executor for a while.
@@ -69,6 +71,8 @@
     bool hidesHandlingClock = false;
     // Owners ignore what names an earlier start time than the one that they know.
     bool ordersByStartTime = false;
+    // Owners see the capacity of an executor that it had first.
+    bool hidesCapacityChanges = false;
     // How long before their claim owners begin to count the leases of the former owner.
     std::int64_t claimTakenEarlyMs = 0;
 };
@@ -82,6 +86,8 @@
     // The longest time that a run works. Only runs that outlast a lease show that it was given up too early.
     std::int64_t maxWorkMs = 3'000;
     SchedulerLimits limits;
+    // Executors reject a start that exceeds their capacity. Others start whatever they are told to.
+    bool enforcesCapacity = true;
     // The longest lease that executors grant.
     std::int64_t maxLeaseMs = 10'000;
     // Fraction of commands whose response is lost; half of these are carried out late.
