Check that no simulated task waits while executors have room for it

Callers saw tasks that could run and were not started (LOST). In a calm stretch, a job with nothing running for 3 s while a task's turn has come, room is there twice over and under half of the capacity is in use is now a violation; for a long-running task it is 6 s, whatever else of its job runs. New are long-running jobs that nobody cancels and tasks too large for most executors. A control is found.

--- a/plantainhold/testing/jobs/JobSimulationTest.cpp
+++ b/plantainhold/testing/jobs/JobSimulationTest.cpp
@@ -90,6 +90,17 @@
         return options;
     }
 
+    // Long-running tasks that arrive while others wait that are too large for most executors.
+    SimulationOptions withLargeTasks()
+    {
+        SimulationFaults faults;
+        faults.capacityChangeRate = 0.01;
+        SimulationOptions options = withFaults(faults);
+        options.lastingJobs = 3;
+        options.largeJobs = 2;
+        return options;
+    }
+
     struct SingleFault {
         std::string_view name;
         // Copies the fault from the other.
@@ -128,6 +139,7 @@
     constexpr std::string_view s_twice = "runs twice at once";
     constexpr std::string_view s_notEnded = "did not come to its end";
     constexpr std::string_view s_overCapacity = "is over its capacity";
+    constexpr std::string_view s_couldRun = "could run and doesn't";
     constexpr std::string_view s_afterEnd = "starts after its end was acknowledged";
 
     // Returns the number of seeds with violations whose text contains `kind`.
@@ -219,6 +231,20 @@
     checkNoViolations(withFaults(faults), s_seeds);
 }
 
+// The same world without large tasks: long-running tasks find the room that changes of capacity leave.
+TEST_CASE("no long-running task waits beside room while capacity shrinks and grows")
+{
+    SimulationOptions options = withLargeTasks();
+    options.largeJobs = 0;
+    checkNoViolations(options, s_seeds);
+}
+
+// Tasks that no executor had room for kept the room of an idle fleet from long-running tasks.
+TEST_CASE("no job waits beside room while tasks wait that are too large for most executors")
+{
+    checkNoViolations(withLargeTasks(), s_seeds);
+}
+
 TEST_CASE("control: commands sent before they are stored are detected")
 {
     SimulationOptions options;
@@ -279,6 +305,14 @@
     CHECK(countViolatingSeeds(options, s_notEnded) > 0);
 }
 
+// Shows that a task which the owner leaves waiting beside room is noticed, also if its job ends in time.
+TEST_CASE("control: tasks that wait beside room are detected")
+{
+    SimulationOptions options = withFaults(unorderedStartTimes());
+    options.disabled.ordersByStartTime = true;
+    CHECK(countViolatingSeeds(options, s_couldRun) > 0);
+}
+
 // Shows that capacity shrinks below what owners would use.
 TEST_CASE("control: owners that do not see capacity shrink are detected")
 {
--- a/plantainhold/testing/jobs/RunHistory.cpp
+++ b/plantainhold/testing/jobs/RunHistory.cpp
@@ -11,6 +11,13 @@
 namespace {
 
     constexpr std::int64_t s_cancelMs = 3'000;
+    // Time after the last disturbance until leases have expired and all executors have been heard.
+    constexpr std::int64_t s_recoveryMs = 12'000;
+    // How long a job, or a task that lasts, may wait beside room.
+    constexpr std::int64_t s_maxWaitMs = 3'000;
+    constexpr std::int64_t s_maxLastingWaitMs = 6'000;
+    // Interval between two checks of waiting jobs.
+    constexpr std::int64_t s_waitCheckMs = 500;
 
 } // namespace
 
@@ -37,6 +44,8 @@
     std::string name = run.task.text();
     TaskHistory& history = m_tasks[name];
     m_context.trace().add("run starts", { { "task", name }, { "run", run.run }, { "slot", executor } });
+    m_waitingSince.erase(name);
+    m_waitingSince.erase(run.task.job);
     checkStart(name, history, run);
     checkPrecedingSteps(name, run.task);
     for (auto& [done, later] : history.startedAfterDone)
@@ -75,6 +84,7 @@
     m_context.trace().add("run ends", { { "task", name }, { "run", run.run }, { "slot", executor }, { "kind", static_cast<int>(kind) } });
     TaskHistory& history = m_tasks[name];
     history.running.erase({ executor, run.run });
+    history.failures += kind == EndKind::Failed;
     if (kind != EndKind::Done)
         return;
     history.isDone = true;
@@ -130,11 +140,94 @@
     }
 }
 
+void RunHistory::checkWaitingJobs(const std::vector<Room>& rooms)
+{
+    std::int64_t calmSince = std::max(m_context.disturbedUntil(), m_context.options().faultsMs) + s_recoveryMs;
+    if (m_context.now() % s_waitCheckMs != 0)
+        return;
+    Resources capacity;
+    Resources used;
+    for (const Room& it : rooms) {
+        capacity += it.capacity;
+        used += it.used;
+    }
+    if (m_context.now() < calmSince || !(used + used).fitsIn(capacity))
+        return m_waitingSince.clear();
+    for (const auto& [id, spec] : m_jobs.specs()) {
+        if (m_jobs.isWanted(id) && !hasFailed(id))
+            checkWaitingJob(id, rooms);
+    }
+}
+
+void RunHistory::checkWaitingJob(const std::string& job, const std::vector<Room>& rooms)
+{
+    const JobSpec& spec = m_jobs.specs().at(job);
+    bool isRunning = false;
+    bool isWaiting = false;
+    for (std::uint32_t i = 0; i < spec.steps.size(); ++i) {
+        for (std::uint32_t n = 0; n < spec.steps[i].taskCount; ++n) {
+            TaskName task { job, 0, i, n };
+            bool waits = isWaitingBesideRoom(task, rooms);
+            isRunning |= !m_tasks[task.text()].running.empty();
+            isWaiting |= waits;
+            if (spec.steps[i].isLongRunning)
+                checkWaiting(task.text(), waits, s_maxLastingWaitMs);
+        }
+    }
+    checkWaiting(job, isWaiting && !isRunning, s_maxWaitMs);
+}
+
+void RunHistory::checkWaiting(const std::string& name, bool isWaiting, std::int64_t limitMs)
+{
+    if (!isWaiting) {
+        m_waitingSince.erase(name);
+        return;
+    }
+    std::int64_t since = m_waitingSince.emplace(name, m_context.now()).first->second;
+    if (m_context.now() == since + limitMs)
+        fail(name + " could run and doesn't");
+}
+
+bool RunHistory::isWaitingBesideRoom(const TaskName& task, const std::vector<Room>& rooms)
+{
+    const TaskHistory& history = m_tasks[task.text()];
+    if (history.isDone || !history.running.empty() || !isTurnOf(task))
+        return false;
+    const Resources& needed = m_jobs.specs().at(task.job).steps[task.step].resources;
+    return std::any_of(rooms.begin(), rooms.end(), [&](const Room& it) { return (it.used + needed + needed).fitsIn(it.capacity); });
+}
+
+bool RunHistory::isTurnOf(const TaskName& task)
+{
+    const JobSpec& spec = m_jobs.specs().at(task.job);
+    for (std::uint32_t before : spec.steps[task.step].after) {
+        for (std::uint32_t n = 0; n < spec.steps[before].taskCount; ++n) {
+            if (!isDone({ task.job, 0, before, n }))
+                return false;
+        }
+    }
+    return true;
+}
+
+bool RunHistory::hasFailed(const std::string& job)
+{
+    const JobSpec& spec = m_jobs.specs().at(job);
+    for (std::uint32_t i = 0; i < spec.steps.size(); ++i) {
+        for (std::uint32_t n = 0; n < spec.steps[i].taskCount; ++n) {
+            if (m_tasks[TaskName { job, 0, i, n }.text()].failures >= s_maxAttempts)
+                return true;
+        }
+    }
+    return false;
+}
+
 void RunHistory::checkFinalStates(const JobTable& table)
 {
     for (const auto& [id, spec] : m_jobs.specs()) {
         const StoredJob* job = table.find(id);
         bool isCancelled = m_jobs.cancelTimes().contains(id);
+        if (job && m_jobs.mayWaitForever(id))
+            continue;
         if (!job || (!isFinal(job->state) && !(spec.isLongRunning() && !isCancelled)))
             fail(id + " did not come to its end");
     }
--- a/plantainhold/testing/jobs/RunHistory.h
+++ b/plantainhold/testing/jobs/RunHistory.h
@@ -2,6 +2,7 @@
 // It knows nothing of what owners believe.
 #pragma once
 
+#include "plantainhold/jobs/JobSpec.h"
 #include "plantainhold/testing/jobs/FakeExecutor.h"
 
 #include <cstddef>
@@ -38,6 +39,13 @@
 
     // Checks that a job which is shown as completed has ended.
     void checkCompleted(const std::string& job);
+    // What an executor that is up and can be reached has.
+    struct Room {
+        Resources capacity;
+        Resources used;
+    };
+    // Checks that in a calm stretch no job waits although executors have room. Call in each step.
+    void checkWaitingJobs(const std::vector<Room>& rooms);
     // Checks that no run of a cancelled job goes on in a calm stretch. Call in each step.
     void checkCancelledRuns();
     // Checks that all jobs came to their end. Call at the end of the simulation.
@@ -51,6 +59,7 @@
         bool isDone = false;
         bool isDoneAcknowledged = false;
         std::uint32_t acknowledgedFailures = 0;
+        std::uint32_t failures = 0;
         std::set<std::pair<std::size_t, std::uint32_t>> running;
         // The runs that have completed, each with the runs that started afterwards.
         std::map<std::uint32_t, std::set<std::uint32_t>> startedAfterDone;
@@ -58,12 +67,21 @@
 
     void checkStart(const std::string& name, const TaskHistory& history, const FakeExecutor::Running& run);
     void checkPrecedingSteps(const std::string& name, const TaskName& task);
+    void checkWaitingJob(const std::string& job, const std::vector<Room>& rooms);
+    // Fails once `isWaiting` has been true in all calls for that long.
+    void checkWaiting(const std::string& name, bool isWaiting, std::int64_t limitMs);
+    // True if the task's turn has come, it is neither done nor running, and an executor could hold it twice.
+    bool isWaitingBesideRoom(const TaskName& task, const std::vector<Room>& rooms);
+    bool isTurnOf(const TaskName& task);
+    bool hasFailed(const std::string& job);
     bool isDone(const TaskName& task);
     void fail(const std::string& what);
 
     SimulationContext& m_context;
     const SimulatedJobs& m_jobs;
     std::map<std::string, TaskHistory> m_tasks;
+    // Since when a job, or a long-running task, waits beside room.
+    std::map<std::string, std::int64_t> m_waitingSince;
     std::uint64_t m_starts = 0;
     std::vector<std::string> m_violations;
 };
--- a/plantainhold/testing/jobs/SimulatedFleet.cpp
+++ b/plantainhold/testing/jobs/SimulatedFleet.cpp
@@ -93,6 +93,16 @@
     return std::any_of(m_slots.begin(), m_slots.end(), [&](const Slot& it) { return it.executor->incarnation().address == address && it.cutOffUntil > m_context.now(); });
 }
 
+std::vector<RunHistory::Room> SimulatedFleet::rooms() const
+{
+    std::vector<RunHistory::Room> rooms;
+    for (const Slot& it : m_slots) {
+        if (it.executor->isUp() && it.cutOffUntil <= m_context.now())
+            rooms.push_back({ it.executor->capacity(), it.executor->used() });
+    }
+    return rooms;
+}
+
 std::size_t SimulatedFleet::randomSlot()
 {
     return static_cast<std::size_t>(m_context.random(0, static_cast<std::int64_t>(m_slots.size()) - 1));
--- a/plantainhold/testing/jobs/SimulatedFleet.h
+++ b/plantainhold/testing/jobs/SimulatedFleet.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "plantainhold/testing/jobs/FakeExecutor.h"
+#include "plantainhold/testing/jobs/RunHistory.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -16,7 +17,6 @@
 
 namespace plantainhold {
 
-class RunHistory;
 class SimulationContext;
 
 class SimulatedFleet {
@@ -44,6 +44,8 @@
     FakeExecutor* at(std::string_view address);
     // True if calls to the address, and their responses, are lost on the way.
     bool isCutOff(std::string_view address) const;
+    // Returns the room of each executor that is up and can be reached.
+    std::vector<RunHistory::Room> rooms() const;
     // All records so far, in the order in which they were written.
     const std::vector<ListRecord>& list() const { return m_list; }
 
--- a/plantainhold/testing/jobs/SimulatedJobs.cpp
+++ b/plantainhold/testing/jobs/SimulatedJobs.cpp
@@ -6,11 +6,23 @@
 
 namespace plantainhold {
 
+namespace {
+
+    constexpr std::int64_t s_maxLastingDelayMs = 10'000;
+    constexpr std::int64_t s_minLargeMillicores = 6'000;
+    constexpr std::int64_t s_maxLargeMillicores = 10'000;
+
+} // namespace
+
 SimulatedJobs::SimulatedJobs(SimulationContext& context)
     : m_context(context)
 {
     for (std::size_t i = 0; i < context.options().jobs; ++i)
         add(i);
+    for (std::size_t i = 0; i < context.options().lastingJobs; ++i)
+        addLasting(i);
+    for (std::size_t i = 0; i < context.options().largeJobs; ++i)
+        addLarge(i);
 }
 
 void SimulatedJobs::add(std::size_t number)
@@ -37,6 +49,40 @@
         m_cancelAt[id] = m_submitAt[id] + m_context.random(500, 20'000);
 }
 
+void SimulatedJobs::addLasting(std::size_t number)
+{
+    JobSpec spec;
+    spec.queue = "queue";
+    StepSpec& step = spec.steps.emplace_back();
+    step.taskCount = static_cast<std::uint32_t>(m_context.random(1, 2));
+    step.resources = { m_context.random(500, 1'500), m_context.random(100, 1'500), 0 };
+    step.isLongRunning = true;
+    std::string id = "lasting" + std::to_string(number);
+    m_specs[id] = spec;
+    std::int64_t faultsMs = m_context.options().faultsMs;
+    m_submitAt[id] = m_context.random(faultsMs, faultsMs + s_maxLastingDelayMs);
+}
+
+void SimulatedJobs::addLarge(std::size_t number)
+{
+    JobSpec spec;
+    spec.queue = "queue";
+    StepSpec& step = spec.steps.emplace_back();
+    step.taskCount = static_cast<std::uint32_t>(m_context.random(4, 10));
+    step.resources = { m_context.random(s_minLargeMillicores, s_maxLargeMillicores), 1'000, 0 };
+    step.estimateMs = 1'000;
+    std::string id = "large" + std::to_string(number);
+    m_specs[id] = spec;
+    m_submitAt[id] = m_context.random(0, m_context.options().faultsMs);
+    m_large.insert(id);
+}
+
+bool SimulatedJobs::isWanted(const std::string& job) const
+{
+    auto cancelAt = m_cancelAt.find(job);
+    return m_submitAt.at(job) <= m_context.now() && (cancelAt == m_cancelAt.end() || m_context.now() < cancelAt->second);
+}
+
 void SimulatedJobs::submitDue(JobTable& table) const
 {
     for (const auto& [id, when] : m_submitAt) {
--- a/plantainhold/testing/jobs/SimulationOptions.h
+++ b/plantainhold/testing/jobs/SimulationOptions.h
@@ -81,6 +81,10 @@
     std::uint64_t seed = 1;
     std::size_t executors = 5;
     std::size_t jobs = 14;
+    // Further jobs with a long-running step that nobody cancels, submitted once no new faults begin.
+    std::size_t lastingJobs = 0;
+    // Further jobs with tasks that are larger than the capacity of most or all executors.
+    std::size_t largeJobs = 0;
     std::int64_t faultsMs = 25'000;
     std::int64_t lengthMs = 70'000;
     // The longest time that a run works. Only runs that outlast a lease show that it was given up too early.
