--- a/plantainhold/testing/jobs/EvidenceFilter.cpp
+++ b/plantainhold/testing/jobs/EvidenceFilter.cpp
@@ -1,6 +1,7 @@
 #include "plantainhold/testing/jobs/EvidenceFilter.h"
 
 #include "plantainhold/jobs/ActiveExecutor.h"
+#include "plantainhold/testing/jobs/SimulatedFleet.h"
 
 #include <chrono>
 
@@ -17,6 +18,8 @@
 {
     if (m_disabled.hidesRestarts)
         entry.startedUnixMs = s_firstStartMs;
+    if (m_disabled.hidesCapacityChanges)
+        entry.capacity = SimulatedFleet::s_capacity;
     return entry;
 }
 
@@ -27,6 +30,11 @@
     return report;
 }
 
+bool EvidenceFilter::isNoticed(std::int64_t startedUnixMs, const ActiveExecutor* executor) const
+{
+    return !m_disabled.ordersByStartTime || !executor || startedUnixMs >= executor->entry.startedUnixMs;
+}
+
 CallResult EvidenceFilter::commandResult(CallResult result, const ActiveExecutor* executor, TimePoint now) const
 {
     result.address = address(result, executor);
--- a/plantainhold/testing/jobs/JobSimulationTest.cpp
+++ b/plantainhold/testing/jobs/JobSimulationTest.cpp
@@ -68,6 +68,39 @@
         return faults;
     }
 
+    // Restarts with an earlier start time than before, and entries that name a start time no incarnation had.
+    SimulationFaults unorderedStartTimes()
+    {
+        SimulationFaults faults;
+        faults.restartRate = 0.004;
+        faults.clockSetBackFraction = 0.5;
+        faults.oddStartTimeRate = 0.02;
+        return faults;
+    }
+
+    // Executors that start whatever they are told to, with a capacity that changes. No start is carried
+    // out late, since none can be recalled when capacity shrinks.
+    SimulationOptions withChangingCapacity()
+    {
+        SimulationFaults faults;
+        faults.capacityChangeRate = 0.01;
+        SimulationOptions options = withFaults(faults);
+        options.enforcesCapacity = false;
+        options.lostResponses = 0;
+        return options;
+    }
+
+    // Long-running tasks that arrive while others wait that are too large for most executors.
+    SimulationOptions withLargeTasks()
+    {
+        SimulationFaults faults;
+        faults.capacityChangeRate = 0.01;
+        SimulationOptions options = withFaults(faults);
+        options.lastingJobs = 3;
+        options.largeJobs = 2;
+        return options;
+    }
+
     struct SingleFault {
         std::string_view name;
         // Copies the fault from the other.
@@ -104,6 +137,9 @@
     };
 
     constexpr std::string_view s_twice = "runs twice at once";
+    constexpr std::string_view s_notEnded = "did not come to its end";
+    constexpr std::string_view s_overCapacity = "is over its capacity";
+    constexpr std::string_view s_couldRun = "could run and doesn't";
     constexpr std::string_view s_afterEnd = "starts after its end was acknowledged";
 
     // Returns the number of seeds with violations whose text contains `kind`.
@@ -156,6 +192,59 @@
     }
 }
 
+// An executor whose clock was set back before it restarted counted as its former incarnation for ever.
+TEST_CASE("every job ends although start times of executors go back")
+{
+    SimulationFaults faults = unorderedStartTimes();
+    faults.oddStartTimeRate = 0;
+    checkNoViolations(withFaults(faults), s_seeds);
+}
+
+// After an entry of another writer, all that its executor said counted as said by a former incarnation.
+TEST_CASE("every job ends although entries name start times that no incarnation had")
+{
+    SimulationFaults faults = unorderedStartTimes();
+    faults.clockSetBackFraction = 0;
+    checkNoViolations(withFaults(faults), s_seeds);
+}
+
+// As with all faults: evidence of former incarnations must not pass for that of the present one.
+TEST_CASE("no task runs twice if start times go back under all faults")
+{
+    SimulationFaults faults = SimulationFaults::all();
+    faults.clockSetBackFraction = 0.3;
+    faults.oddStartTimeRate = 0.001;
+    checkNoViolations(withFaults(faults), s_seeds);
+}
+
+// After capacity shrank, executors that do not enforce it were given more than they could hold.
+TEST_CASE("no start exceeds a capacity that shrinks and grows")
+{
+    checkNoViolations(withChangingCapacity(), s_seeds);
+}
+
+// Jobs must end although a start may be rejected for capacity that the entry does not show yet.
+TEST_CASE("every job ends although executors enforce a capacity that shrinks and grows")
+{
+    SimulationFaults faults = SimulationFaults::all();
+    faults.capacityChangeRate = 0.01;
+    checkNoViolations(withFaults(faults), s_seeds);
+}
+
+// The same world without large tasks: long-running tasks find the room that changes of capacity leave.
+TEST_CASE("no long-running task waits beside room while capacity shrinks and grows")
+{
+    SimulationOptions options = withLargeTasks();
+    options.largeJobs = 0;
+    checkNoViolations(options, s_seeds);
+}
+
+// Tasks that no executor had room for kept the room of an idle fleet from long-running tasks.
+TEST_CASE("no job waits beside room while tasks wait that are too large for most executors")
+{
+    checkNoViolations(withLargeTasks(), s_seeds);
+}
+
 TEST_CASE("control: commands sent before they are stored are detected")
 {
     SimulationOptions options;
@@ -208,6 +297,30 @@
     CHECK(countViolatingSeeds(options, s_afterEnd) > 0);
 }
 
+// Shows that executors whose start time went back run nothing if their start times are taken for an order.
+TEST_CASE("control: an order of incarnations taken from their start times is detected")
+{
+    SimulationOptions options = withFaults(unorderedStartTimes());
+    options.disabled.ordersByStartTime = true;
+    CHECK(countViolatingSeeds(options, s_notEnded) > 0);
+}
+
+// Shows that a task which the owner leaves waiting beside room is noticed, also if its job ends in time.
+TEST_CASE("control: tasks that wait beside room are detected")
+{
+    SimulationOptions options = withFaults(unorderedStartTimes());
+    options.disabled.ordersByStartTime = true;
+    CHECK(countViolatingSeeds(options, s_couldRun) > 0);
+}
+
+// Shows that capacity shrinks below what owners would use.
+TEST_CASE("control: owners that do not see capacity shrink are detected")
+{
+    SimulationOptions options = withChangingCapacity();
+    options.disabled.hidesCapacityChanges = true;
+    CHECK(countViolatingSeeds(options, s_overCapacity) > 0);
+}
+
 // Shows that calls and reports cross a change of the listed address.
 TEST_CASE("control: responses attributed to the address that is listed now are detected")
 {
--- a/plantainhold/testing/jobs/SimulatedFleet.cpp
+++ b/plantainhold/testing/jobs/SimulatedFleet.cpp
@@ -27,7 +27,17 @@
     constexpr std::int64_t s_maxUnlistedMs = 12'000;
     // Shorter than the time to the next report.
     constexpr std::int64_t s_maxIsolationDelayAtStartMs = 50;
-    constexpr Resources s_capacity { 8'000, 16'000, 0 };
+    // Time of day at the start of a simulation, and what an odd entry adds to it.
+    constexpr std::int64_t s_firstStartUnixMs = 1'000'000;
+    constexpr std::int64_t s_farAheadMs = 1'000'000'000;
+    constexpr std::int64_t s_longPastUnixMs = 1;
+    constexpr std::int64_t s_maxSetBackMs = 20'000;
+    // No less than an ordinary task needs.
+    constexpr std::int64_t s_minMillicores = 3'000;
+    constexpr std::int64_t s_capacityUnitMillicores = 500;
+    constexpr std::int64_t s_heartbeatMs = 1'500;
+    // How long after its entry has shown less capacity an executor may be given tasks that need more.
+    constexpr std::int64_t s_capacityGraceMs = 3'000 + s_heartbeatMs;
 
 } // namespace
 
@@ -39,8 +49,8 @@
     for (std::size_t i = 0; i < m_slots.size(); ++i) {
         std::string id = "x" + std::to_string(m_nextId++);
         double drift = s_maxClockDrift * static_cast<double>(context.random(0, 10)) / 10;
-        FakeExecutor::Hardware hardware { s_capacity, 1 - drift, context.options().maxLeaseMs };
-        auto executor = std::make_unique<FakeExecutor>(FakeExecutor::Incarnation { id, chooseAddress(), 1, context.random(0, s_maxClockStartMs) }, hardware);
+        FakeExecutor::Hardware hardware { s_capacity, 1 - drift, context.options().maxLeaseMs, context.options().enforcesCapacity };
+        auto executor = std::make_unique<FakeExecutor>(FakeExecutor::Incarnation { id, chooseAddress(), s_firstStartUnixMs, context.random(0, s_maxClockStartMs) }, hardware);
         executor->onStart = [this, i](const FakeExecutor::Running& it) { runStarted(i, it); };
         executor->onEnd = [this, i](const FakeExecutor::Running& it, EndKind kind) { m_history.ended(i, it, kind); };
         executor->onAcknowledged = [this](const ReportedEnd& it) { m_history.acknowledged(it); };
@@ -62,6 +72,7 @@
 void SimulatedFleet::runStarted(std::size_t slot, const FakeExecutor::Running& run)
 {
     m_history.started(slot, run);
+    checkCapacity(slot);
     if (!std::exchange(m_slots[slot].isIsolatedAtStart, false))
         return;
     std::int64_t cutAt = m_context.now() + m_context.random(0, s_maxIsolationDelayAtStartMs);
@@ -82,6 +93,16 @@
     return std::any_of(m_slots.begin(), m_slots.end(), [&](const Slot& it) { return it.executor->incarnation().address == address && it.cutOffUntil > m_context.now(); });
 }
 
+std::vector<RunHistory::Room> SimulatedFleet::rooms() const
+{
+    std::vector<RunHistory::Room> rooms;
+    for (const Slot& it : m_slots) {
+        if (it.executor->isUp() && it.cutOffUntil <= m_context.now())
+            rooms.push_back({ it.executor->capacity(), it.executor->used() });
+    }
+    return rooms;
+}
+
 std::size_t SimulatedFleet::randomSlot()
 {
     return static_cast<std::size_t>(m_context.random(0, static_cast<std::int64_t>(m_slots.size()) - 1));
@@ -100,6 +121,10 @@
         misnameAddress();
     if (m_context.chance(faults.missingEntryRate))
         hideEntry();
+    if (faults.oddStartTimeRate > 0 && m_context.chance(faults.oddStartTimeRate))
+        misnameStartTime();
+    if (faults.capacityChangeRate > 0 && m_context.chance(faults.capacityChangeRate))
+        changeCapacity(randomSlot());
 }
 
 void SimulatedFleet::cutOff(std::size_t slot, std::int64_t ms)
@@ -128,6 +153,9 @@
     ExecutorEntry former = executor.entry();
     executor.restart(nextIncarnation(executor.incarnation()));
     m_slots[slot].downUntil = -1;
+    // Its entry could not change while it was down.
+    for (FormerCapacity& it : m_slots[slot].formerCapacities)
+        it.listedUntil = std::max(it.listedUntil, m_context.now());
     double isolatedAtStart = m_context.faults().isolatedAtStartFraction;
     m_slots[slot].isIsolatedAtStart = isolatedAtStart > 0 && m_context.chance(isolatedAtStart);
     const FakeExecutor::Incarnation& now = executor.incarnation();
@@ -152,7 +180,7 @@
 FakeExecutor::Incarnation SimulatedFleet::nextIncarnation(const FakeExecutor::Incarnation& former)
 {
     FakeExecutor::Incarnation next = former;
-    next.startedUnixMs = m_context.now() + SimulationContext::s_stepMs;
+    next.startedUnixMs = nextStartTime(former.startedUnixMs);
     next.clockMs = m_context.random(0, m_context.chance(0.5) ? s_maxClockStartMs : 0);
     if (m_context.chance(m_context.faults().renamedFraction))
         next.id = "x" + std::to_string(m_nextId++);
@@ -161,6 +189,17 @@
     return next;
 }
 
+std::int64_t SimulatedFleet::nextStartTime(std::int64_t former)
+{
+    double setBack = m_context.faults().clockSetBackFraction;
+    std::int64_t next = s_firstStartUnixMs + m_context.now() + SimulationContext::s_stepMs;
+    if (setBack > 0 && m_context.chance(setBack))
+        next = former - m_context.random(1, s_maxSetBackMs);
+    while (setBack > 0 && !m_startTimes.insert(next).second)
+        --next;
+    return next;
+}
+
 bool SimulatedFleet::isTaken(std::string_view address) const
 {
     return std::any_of(m_slots.begin(), m_slots.end(), [&](const Slot& it) { return it.executor && it.executor->isUp() && it.executor->incarnation().address == address; });
@@ -247,4 +286,45 @@
     m_context.disturb(backAt);
 }
 
+// Another writer names a start time that no incarnation had; the executor's next entry corrects it.
+void SimulatedFleet::misnameStartTime()
+{
+    std::size_t slot = randomSlot();
+    if (!m_slots[slot].executor->isUp())
+        return;
+    ExecutorEntry entry = m_slots[slot].executor->entry();
+    entry.startedUnixMs = m_context.chance(0.5) ? s_longPastUnixMs : s_firstStartUnixMs + s_farAheadMs + m_context.now();
+    publish(entry);
+    std::int64_t correctAt = m_context.now() + m_context.random(100, s_maxEntryFaultMs);
+    publishLater(slot, correctAt);
+    m_context.disturb(correctAt);
+}
+
+void SimulatedFleet::changeCapacity(std::size_t slot)
+{
+    FakeExecutor& executor = *m_slots[slot].executor;
+    if (!executor.isUp())
+        return;
+    Resources former = executor.capacity();
+    Resources capacity = s_capacity;
+    capacity.millicores = s_capacityUnitMillicores * m_context.random(s_minMillicores / s_capacityUnitMillicores, s_capacity.millicores / s_capacityUnitMillicores);
+    capacity.memoryMib = s_capacity.memoryMib * capacity.millicores / s_capacity.millicores;
+    executor.setCapacity(capacity);
+    m_context.trace().add("capacity changes", { { "executor", executor.incarnation().id }, { "slot", slot }, { "millicores", capacity.millicores } });
+    std::int64_t listedAt = m_context.now() + m_context.random(0, s_heartbeatMs);
+    m_slots[slot].formerCapacities.push_back({ former, listedAt });
+    publishLater(slot, listedAt);
+    m_context.disturb(listedAt + s_capacityGraceMs);
+}
+
+void SimulatedFleet::checkCapacity(std::size_t slot)
+{
+    const FakeExecutor& executor = *m_slots[slot].executor;
+    std::vector<FormerCapacity>& former = m_slots[slot].formerCapacities;
+    std::erase_if(former, [this](const FormerCapacity& it) { return m_context.now() >= it.listedUntil + s_capacityGraceMs; });
+    bool fits = executor.used().fitsIn(executor.capacity()) || std::any_of(former.begin(), former.end(), [&](const FormerCapacity& it) { return executor.used().fitsIn(it.capacity); });
+    if (!fits)
+        m_history.exceeded(executor.incarnation().id);
+}
+
 } // namespace plantainhold
--- a/plantainhold/testing/jobs/SimulatedFleet.h
+++ b/plantainhold/testing/jobs/SimulatedFleet.h
@@ -4,18 +4,19 @@
 #pragma once
 
 #include "plantainhold/testing/jobs/FakeExecutor.h"
+#include "plantainhold/testing/jobs/RunHistory.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace plantainhold {
 
-class RunHistory;
 class SimulationContext;
 
 class SimulatedFleet {
@@ -28,6 +29,9 @@
         bool isMisnamed = false;
     };
 
+    // Capacity of each executor when a simulation begins.
+    static constexpr Resources s_capacity { 8'000, 16'000, 0 };
+
     // No method of this class is thread-safe.
     SimulatedFleet(SimulationContext& context, RunHistory& history);
 
@@ -40,10 +44,18 @@
     FakeExecutor* at(std::string_view address);
     // True if calls to the address, and their responses, are lost on the way.
     bool isCutOff(std::string_view address) const;
+    // Returns the room of each executor that is up and can be reached.
+    std::vector<RunHistory::Room> rooms() const;
     // All records so far, in the order in which they were written.
     const std::vector<ListRecord>& list() const { return m_list; }
 
 private:
+    // A capacity that an executor had, and when its entry showed the next one.
+    struct FormerCapacity {
+        Resources capacity;
+        std::int64_t listedUntil = 0;
+    };
+
     // A place for one process at a time.
     struct Slot {
         std::unique_ptr<FakeExecutor> executor;
@@ -51,6 +63,7 @@
         std::int64_t downUntil = -1;
         // The executor is cut off when its next run has started.
         bool isIsolatedAtStart = false;
+        std::vector<FormerCapacity> formerCapacities;
     };
 
     std::size_t randomSlot();
@@ -58,6 +71,8 @@
     void crash(std::size_t slot, std::int64_t downMs);
     void restart(std::size_t slot);
     FakeExecutor::Incarnation nextIncarnation(const FakeExecutor::Incarnation& former);
+    // Returns what a restarting executor shows as its start time; it differs from all before.
+    std::int64_t nextStartTime(std::int64_t former);
     bool isTaken(std::string_view address) const;
     std::string chooseAddress();
 
@@ -65,6 +80,10 @@
     void isolateSoon(std::size_t slot);
     void misnameAddress();
     void hideEntry();
+    void misnameStartTime();
+    void changeCapacity(std::size_t slot);
+    // Checks that what runs there fits in what an owner may take for the capacity. Call after each start.
+    void checkCapacity(std::size_t slot);
     void announce(std::size_t slot, const ExecutorEntry& former);
     void unlistUnlessRestarted(const std::string& id);
     void publish(const ExecutorEntry& entry, bool isMisnamed = false);
@@ -77,6 +96,8 @@
     std::vector<Slot> m_slots;
     std::vector<std::string> m_addresses;
     std::vector<ListRecord> m_list;
+    // Start times of all incarnations so far.
+    std::set<std::int64_t> m_startTimes;
     std::size_t m_nextId = 0;
 };
 
--- a/plantainhold/testing/jobs/SimulationOptions.h
+++ b/plantainhold/testing/jobs/SimulationOptions.h
@@ -21,6 +21,13 @@
     double isolatedFraction = 0;
     // Fraction of restarts after which the executor cannot be reached as soon as a run has started there.
     double isolatedAtStartFraction = 0;
+    // Fraction of restarts whose start time is earlier than that of the incarnation before, since the
+    // clock of the machine was set back.
+    double clockSetBackFraction = 0;
+    // Rate of entries under the id of a running executor that name a start time long past or far ahead for a while.
+    double oddStartTimeRate = 0;
+    // Rate at which the capacity of an executor shrinks or grows while it runs; its entry shows it later.
+    double capacityChangeRate = 0;
     // Fraction of restarts that enter the list seconds late, and of former entries that return for a while.
     double lateEntryFraction = 0;
     // Rate of entries that name the address of another executor for a while.
@@ -62,6 +69,10 @@
     bool hidesCalledAddress = false;
     // Owners see in each response to a command the clock of the incarnation that they know.
     bool hidesHandlingClock = false;
+    // Owners ignore what names an earlier start time than the one that they know.
+    bool ordersByStartTime = false;
+    // Owners see the capacity of an executor that it had first.
+    bool hidesCapacityChanges = false;
     // How long before their claim owners begin to count the leases of the former owner.
     std::int64_t claimTakenEarlyMs = 0;
 };
@@ -70,11 +81,17 @@
     std::uint64_t seed = 1;
     std::size_t executors = 5;
     std::size_t jobs = 14;
+    // Further jobs with a long-running step that nobody cancels, submitted once no new faults begin.
+    std::size_t lastingJobs = 0;
+    // Further jobs with tasks that are larger than the capacity of most or all executors.
+    std::size_t largeJobs = 0;
     std::int64_t faultsMs = 25'000;
     std::int64_t lengthMs = 70'000;
     // The longest time that a run works. Only runs that outlast a lease show that it was given up too early.
     std::int64_t maxWorkMs = 3'000;
     SchedulerLimits limits;
+    // Executors reject a start that exceeds their capacity. Others start whatever they are told to.
+    bool enforcesCapacity = true;
     // The longest lease that executors grant.
     std::int64_t maxLeaseMs = 10'000;
     // Fraction of commands whose response is lost; half of these are carried out late.
