Refuse entries of executors whose address or id can't be used

Another writer's entry with an address such as 10.0.0.1:70000 was decoded, and HttpClient's constructor threw ResultError in a detached coroutine of ExecutorCalls, in each owner in turn, since each read the same entry.

The key, which is sent as Plantainhold-Expect-Instance, must be printable ASCII of at most 255 bytes.

ExecutorEntry.address stays a string; a type of its own would change ExecutorReport.h, the scheduler and all its tests for no further guarantee.

--- a/plantainhold/testing/platform/DecodersTest.cpp
+++ b/plantainhold/testing/platform/DecodersTest.cpp
@@ -2,6 +2,9 @@
 
 #include "platform/Decoders.h"
 
+#include "plantainhold/http/HttpClient.h"
+
+#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <random>
 
@@ -42,6 +45,28 @@
     CHECK_FALSE(platform::decodeExecutor("i-1", "[]"));
 }
 
+// Guards against calls that HttpClient's constructor ends by an exception in each owner in turn, since
+// each reads the same entry.
+TEST_CASE("an entry whose address is not an IP address and a port names no executor")
+{
+    for (const char* it : { "10.0.0.9:70000", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:+80", "10.0.0.9: 80", "10.0.0.9:", "10.0.0.9", ":80", "10.0.0.256:80", "host.example:80", "10.0.0.9:80/x", "fe80::1%a:80", "10.0.0.9\\u0000a:80", "10.0.0.9\\r\\n:80", "10.0.0.9:99999999999999999999" }) {
+        CAPTURE(it);
+        CHECK_FALSE(platform::decodeExecutor("i-1", replaced(s_entry, "10.0.0.9:80", it)));
+    }
+    boost::asio::io_context context;
+    std::optional<ExecutorEntry> entry = platform::decodeExecutor("i-1", replaced(s_entry, "10.0.0.9:80", "10.0.0.9:65535"));
+    REQUIRE(entry);
+    CHECK_NOTHROW(HttpClient(context.get_executor(), entry->address));
+}
+
+// Guards against a request whose header lines another writer's key has added to: the id is sent as a header.
+TEST_CASE("an entry whose key could not be sent as a header names no executor")
+{
+    for (const std::string& it : { std::string("i\r\nX: y"), std::string("i\0j", 3), std::string("i\xff"), std::string("i j"), std::string(256, 'i') })
+        CHECK_FALSE(platform::decodeExecutor(it, s_entry));
+    CHECK(platform::decodeExecutor(std::string(255, 'i'), s_entry));
+}
+
 TEST_CASE("a job is decoded, and invalid ones are rejected with a description of the fault")
 {
     std::string fault;
