Log exceptions that end coroutines, and let no loop end silently

What callers would see is worse to find: the loop that threw is gone without a word, and the instance goes on. A report request that threw silenced its executor for the rest of the term, a start that threw kept its run in phase Starting and one of the three slots of its queue, and an owner whose commit loop threw kept the partition and stored nothing more.

A call to an executor that throws counts as one without a response, so that the scheduler asks what became of it; flags and counts that a coroutine holds (isUrgentReporting, the queue's slots, isPolling, isDone) are restored.

An exception in a handler of a timer (runRound) still ends the process; that is left deliberately.

--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -3,10 +3,9 @@
 #include "plantainhold/entry/MetricsPage.h"
 #include "plantainhold/util/BootClock.h"
 #include "plantainhold/util/Sleep.h"
+#include "plantainhold/util/Spawn.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
@@ -53,7 +52,7 @@
     , m_adapters(std::move(adapters))
     , m_log(log)
     , m_records(context.get_executor(), m_adapters.store, log, settings.submissionPartitions)
-    , m_submissionWriter(context.get_executor(), m_adapters.store, settings.submissionPartitions)
+    , m_submissionWriter(context.get_executor(), m_adapters.store, log, settings.submissionPartitions)
     , m_ownerDirectory(m_records, m_submissionWriter, [this]() { return isAuthoritative(); })
     , m_peers(context.get_executor())
     , m_peerDirectory(context.get_executor(), m_adapters.store, m_peers, s_partition)
@@ -71,20 +70,29 @@
 void EntryInstance::start()
 {
     auto executor = m_context.get_executor();
-    m_callerServer = std::make_unique<HttpServer>(executor, m_settings.callersAddress, [this](HttpRequest it) { return m_adapters.handleRequest(m_service, std::move(it), m_config); });
-    m_readinessServer = std::make_unique<HttpServer>(executor, m_settings.readinessAddress, [this](HttpRequest) { return readinessResponse(); });
+    m_callerServer = std::make_unique<HttpServer>(
+        executor, m_settings.callersAddress, [this](HttpRequest it) { return m_adapters.handleRequest(m_service, std::move(it), m_config); }, m_log);
+    m_readinessServer = std::make_unique<HttpServer>(
+        executor, m_settings.readinessAddress, [this](HttpRequest) { return readinessResponse(); }, m_log);
     if (!m_settings.metricsAddress.empty())
-        m_metricsServer = std::make_unique<HttpServer>(executor, m_settings.metricsAddress, [this](HttpRequest) { return metricsResponse(); });
-    m_peerServer = std::make_unique<HttpServer>(executor, m_settings.peersAddress, [this](HttpRequest it) { return handlePeerRequest(m_ownerDirectory, std::move(it)); });
+        m_metricsServer = std::make_unique<HttpServer>(
+            executor, m_settings.metricsAddress, [this](HttpRequest) { return metricsResponse(); }, m_log);
+    m_peerServer = std::make_unique<HttpServer>(
+        executor, m_settings.peersAddress, [this](HttpRequest it) { return handlePeerRequest(m_ownerDirectory, std::move(it)); }, m_log);
     m_records.setSubmissionListener([this](std::string_view id) {
         if (m_owner)
             m_owner->onSubmissionRead(id);
     });
-    asio::co_spawn(executor, followConfig(), asio::detached);
-    asio::co_spawn(executor, prefetchRecords(), asio::detached);
-    asio::co_spawn(executor, refreshOwner(), asio::detached);
-    asio::co_spawn(executor, flushLog(), asio::detached);
-    asio::co_spawn(executor, m_ownership.run(), asio::detached);
+    spawnLoop(
+        executor, [this]() { return followConfig(); }, m_log, "configuration");
+    spawnLoop(
+        executor, [this]() { return prefetchRecords(); }, m_log, "records");
+    spawnLoop(
+        executor, [this]() { return refreshOwner(); }, m_log, "owner's address");
+    spawnLoop(
+        executor, [this]() { return flushLog(); }, m_log, "log");
+    spawnLoop(
+        executor, [this]() { return m_ownership.run(); }, m_log, "ownership");
     awaitSignals();
     m_log.note(EventId::ProcessStarted, { { "data_centre", m_settings.dataCentre }, { "callers", m_settings.callersAddress }, { "store", m_settings.storeAddress }, { "lease_ms", m_settings.scheduler.lease.count() } });
 }
@@ -196,7 +204,13 @@
     if (m_isStopping)
         return;
     m_isStopping = true;
-    asio::co_spawn(m_context, stop(), asio::detached);
+    spawnLogged(
+        m_context.get_executor(), [this]() -> asio::awaitable<void> {
+            co_await finishLogged(stop(), m_log, "stop");
+            m_log.flush();
+            m_context.stop();
+        },
+        m_log, "stop");
 }
 
 asio::awaitable<void> EntryInstance::stop()
@@ -213,8 +227,6 @@
         co_await sleepFor(m_context.get_executor(), s_stopPollInterval);
     }
     m_log.note(EventId::ProcessStopped, { { "open_requests", m_callerServer->openRequests() } });
-    m_log.flush();
-    m_context.stop();
 }
 
 } // namespace plantainhold
--- a/plantainhold/entry/ExecutorCalls.cpp
+++ b/plantainhold/entry/ExecutorCalls.cpp
@@ -4,9 +4,8 @@
 #include "plantainhold/entry/OwnershipManager.h"
 #include "plantainhold/util/BootClock.h"
 #include "plantainhold/util/Sleep.h"
+#include "plantainhold/util/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -82,8 +81,8 @@
             continue;
         }
         link->isReporting = true;
-        asio::co_spawn(
-            m_executor, [self = shared_from_this(), link]() { return self->reportLoop(link); }, asio::detached);
+        spawnLoop(
+            m_executor, [self = shared_from_this(), link]() { return self->reportLoop(link); }, m_events, "reports");
     }
 }
 
@@ -96,8 +95,8 @@
     if (command.kind == CommandKind::Fence) {
         if (!link->isUrgentReporting) {
             link->isUrgentReporting = true;
-            asio::co_spawn(
-                m_executor, [self = shared_from_this(), link]() { return self->requestReport(link, true); }, asio::detached);
+            spawnLogged(
+                m_executor, [self = shared_from_this(), link]() { return self->requestUrgentReport(link); }, m_events, "urgent report");
         }
         return;
     }
@@ -110,12 +109,20 @@
 void ExecutorCalls::startQueued(const std::shared_ptr<Link>& link)
 {
     while (std::optional<ExecutorCommand> next = link->queue.next()) {
-        asio::co_spawn(
-            m_executor, [self = shared_from_this(), link, command = std::move(*next)]() mutable { return self->send(link, std::move(command)); }, asio::detached);
+        spawnLogged(
+            m_executor, [self = shared_from_this(), link, command = std::move(*next)]() mutable { return self->send(link, std::move(command)); }, m_events, "command");
     }
 }
 
 asio::awaitable<void> ExecutorCalls::send(std::shared_ptr<Link> link, ExecutorCommand command)
+{
+    const CommandKind kind = command.kind;
+    co_await finishLogged(trySend(link, std::move(command)), m_events, "command");
+    link->queue.finished(kind);
+    startQueued(link);
+}
+
+asio::awaitable<void> ExecutorCalls::trySend(std::shared_ptr<Link> link, ExecutorCommand command)
 {
     while (!m_isStopped && !maySend(command.kind))
         co_await sleepFor(m_executor, s_unconfirmedRetryDelay);
@@ -125,14 +132,12 @@
             FencedCommand fenced { command, parameters->token, parameters->deadlineMs, sentAt + ExecutorPort::s_callTimeout };
             // The executor may be listed at another address by the time the call returns.
             const ExecutorAddress to = link->to;
-            CommandResponse response = co_await m_port.send(to, std::move(fenced), ExecutorPort::s_callTimeout);
+            CommandResponse response = co_await resultOr(m_port.send(to, std::move(fenced), ExecutorPort::s_callTimeout), CommandResponse {}, m_events, "command");
             if (!m_isStopped)
                 m_scheduler->commandFinished(command, { response.outcome, to.address, sentAt, response.clockMs }, BootClock::now());
         }
         m_listeners.replied();
     }
-    link->queue.finished(command.kind);
-    startQueued(link);
 }
 
 asio::awaitable<void> ExecutorCalls::reportLoop(std::shared_ptr<Link> link)
@@ -158,6 +163,12 @@
     co_await link.idleTimer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
+asio::awaitable<void> ExecutorCalls::requestUrgentReport(std::shared_ptr<Link> link)
+{
+    co_await finishLogged(requestReport(link, true), m_events, "urgent report");
+    link->isUrgentReporting = false;
+}
+
 asio::awaitable<void> ExecutorCalls::requestReport(std::shared_ptr<Link> link, bool isUrgent)
 {
     TimePoint sentAt = BootClock::now();
@@ -173,7 +184,7 @@
     if (isUrgent)
         request->waitMs = 0;
     const ExecutorAddress to = link->to;
-    ReportResult answer = co_await m_port.report(to, *request, ExecutorPort::s_callTimeout);
+    ReportResult answer = co_await resultOr(m_port.report(to, *request, ExecutorPort::s_callTimeout), ReportResult {}, m_events, "report");
     if (isUrgent)
         link->isUrgentReporting = false;
     if (m_isStopped)
--- a/plantainhold/entry/ExecutorCalls.h
+++ b/plantainhold/entry/ExecutorCalls.h
@@ -50,6 +50,9 @@
     boost::asio::awaitable<void> reportLoop(std::shared_ptr<Link> link);
     boost::asio::awaitable<void> waitForNextReport(Link& link);
     boost::asio::awaitable<void> requestReport(std::shared_ptr<Link> link, bool isUrgent);
+    boost::asio::awaitable<void> requestUrgentReport(std::shared_ptr<Link> link);
+    boost::asio::awaitable<void> trySend(std::shared_ptr<Link> link, ExecutorCommand command);
+    // Sends the command, then those that it kept waiting.
     boost::asio::awaitable<void> send(std::shared_ptr<Link> link, ExecutorCommand command);
     void startQueued(const std::shared_ptr<Link>& link);
     bool maySend(CommandKind kind) const;
--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -6,9 +6,8 @@
 #include "plantainhold/entry/StallDetector.h"
 #include "plantainhold/util/BootClock.h"
 #include "plantainhold/util/Sleep.h"
+#include "plantainhold/util/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -50,10 +49,24 @@
 
 void JobOwner::start(std::shared_ptr<const FleetConfig> config)
 {
-    asio::co_spawn(
-        m_executor, [self = shared_from_this()]() { return self->watchLoop(); }, asio::detached);
-    asio::co_spawn(
-        m_executor, [self = shared_from_this(), config]() { return self->takeOver(config); }, asio::detached);
+    spawnLoop(
+        m_executor, [self = shared_from_this()]() { return self->watchLoop(); }, m_dependencies.events, "watch");
+    spawnTerm([self = shared_from_this(), config]() { return self->takeOver(config); }, "take over");
+}
+
+void JobOwner::spawnTerm(std::function<asio::awaitable<void>()> part, std::string_view what)
+{
+    spawnLogged(
+        m_executor, [self = shared_from_this(), part = std::move(part), what]() -> asio::awaitable<void> {
+            bool hasReturned = co_await finishLogged(part(), self->m_dependencies.events, what);
+            if (hasReturned)
+                co_return;
+            // No other coroutine writes the last record of the term.
+            if (!self->m_isStopped)
+                self->m_dependencies.ownership.giveUp("an exception ended the term");
+            self->m_isReleased = true;
+        },
+        m_dependencies.events, what);
 }
 
 void JobOwner::release()
@@ -98,12 +111,11 @@
     ++m_rounds;
     m_dependencies.events.note(EventId::OwnershipRestored, { { "generation", m_generation }, { "jobs", m_scheduler->activeJobs() }, { "executors", m_scheduler->executorIds().size() }, { "ms", std::chrono::duration_cast<Milliseconds>(now - startedAt).count() } });
     auto self = shared_from_this();
-    asio::co_spawn(
-        m_executor, [self]() { return self->followExecutors(); }, asio::detached);
-    asio::co_spawn(
-        m_executor, [self]() { return self->commitLoop(); }, asio::detached);
-    asio::co_spawn(
-        m_executor, [self]() { return self->stateLoop(); }, asio::detached);
+    spawnLoop(
+        m_executor, [self]() { return self->followExecutors(); }, m_dependencies.events, "executors");
+    spawnTerm([self]() { return self->commitLoop(); }, "commit");
+    spawnLoop(
+        m_executor, [self]() { return self->stateLoop(); }, m_dependencies.events, "state");
     m_dependencies.records.follow();
     scheduleRound();
 }
@@ -215,8 +227,8 @@
         m_adviceQueue.push_back(std::move(it));
     if (!m_adviceQueue.empty() && !m_isAdviceLoopRunning) {
         m_isAdviceLoopRunning = true;
-        asio::co_spawn(
-            m_executor, [self = shared_from_this()]() { return self->adviceLoop(); }, asio::detached);
+        spawnLoop(
+            m_executor, [self = shared_from_this()]() { return self->adviceLoop(); }, m_dependencies.events, "advice");
     }
     m_commitSignal.cancel();
     m_advanceTimer.expires_after(std::max<Duration>(next - now, s_minRoundInterval));
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -69,6 +69,9 @@
     std::size_t queuedCommands() const;
 
 private:
+    // Runs a part without which the term can't go on: decisions in memory may not be in the store after
+    // an exception, so the partition is given up, and the next term reads what is stored.
+    void spawnTerm(std::function<boost::asio::awaitable<void>()> part, std::string_view what);
     boost::asio::awaitable<void> takeOver(std::shared_ptr<const FleetConfig> config);
     boost::asio::awaitable<bool> claimPartition();
     boost::asio::awaitable<void> followExecutors();
--- a/plantainhold/entry/JobRecords.cpp
+++ b/plantainhold/entry/JobRecords.cpp
@@ -3,9 +3,8 @@
 #include "plantainhold/entry/JobTopics.h"
 #include "plantainhold/jobs/JobScheduler.h"
 #include "plantainhold/util/Sleep.h"
+#include "plantainhold/util/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -48,6 +47,7 @@
 
 JobRecords::JobRecords(asio::any_io_executor executor, StorePort& store, EventSink& events, std::uint32_t submissionPartitions)
     : m_executor(std::move(executor))
+    , m_events(events)
     , m_progress(store, events, std::string(s_progressTopic), s_progressPartition, [this](const StoredRecord& it) {
         applyProgressRecord(it.key, it.value, it.offset);
     })
@@ -74,7 +74,7 @@
     if (!read) {
         read = std::make_shared<SharedRead>(m_executor);
         m_nextRead = read;
-        asio::co_spawn(m_executor, runRead(read, timeout), asio::detached);
+        spawnLogged(m_executor, runRead(read, timeout), m_events, "read records");
     }
     boost::system::error_code ec;
     if (!read->isDone)
@@ -91,7 +91,8 @@
     }
     m_currentRead = read;
     m_nextRead.reset();
-    read->status = co_await m_progress.poll(Milliseconds(0), timeout);
+    // Callers wait for the end of this read, also if an exception ends it.
+    read->status = co_await resultOr(m_progress.poll(Milliseconds(0), timeout), StoreStatus::Unknown, m_events, "read progress");
     if (read->status == StoreStatus::Ok)
         read->status = co_await readPartitions(timeout);
     read->isDone = true;
@@ -110,13 +111,14 @@
     for (const auto& it : m_submissions) {
         auto read = [this, reads, partition = it.get(), timeout]() -> asio::awaitable<void> {
             // The poll in progress may wait for new submissions, so that it cannot be waited for here.
-            StoreStatus status = partition->isPolling ? co_await partition->tail.peek(timeout) : co_await pollPartition(*partition, Milliseconds(0), timeout);
+            auto call = partition->isPolling ? partition->tail.peek(timeout) : pollPartition(*partition, Milliseconds(0), timeout);
+            StoreStatus status = co_await resultOr(std::move(call), StoreStatus::Unknown, m_events, "read submissions");
             if (status != StoreStatus::Ok)
                 reads->status = status;
             if (!--reads->left)
                 reads->signal.cancel();
         };
-        asio::co_spawn(m_executor, std::move(read), asio::detached);
+        spawnLogged(m_executor, std::move(read), m_events, "read partition");
     }
     boost::system::error_code ec;
     if (reads->left)
@@ -136,7 +138,7 @@
 asio::awaitable<StoreStatus> JobRecords::pollPartition(SubmissionPartition& partition, Milliseconds wait, Milliseconds timeout)
 {
     partition.isPolling = true;
-    StoreStatus status = co_await partition.tail.poll(wait, timeout);
+    StoreStatus status = co_await resultOr(partition.tail.poll(wait, timeout), StoreStatus::Unknown, m_events, "poll submissions");
     partition.isPolling = false;
     co_return status;
 }
@@ -148,7 +150,8 @@
         if (it->isFollowing)
             continue;
         it->isFollowing = true;
-        asio::co_spawn(m_executor, followLoop(*it), asio::detached);
+        spawnLoop(
+            m_executor, [this, partition = it.get()]() { return followLoop(*partition); }, m_events, "submissions");
     }
 }
 
--- a/plantainhold/entry/JobRecords.h
+++ b/plantainhold/entry/JobRecords.h
@@ -57,6 +57,7 @@
     void applySubmission(const StoredRecord& record);
 
     boost::asio::any_io_executor m_executor;
+    EventSink& m_events;
     JobTable m_jobs;
     std::string m_ownerRecord;
     std::string m_learnedRecord;
--- a/plantainhold/entry/JobService.cpp
+++ b/plantainhold/entry/JobService.cpp
@@ -5,10 +5,9 @@
 #include "plantainhold/entry/SubmissionWriter.h"
 #include "plantainhold/jobs/JobCodec.h"
 #include "plantainhold/util/BootClock.h"
+#include "plantainhold/util/Spawn.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -66,7 +65,7 @@
 
 asio::awaitable<void> JobService::append(std::shared_ptr<LocalAppend> localAppend, JobRequest request, TimePoint deadline)
 {
-    localAppend->status = co_await m_writer.put(std::move(request), deadline);
+    localAppend->status = co_await resultOr(m_writer.put(std::move(request), deadline), StoreStatus::Unknown, m_events, "submission");
     localAppend->isDone = true;
     localAppend->signal.cancel();
 }
@@ -91,7 +90,7 @@
     auto executor = co_await asio::this_coro::executor;
     auto left = [deadline]() { return std::chrono::duration_cast<Milliseconds>(deadline - std::chrono::steady_clock::now()); };
     auto localAppend = std::make_shared<LocalAppend>(executor);
-    asio::co_spawn(executor, append(localAppend, request, deadline), asio::detached);
+    spawnLogged(executor, append(localAppend, request, deadline), m_events, "submission");
     co_await localAppend->waitUntil(m_ownerDirectory.isAuthoritative() ? deadline : deadline - left() / s_forwardDivisor);
     request.timeout = left();
     if (localAppend->isDone && (localAppend->status == StoreStatus::Ok || m_ownerDirectory.isAuthoritative()))
--- a/plantainhold/entry/SubmissionWriter.h
+++ b/plantainhold/entry/SubmissionWriter.h
@@ -15,8 +15,8 @@
 
 class SubmissionWriter {
 public:
-    // The store must outlive the writer. Precondition: partitions > 0. The class is not thread-safe.
-    SubmissionWriter(boost::asio::any_io_executor executor, StorePort& store, std::uint32_t partitions);
+    // The store and the sink must outlive the writer. Precondition: partitions > 0. The class is not thread-safe.
+    SubmissionWriter(boost::asio::any_io_executor executor, StorePort& store, EventSink& events, std::uint32_t partitions);
 
     // Stores the request's record under the key of its kind. Returns Ok if it is stored,
     // Refused if it was not stored and never will be, and Unknown if the deadline passed
--- a/plantainhold/http/HttpServer.cpp
+++ b/plantainhold/http/HttpServer.cpp
@@ -2,9 +2,8 @@
 
 #include "plantainhold/base/ResultError.h"
 #include "plantainhold/http/Endpoint.h"
+#include "plantainhold/util/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -79,10 +78,11 @@
 
 } // namespace
 
-HttpServer::HttpServer(asio::any_io_executor executor, std::string_view address, Handler handler)
+HttpServer::HttpServer(asio::any_io_executor executor, std::string_view address, Handler handler, EventSink& events)
     : m_executor(executor)
     , m_acceptor(executor)
     , m_handler(std::move(handler))
+    , m_events(events)
 {
     asio::ip::tcp::endpoint endpoint = parseEndpoint(address);
     boost::system::error_code ec;
@@ -93,7 +93,8 @@
         m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
     if (ec)
         throw ResultError(ResultCode::BadAddress, std::string(address) + ": " + ec.message());
-    asio::co_spawn(m_executor, accept(), asio::detached);
+    spawnLoop(
+        m_executor, [this]() { return accept(); }, m_events, "accept");
 }
 
 asio::awaitable<void> HttpServer::accept()
@@ -108,7 +109,7 @@
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
             continue;
         }
-        asio::co_spawn(m_executor, serve(std::move(socket)), asio::detached);
+        spawnLogged(m_executor, serve(std::move(socket)), m_events, "connection");
     }
 }
 
--- a/plantainhold/http/HttpServer.h
+++ b/plantainhold/http/HttpServer.h
@@ -15,12 +15,15 @@
 
 namespace plantainhold {
 
+class EventSink;
+
 class HttpServer {
 public:
     using Handler = std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)>;
 
-    // Throws ResultError (BadAddress) if the server cannot listen on the address. The class is not thread-safe.
-    HttpServer(boost::asio::any_io_executor executor, std::string_view address, Handler handler);
+    // Throws ResultError (BadAddress) if the server cannot listen on the address. An
+    // exception of the handler closes the connection and is logged. The sink must outlive the server. The class is not thread-safe.
+    HttpServer(boost::asio::any_io_executor executor, std::string_view address, Handler handler, EventSink& events);
 
     void setLimits(const HttpLimits& limits) { m_limits = limits; }
     // Closes each connection after its next response from now on.
@@ -35,6 +38,7 @@
     boost::asio::any_io_executor m_executor;
     boost::asio::ip::tcp::acceptor m_acceptor;
     Handler m_handler;
+    EventSink& m_events;
     HttpLimits m_limits;
     bool m_isDraining = false;
     std::size_t m_openRequests = 0;
--- a/plantainhold/store/GroupCommit.cpp
+++ b/plantainhold/store/GroupCommit.cpp
@@ -1,9 +1,8 @@
 #include "plantainhold/store/GroupCommit.h"
 #include "plantainhold/util/Sleep.h"
+#include "plantainhold/util/Spawn.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -37,9 +36,10 @@
     bool isUncertain = false;
 };
 
-GroupCommit::GroupCommit(asio::any_io_executor executor, StorePort& store, std::string topic, std::uint32_t partition)
+GroupCommit::GroupCommit(asio::any_io_executor executor, StorePort& store, EventSink& events, std::string topic, std::uint32_t partition)
     : m_executor(std::move(executor))
     , m_store(store)
+    , m_events(events)
     , m_topic(std::move(topic))
     , m_partition(partition)
     , m_timeout(s_minTimeout, s_maxTimeout)
@@ -56,7 +56,9 @@
     m_queue.push_back(pending);
     if (!m_isFlushing) {
         m_isFlushing = true;
-        asio::co_spawn(m_executor, flush(), asio::detached);
+        // Records of an append that an exception ended remain unknown to their callers.
+        spawnLoop(
+            m_executor, [this]() { return flush(); }, m_events, "append");
     }
     boost::system::error_code ec;
     // The append may already have ended before this call starts to wait.
--- a/plantainhold/store/GroupCommit.h
+++ b/plantainhold/store/GroupCommit.h
@@ -13,10 +13,12 @@
 
 namespace plantainhold {
 
+class EventSink;
+
 class GroupCommit {
 public:
-    // The store must outlive the object. The class is not thread-safe.
-    GroupCommit(boost::asio::any_io_executor executor, StorePort& store, std::string topic, std::uint32_t partition);
+    // The store and the sink must outlive the object. The class is not thread-safe.
+    GroupCommit(boost::asio::any_io_executor executor, StorePort& store, EventSink& events, std::string topic, std::uint32_t partition);
     ~GroupCommit();
 
     // Returns Ok if the record is stored, Refused if it was not stored and never will be,
@@ -32,6 +34,7 @@
 
     boost::asio::any_io_executor m_executor;
     StorePort& m_store;
+    EventSink& m_events;
     const std::string m_topic;
     const std::uint32_t m_partition;
     std::deque<std::shared_ptr<Pending>> m_queue;
--- a/plantainhold/testing/entry/JobOwnerTest.cpp
+++ b/plantainhold/testing/entry/JobOwnerTest.cpp
@@ -18,6 +18,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <stdexcept>
 #include <vector>
 
 namespace plantainhold {
@@ -54,6 +55,10 @@
         {
             const ExecutorCommand& order = command.command;
             orders.push_back(order);
+            if (failingSends) {
+                --failingSends;
+                throw std::runtime_error("a command that can't be encoded");
+            }
             if (completesRuns && order.kind == CommandKind::Start)
                 ended.push_back({ ended.size() + 1, order.task, order.run, EndKind::Done, {} });
             co_return CommandResponse { CommandResult::Accepted, s_executorClockMs };
@@ -62,6 +67,10 @@
         asio::awaitable<ReportResult> report(ExecutorAddress to, ReportRequest request, Milliseconds) override
         {
             ++reports;
+            if (failingReports) {
+                --failingReports;
+                throw std::runtime_error("a report that can't be decoded");
+            }
             extendedLeases += request.deadlineMs.has_value();
             if (to.id == unresponsive)
                 co_return ReportResult { CommandResult::Unknown, {} };
@@ -87,6 +96,9 @@
         std::string unresponsive;
         // If set, executor 0 completes each run at once.
         bool completesRuns = false;
+        // Number of calls that end by an exception from now on.
+        std::size_t failingSends = 0;
+        std::size_t failingReports = 0;
         std::vector<ReportedEnd> ended;
         std::vector<ExecutorCommand> orders;
         std::size_t reports = 0;
@@ -412,4 +424,45 @@
     CHECK(fixture.executors.startsOf(s_job) > 0);
 }
 
+// Guards against an executor whose link is silent for good, without a word, after one request threw.
+TEST_CASE("reports continue after a request for one ended by an exception")
+{
+    Fixture fixture(1);
+    fixture.executors.failingReports = 2;
+    CHECK_NOTHROW(fixture.runFor(Milliseconds(1'500)));
+    REQUIRE(fixture.owner);
+    CHECK(fixture.executors.failingReports == 0);
+    CHECK(fixture.executors.reports > 3);
+}
+
+// Guards against a run that waits for ever for the result of a command that threw.
+TEST_CASE("a start that ended by an exception is not waited for")
+{
+    Fixture fixture(1);
+    fixture.executors.completesRuns = true;
+    fixture.runFor(Milliseconds(200));
+    REQUIRE(fixture.owner);
+    fixture.executors.failingSends = 1;
+    fixture.submit("0000000000000001");
+    CHECK_NOTHROW(fixture.runFor(Milliseconds(3'000)));
+    CHECK(fixture.executors.failingSends == 0);
+    CHECK(fixture.executors.startsOf("0000000000000001") == 2);
+    CHECK(fixture.owner->queuedCommands() == 0);
+}
+
+// Guards against a term that keeps the partition, but no longer stores its decisions.
+TEST_CASE("an exception in the writer of the records ends the term, and another begins")
+{
+    Fixture fixture(1);
+    fixture.executors.completesRuns = true;
+    fixture.runFor(Milliseconds(200));
+    REQUIRE(fixture.terms == 1);
+    fixture.store.throwingAppends = 1;
+    fixture.submit("0000000000000001");
+    CHECK_NOTHROW(fixture.runFor(Milliseconds(2'000)));
+    CHECK(fixture.store.throwingAppends == 0);
+    CHECK(fixture.terms == 2);
+    CHECK(fixture.executors.startsOf("0000000000000001") == 1);
+}
+
 } // namespace plantainhold
--- a/plantainhold/testing/store/MemoryStore.h
+++ b/plantainhold/testing/store/MemoryStore.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,10 @@
     {
         std::vector<StoredRecord>& kept = logOf(where);
         ++appends;
+        if (throwingAppends) {
+            --throwingAppends;
+            throw std::runtime_error("an append that can't be encoded");
+        }
         if (where.topic == refusedAppends)
             co_return AppendResult { StoreStatus::Refused };
         StoreStatus status = nextAppend.empty() ? StoreStatus::Ok : nextAppend.front();
@@ -152,6 +157,8 @@
     std::uint64_t firstKept = 0;
     std::size_t pageSize = 3;
     std::deque<StoreStatus> nextAppend;
+    // Number of appends that end by an exception from now on.
+    std::size_t throwingAppends = 0;
     std::size_t appends = 0;
     StoreStatus joinStatus = StoreStatus::Ok;
 
--- a/plantainhold/testing/store/StoreTest.cpp
+++ b/plantainhold/testing/store/StoreTest.cpp
@@ -63,7 +63,8 @@
     StoreStatus put(MemoryStore& store, Milliseconds timeout)
     {
         asio::io_context context;
-        GroupCommit commit(context.get_executor(), store, "keyed.topic", 0);
+        NullEventSink events;
+        GroupCommit commit(context.get_executor(), store, events, "keyed.topic", 0);
         StoreStatus status = StoreStatus::Invalid;
         TimePoint deadline = std::chrono::steady_clock::now() + timeout;
         asio::co_spawn(
