Place a task again whose start has no link to its executor

A start for an executor without a link was dropped without a word: its run stayed in phase Starting, which is neither listed nor lost while the executor reports well, so the task was never started (LOST). Such a command now writes CommandNotSent (658), and a start is returned to the scheduler as unavailable.

How a start can come to lack a link in practice is not shown: a link is made in the same round before the commands are dispatched.

--- a/plantainhold/entry/ExecutorCalls.cpp
+++ b/plantainhold/entry/ExecutorCalls.cpp
@@ -89,8 +89,10 @@
 void ExecutorCalls::dispatch(ExecutorCommand command)
 {
     auto it = m_links.find(command.executor);
-    if (it == m_links.end())
+    if (it == m_links.end()) {
+        rejectUnsent(command);
         return;
+    }
     std::shared_ptr<Link> link = it->second;
     if (command.kind == CommandKind::Fence) {
         if (!link->isUrgentReporting) {
@@ -106,6 +108,18 @@
     startQueued(link);
 }
 
+void ExecutorCalls::rejectUnsent(const ExecutorCommand& command)
+{
+    m_events.note(EventId::CommandNotSent, { { "executor", command.executor }, { "task", command.task.text() }, { "run", command.run }, { "start", command.kind == CommandKind::Start } });
+    if (command.kind != CommandKind::Start)
+        return;
+    TimePoint now = BootClock::now();
+    // The scheduler expects each result to follow a send.
+    if (m_scheduler->prepareSend(command, now))
+        m_scheduler->commandFinished(command, { CommandResult::Unavailable, {}, now, {} }, now);
+    m_listeners.replied();
+}
+
 void ExecutorCalls::startQueued(const std::shared_ptr<Link>& link)
 {
     while (std::optional<ExecutorCommand> next = link->queue.next()) {
--- a/plantainhold/entry/ExecutorCalls.h
+++ b/plantainhold/entry/ExecutorCalls.h
@@ -54,6 +54,8 @@
     boost::asio::awaitable<void> trySend(std::shared_ptr<Link> link, ExecutorCommand command);
     // Sends the command, then those that it kept waiting.
     boost::asio::awaitable<void> send(std::shared_ptr<Link> link, ExecutorCommand command);
+    // Logs a command that can't be sent; the task of a start is placed again.
+    void rejectUnsent(const ExecutorCommand& command);
     void startQueued(const std::shared_ptr<Link>& link);
     bool maySend(CommandKind kind) const;
 
