Bound all numbers that are decoded from entries, reports, jobs and configurations

Numbers in the rows of reports were cast without bounds, which is undefined, and to_number<uint32>() threw for odd partitions in StoreClient::join and holders.

Bounds are named constants (Decoders.h). A number out of range, or of another type, makes an entry odd, a job invalid and a report unusable; measurements, percentages and a configuration's counts are kept at the closest bound, so that one odd count doesn't hold up a version. Fractions are cut, except for born, which is always whole. The decoding of reports moved to ReportDecoder, to be tested.

--- a/plantainhold/testing/platform/DecodersTest.cpp
+++ b/plantainhold/testing/platform/DecodersTest.cpp
@@ -3,6 +3,8 @@
 #include "platform/Decoders.h"
 
 #include "plantainhold/http/HttpClient.h"
+#include "platform/Json.h"
+#include "platform/ReportDecoder.h"
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
@@ -16,6 +18,8 @@
     const std::string s_job = R"({"spec":"text","phases":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"data_rack":"r1-3"},{"count":20,"cpu":2000,"mem_mb":1024,"estimate_ms":7000,"after":[0],"checkpointing":true,"utilization":true,"image":"i"}],"repeat_count":2,"start_at_ms":5,"interval_ms":7})";
     const std::string s_config = R"({"version":7,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":250,"priority":2,"service":"svc","max_attempts":3,"deadline_factor":2.5},{"name":"s","host":"h.example","path_prefix":"/a/b/","service":"svc"}],"services":[{"name":"svc","enforces_capacity":true,"standby":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 
+    const std::string s_report = R"({"clock_ms":482113,"born":1700000000123,"running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb87a21d94b",41,12.5]],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+
     std::string replaced(std::string text, const std::string& what, const std::string& by)
     {
         return text.replace(text.find(what), what.size(), by);
@@ -99,6 +103,99 @@
     CHECK_FALSE(platform::decodeConfig(R"({"version":"7"})", fault));
 }
 
+// Guards against sums and times that overflow, and tasks that are placed into room that is not there.
+TEST_CASE("an entry with a number out of range or of another type names no executor")
+{
+    for (const char* it : { "9223372036854775807", "18446744073709551615", "1e300", "-5", "-1e300", "1000000001", "\"16000\"", "null" }) {
+        CAPTURE(it);
+        CHECK_FALSE(platform::decodeExecutor("i-1", replaced(s_entry, "16000", it)));
+        CHECK_FALSE(platform::decodeExecutor("i-1", replaced(s_entry, "32768", it)));
+        CHECK_FALSE(platform::decodeExecutor("i-1", replaced(s_entry, "\"gpu\":0", std::string("\"gpu\":") + it)));
+        CHECK_FALSE(platform::decodeExecutor("i-1", replaced(s_entry, "\"sequence\":4", std::string("\"remaining_ms\":") + it)));
+    }
+    for (const char* it : { "9223372036854775807", "1e300", "-1", "1.5", "1000000000000001", "\"5\"", "[]", "true" }) {
+        CAPTURE(it);
+        CHECK_FALSE(platform::decodeExecutor("i-1", replaced(s_entry, "1700000000123", it)));
+    }
+}
+
+// Guards against entries of a fleet whose executors never start again under their id, which have no
+// start time, and against one with a fraction of a millisecond, that are taken for another writer's.
+TEST_CASE("an entry without a start time, and a draining one with a fraction of its time, are valid")
+{
+    std::optional<ExecutorEntry> entry = platform::decodeExecutor("i-1", replaced(s_entry, ",\"born\":1700000000123", ""));
+    REQUIRE(entry);
+    CHECK(entry->startedUnixMs == 0);
+    entry = platform::decodeExecutor("i-1", replaced(replaced(s_entry, "ready", "draining"), "\"sequence\":4", "\"remaining_ms\":4321.5"));
+    REQUIRE(entry);
+    CHECK(entry->isDraining);
+    CHECK(entry->remainingMs == 4'321);
+}
+
+// Guards against a job that makes room by negative demand, or whose numbers wrap around in 32 bits.
+TEST_CASE("a job with a number out of range is rejected")
+{
+    std::string fault;
+    for (const char* field : { "\"cpu\":500", "\"mem_mb\":256", "\"estimate_ms\":900", "\"start_at_ms\":5", "\"interval_ms\":7" }) {
+        std::string name(field, std::string_view(field).find(':') + 1);
+        for (const char* it : { "-5", "9223372036854775807", "1e300", "\"5\"" }) {
+            CAPTURE(field, it);
+            CHECK_FALSE(platform::decodeJob(replaced(s_job, field, name + it), fault));
+        }
+    }
+    CHECK_FALSE(platform::decodeJob(replaced(s_job, "\"count\":4", "\"count\":4,\"max_per_server\":4294967297"), fault));
+    CHECK_FALSE(platform::decodeJob(replaced(s_job, "\"count\":4", "\"count\":4,\"may_miss\":4294967297"), fault));
+}
+
+// Guards against limits and priorities that wrap around in 32 bits, such as a limit of 4294967297 read as 1.
+TEST_CASE("numbers of a configuration are kept within bounds")
+{
+    std::string fault;
+    std::optional<FleetConfig> config = platform::decodeConfig(replaced(replaced(s_config, "\"priority\":2", "\"priority\":4294967297"), "\"max_body_bytes\":1000", "\"max_body_bytes\":4294967297"), fault);
+    REQUIRE(config);
+    CHECK(config->queues.front().priority == platform::s_maxPriority);
+    CHECK(config->limits.maxBodyBytes == platform::s_maxCount);
+    CHECK_FALSE(platform::decodeConfig(replaced(s_config, "\"version\":7", "\"version\":1e300"), fault));
+}
+
+// Guards against undefined conversions of numbers that a report holds.
+TEST_CASE("a report with a number out of range is rejected, and measurements are kept within bounds")
+{
+    std::optional<ExecutorReport> report = platform::decodeReport(s_report);
+    REQUIRE(report);
+    CHECK(report->running.front().run == 2);
+    CHECK(report->running.front().percent == 41);
+    CHECK(report->ended.front().number == 58);
+    for (const char* it : { "-1", "1e300", "18446744073709551615" }) {
+        CAPTURE(it);
+        CHECK_FALSE(platform::decodeReport(replaced(s_report, "482113", it)));
+        CHECK_FALSE(platform::decodeReport(replaced(s_report, "1700000000123", it)));
+        CHECK_FALSE(platform::decodeReport(replaced(s_report, ".17\",2", std::string(".17\",") + it)));
+        CHECK_FALSE(platform::decodeReport(replaced(s_report, "[58", std::string("[") + it)));
+        CHECK_FALSE(platform::decodeClock(std::string("{\"clock_ms\":") + it + "}"));
+    }
+    report = platform::decodeReport(replaced(s_report, ",41,", ",1e300,"));
+    REQUIRE(report);
+    CHECK(report->running.front().percent == 100);
+}
+
+// Guards against a parser that follows deep nesting until the stack is exhausted.
+TEST_CASE("deeply nested bodies are rejected")
+{
+    std::string fault;
+    std::string open(1 << 20, '[');
+    std::string nested = std::string(33, '[') + std::string(33, ']');
+    for (const std::string& it : { open, std::string(1 << 20, '{'), "{\"a\":" + open, nested })
+        CHECK(platform::parseObject(it).empty());
+    for (const std::string& deep : { open, nested }) {
+        CHECK_FALSE(platform::decodeExecutor("i-1", replaced(s_entry, "\"v1\"", deep)));
+        CHECK_FALSE(platform::decodeConfig(replaced(s_config, "\"non_idempotent\"", deep), fault));
+        CHECK_FALSE(platform::decodeJob(replaced(s_job, "\"text\"", deep), fault));
+        CHECK_FALSE(platform::decodeReport(replaced(s_report, "1700000000123", deep)));
+        CHECK_FALSE(platform::decodeClock("{\"clock_ms\":5,\"a\":" + deep + "}"));
+    }
+}
+
 TEST_CASE("mutated bodies are decoded or rejected without a crash")
 {
     std::mt19937_64 random(3);
