Keep an executor listed that reports, if its entry is followed by an odd one

Another writer's odd entry under the id of a live executor unlisted it until its own entry changed, which can take as long as it lives: no start went there. PROTOCOL.md: an odd entry names no executor to use; the others hold. An executor that was never listed by a valid entry, for instance before a takeover, still isn't used until its next one. A draining entry is never odd, so that a drain is not missed.

--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -146,10 +146,18 @@
     std::optional<ExecutorEntry> entry;
     if (!record.value.empty())
         entry = m_dependencies.decodeExecutor(record.key, record.value);
-    if (entry)
+    if (entry) {
         m_scheduler->executorListed(*entry, now);
-    else
-        m_scheduler->executorUnlisted(record.key, now);
+        return;
+    }
+    if (!record.value.empty()) {
+        m_dependencies.events.note(EventId::StoredRecordMalformed, { { "what", "executor" }, { "key", record.key }, { "offset", record.offset } });
+        // Another writer's entry says nothing of an executor that reports.
+        const ActiveExecutor* executor = m_scheduler->executor(record.key);
+        if (executor && executor->isListed && executor->hasClock && !executor->failedCalls)
+            return;
+    }
+    m_scheduler->executorUnlisted(record.key, now);
 }
 
 asio::awaitable<void> JobOwner::followExecutors()
--- a/plantainhold/testing/entry/JobOwnerTest.cpp
+++ b/plantainhold/testing/entry/JobOwnerTest.cpp
@@ -32,13 +32,18 @@
     constexpr std::int64_t s_executorStartedUnixMs = 1'000;
     constexpr std::int64_t s_executorClockMs = 5'000;
 
+    // The entry of another writer, which can't be decoded.
+    constexpr std::string_view s_oddEntry = "odd";
+
     std::string executorId(int i)
     {
         return "executor-" + std::to_string(i);
     }
 
-    std::optional<ExecutorEntry> decodeEntry(std::string_view key, std::string_view)
+    std::optional<ExecutorEntry> decodeEntry(std::string_view key, std::string_view value)
     {
+        if (value == s_oddEntry)
+            return std::nullopt;
         ExecutorEntry entry;
         entry.id = key;
         entry.service = s_service;
@@ -465,4 +470,24 @@
     CHECK(fixture.executors.startsOf("0000000000000001") == 1);
 }
 
+// Guards against an executor that gets no more tasks because another writer left an odd entry under
+// its id: it writes its own entry again only when that changes.
+TEST_CASE("an odd entry under the id of an executor that reports does not unlist it, and a removed one does")
+{
+    Fixture fixture(1);
+    fixture.executors.completesRuns = true;
+    fixture.runFor(Milliseconds(300));
+    REQUIRE(fixture.owner);
+    fixture.store.put(std::string(s_executorsTopic), executorId(0), std::string(s_oddEntry));
+    fixture.runFor(Milliseconds(600));
+    fixture.submit("0000000000000001");
+    fixture.runFor(Milliseconds(600));
+    CHECK(fixture.executors.startsOf("0000000000000001") == 1);
+    fixture.store.put(std::string(s_executorsTopic), executorId(0), {});
+    fixture.runFor(Milliseconds(600));
+    fixture.submit("0000000000000002");
+    fixture.runFor(Milliseconds(600));
+    CHECK(fixture.executors.startsOf("0000000000000002") == 0);
+}
+
 } // namespace plantainhold
