End a poll whose pages make no progress

log-newest continues after a key. If the last record of a page has an empty key, or the key at which the page had to begin, the next page is the same one: rebuild() read it for ever, without a delay or a line, so that the topic was no longer followed and the store's budget of calls was used up. The poll now ends as Invalid with StoredRecordMalformed, and the caller repeats it after its delay. The list isn't taken as complete, since jobs that are missing from it would be started again or dropped.

A store that orders keys like that was not observed. Not done: the key in after= is still put into the URL as it is.

--- a/plantainhold/store/TopicTail.cpp
+++ b/plantainhold/store/TopicTail.cpp
@@ -82,9 +82,16 @@
         for (const StoredRecord& it : page.records) {
             former.erase(it.key);
             apply(it);
-            after = it.key;
         }
         hasMore = page.hasMore && !page.records.empty();
+        if (!hasMore)
+            break;
+        // The next page would be the same one again.
+        if (page.records.back().key == after) {
+            m_events.note(EventId::StoredRecordMalformed, { { "topic", m_topic }, { "what", "page" }, { "key", after } });
+            co_return StoreStatus::Invalid;
+        }
+        after = page.records.back().key;
     }
     for (const std::string& it : former)
         apply({ end, it, {} });
