Check the bounds of what is decoded from mutated bodies

The seeded test only checked that nothing crashes, mutated no reports, and rarely made a number that is out of range. It now inserts signs, exponents and large numbers, and requires the documented bounds of entries and reports. Log pages and keys are not mutated yet.

--- a/plantainhold/testing/platform/DecodersTest.cpp
+++ b/plantainhold/testing/platform/DecodersTest.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/Decoders.h"
 
+#include "plantainhold/http/Endpoint.h"
 #include "plantainhold/http/HttpClient.h"
 #include "platform/Json.h"
 #include "platform/ReportDecoder.h"
@@ -20,6 +21,28 @@
 
     const std::string s_report = R"({"clock_ms":482113,"born":1700000000123,"running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb87a21d94b",41,12.5]],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
 
+    constexpr const char* s_numberParts[] = { "-", "9223372036854775807", "1e30", "1e-", "0.", "1." };
+
+    void checkEntry(const std::optional<ExecutorEntry>& entry)
+    {
+        if (!entry)
+            return;
+        for (std::int64_t it : { entry->capacity.millicores, entry->capacity.memoryMib, entry->capacity.accelerators })
+            REQUIRE((it >= 0 && it <= platform::s_maxResource));
+        REQUIRE((entry->startedUnixMs >= 0 && entry->startedUnixMs <= platform::s_maxUnixMs));
+        REQUIRE((entry->remainingMs >= 0 && entry->remainingMs <= platform::s_maxRemainingMs));
+        REQUIRE(tryParseEndpoint(entry->address));
+    }
+
+    void checkReport(const std::optional<ExecutorReport>& report)
+    {
+        if (!report)
+            return;
+        REQUIRE((report->clockMs >= 0 && report->clockMs <= platform::s_maxUnixMs));
+        for (const ReportedRun& it : report->running)
+            REQUIRE(it.percent <= 100);
+    }
+
     std::string replaced(std::string text, const std::string& what, const std::string& by)
     {
         return text.replace(text.find(what), what.size(), by);
@@ -196,18 +219,24 @@
     }
 }
 
+// Guards against an odd body that ends the process, or yields a value out of the documented bounds.
 TEST_CASE("mutated bodies are decoded or rejected without a crash")
 {
     std::mt19937_64 random(3);
     std::string fault;
     for (int i = 0; i < 30'000; ++i) {
-        for (const std::string* it : { &s_entry, &s_job, &s_config }) {
+        for (const std::string* it : { &s_entry, &s_job, &s_config, &s_report }) {
             std::string bytes = *it;
-            for (int n = 0; n < 3; ++n)
+            for (std::uint64_t n = random() % 4; n; --n)
                 bytes[random() % bytes.size()] = static_cast<char>(random());
+            // Makes numbers that are very large, negative or fractions.
+            std::size_t digit = bytes.find_first_of("0123456789", random() % bytes.size());
+            if (digit != std::string::npos && random() % 2)
+                bytes.insert(digit, s_numberParts[random() % std::size(s_numberParts)]);
             if (random() % 3 == 0)
                 bytes.resize(random() % bytes.size());
-            platform::decodeExecutor("i", bytes);
+            checkEntry(platform::decodeExecutor("i", bytes));
+            checkReport(platform::decodeReport(bytes));
             platform::decodeJob(bytes, fault);
             platform::decodeConfig(bytes, fault);
         }
