--- a/plantainhold/entry/ExecutorCalls.cpp
+++ b/plantainhold/entry/ExecutorCalls.cpp
@@ -4,9 +4,8 @@
 #include "plantainhold/entry/OwnershipManager.h"
 #include "plantainhold/util/BootClock.h"
 #include "plantainhold/util/Sleep.h"
+#include "plantainhold/util/Spawn.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -82,22 +81,24 @@
             continue;
         }
         link->isReporting = true;
-        asio::co_spawn(
-            m_executor, [self = shared_from_this(), link]() { return self->reportLoop(link); }, asio::detached);
+        spawnLoop(
+            m_executor, [self = shared_from_this(), link]() { return self->reportLoop(link); }, m_events, "reports");
     }
 }
 
 void ExecutorCalls::dispatch(ExecutorCommand command)
 {
     auto it = m_links.find(command.executor);
-    if (it == m_links.end())
+    if (it == m_links.end()) {
+        rejectUnsent(command);
         return;
+    }
     std::shared_ptr<Link> link = it->second;
     if (command.kind == CommandKind::Fence) {
         if (!link->isUrgentReporting) {
             link->isUrgentReporting = true;
-            asio::co_spawn(
-                m_executor, [self = shared_from_this(), link]() { return self->requestReport(link, true); }, asio::detached);
+            spawnLogged(
+                m_executor, [self = shared_from_this(), link]() { return self->requestUrgentReport(link); }, m_events, "urgent report");
         }
         return;
     }
@@ -107,15 +108,35 @@
     startQueued(link);
 }
 
+void ExecutorCalls::rejectUnsent(const ExecutorCommand& command)
+{
+    m_events.note(EventId::CommandNotSent, { { "executor", command.executor }, { "task", command.task.text() }, { "run", command.run }, { "start", command.kind == CommandKind::Start } });
+    if (command.kind != CommandKind::Start)
+        return;
+    TimePoint now = BootClock::now();
+    // The scheduler expects each result to follow a send.
+    if (m_scheduler->prepareSend(command, now))
+        m_scheduler->commandFinished(command, { CommandResult::Unavailable, {}, now, {} }, now);
+    m_listeners.replied();
+}
+
 void ExecutorCalls::startQueued(const std::shared_ptr<Link>& link)
 {
     while (std::optional<ExecutorCommand> next = link->queue.next()) {
-        asio::co_spawn(
-            m_executor, [self = shared_from_this(), link, command = std::move(*next)]() mutable { return self->send(link, std::move(command)); }, asio::detached);
+        spawnLogged(
+            m_executor, [self = shared_from_this(), link, command = std::move(*next)]() mutable { return self->send(link, std::move(command)); }, m_events, "command");
     }
 }
 
 asio::awaitable<void> ExecutorCalls::send(std::shared_ptr<Link> link, ExecutorCommand command)
+{
+    const CommandKind kind = command.kind;
+    co_await finishLogged(trySend(link, std::move(command)), m_events, "command");
+    link->queue.finished(kind);
+    startQueued(link);
+}
+
+asio::awaitable<void> ExecutorCalls::trySend(std::shared_ptr<Link> link, ExecutorCommand command)
 {
     while (!m_isStopped && !maySend(command.kind))
         co_await sleepFor(m_executor, s_unconfirmedRetryDelay);
@@ -125,14 +146,12 @@
             FencedCommand fenced { command, parameters->token, parameters->deadlineMs, sentAt + ExecutorPort::s_callTimeout };
             // The executor may be listed at another address by the time the call returns.
             const ExecutorAddress to = link->to;
-            CommandResponse response = co_await m_port.send(to, std::move(fenced), ExecutorPort::s_callTimeout);
+            CommandResponse response = co_await resultOr(m_port.send(to, std::move(fenced), ExecutorPort::s_callTimeout), CommandResponse {}, m_events, "command");
             if (!m_isStopped)
                 m_scheduler->commandFinished(command, { response.outcome, to.address, sentAt, response.clockMs }, BootClock::now());
         }
         m_listeners.replied();
     }
-    link->queue.finished(command.kind);
-    startQueued(link);
 }
 
 asio::awaitable<void> ExecutorCalls::reportLoop(std::shared_ptr<Link> link)
@@ -158,6 +177,12 @@
     co_await link.idleTimer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
+asio::awaitable<void> ExecutorCalls::requestUrgentReport(std::shared_ptr<Link> link)
+{
+    co_await finishLogged(requestReport(link, true), m_events, "urgent report");
+    link->isUrgentReporting = false;
+}
+
 asio::awaitable<void> ExecutorCalls::requestReport(std::shared_ptr<Link> link, bool isUrgent)
 {
     TimePoint sentAt = BootClock::now();
@@ -173,7 +198,7 @@
     if (isUrgent)
         request->waitMs = 0;
     const ExecutorAddress to = link->to;
-    ReportResult answer = co_await m_port.report(to, *request, ExecutorPort::s_callTimeout);
+    ReportResult answer = co_await resultOr(m_port.report(to, *request, ExecutorPort::s_callTimeout), ReportResult {}, m_events, "report");
     if (isUrgent)
         link->isUrgentReporting = false;
     if (m_isStopped)
