Let simulated executors grant no longer leases than the owners' limit says

The default world granted leases of 10 s while owners counted with the platform's limit of 6 s: after a restart that the owner has not seen, a run could outlast the longest lease. The worlds with faults had set the limit already; controls that grant longer leases set their own.

--- a/plantainhold/testing/jobs/SimulationOptions.h
+++ b/plantainhold/testing/jobs/SimulationOptions.h
@@ -92,8 +92,8 @@
     SchedulerLimits limits;
     // Executors reject a start that exceeds their capacity. Others start whatever they are told to.
     bool enforcesCapacity = true;
-    // The longest lease that executors grant.
-    std::int64_t maxLeaseMs = 10'000;
+    // The longest lease that executors grant; as SchedulerLimits::maxLease says.
+    std::int64_t maxLeaseMs = 6'000;
     // Fraction of commands whose response is lost; half of these are carried out late.
     double lostResponses = 0.05;
     SimulationFaults faults;
