Ask for more before a task is given up where executors crash for other reasons

Now a start that nobody confirmed makes no suspect, a run whose lease expired counts once its executor has restarted or is forgotten, and within 30 s of a crash that no start explains three crashes soon after the start are asked for, two of them alone. The limit whatever they tell is five: the sixth start would be the third after three crashes.

--- a/plantainhold/jobs/JobLeases.cpp
+++ b/plantainhold/jobs/JobLeases.cpp
@@ -178,7 +178,7 @@
             wakeAt(it->unseenLeaseExpiresAt);
             continue;
         }
-        noteExpired(executor, *it);
+        keepExpired(executor, *it);
         loseRun(*it, "its lease expired", Milliseconds(0), now);
     }
 }
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -178,9 +178,9 @@
     // run that may have begun in one of them counts the crash when it is lost.
     void markCrash(ActiveExecutor& executor, std::int64_t survivor, TimePoint now);
     void countCrash(ActiveTask& task, const ExpiredRun& run, TimePoint now);
-    // Prepares the loss of a run whose lease has expired: its executor is gone if it left the list.
-    // Otherwise countExpired() counts a crash once it is known that it was not a cut.
-    static void noteExpired(ActiveExecutor& executor, ActiveRun& run);
+    // Keeps a run whose lease has expired. countExpired() counts the crash once the executor has restarted or is
+    // forgotten; it may also have been cut off.
+    static void keepExpired(ActiveExecutor& executor, const ActiveRun& run);
     void countExpired(ActiveExecutor& executor, std::int64_t survivor, TimePoint now);
     // Decides about suspects once other crashes of the same moment are known.
     void judgeSuspects(TimePoint now);
