--- a/plantainhold/testing/soak/RunLedgerTest.cpp
+++ b/plantainhold/testing/soak/RunLedgerTest.cpp
@@ -34,6 +34,8 @@
             return { std::move(traits), ledger, m_random, now };
         }
 
+        ExecutorState executor(ExecutorTraits traits) { return { std::move(traits), ledger, m_random, now }; }
+
         StartOrder start(std::uint32_t number, std::uint64_t token, const ExecutorState& executor) const
         {
             return { s_task, number, "1000", executor.clockMs(now) + 5'000, token };
@@ -224,4 +226,38 @@
     CHECK(world.broken() == (isDone ? Rules {} : Rules { Rule::Mixed }));
 }
 
+TEST_CASE("a start beyond the room is reported where capacity is not enforced, rejected where it is")
+{
+    bool enforcesCapacity = GENERATE(true, false);
+    World world;
+    ExecutorTraits traits { "e-1", 1, 1, 1 };
+    traits.enforcesCapacity = enforcesCapacity;
+    ExecutorState one = world.executor(std::move(traits));
+    StartOrder order = world.start(1, 5, one);
+    one.start(order, world.now);
+    CHECK(world.broken().empty());
+    order.task = "00000000000000aa.0.0.1";
+    CHECK(one.start(order, world.now) == (enforcesCapacity ? OrderResult::NoRoom : OrderResult::Accepted));
+    CHECK(world.broken() == (enforcesCapacity ? Rules {} : Rules { Rule::Limit }));
+}
+
+TEST_CASE("a start into a room that shrank is reported once callers must know of it, and a stop takes its room until it ends")
+{
+    bool isKnown = GENERATE(true, false);
+    World world;
+    ExecutorTraits traits { "e-1", 1, 1, 2 };
+    traits.enforcesCapacity = false;
+    ExecutorState one = world.executor(std::move(traits));
+    StartOrder order = world.start(1, 5, one);
+    order.payload = "60000";
+    world.ledger.jobSubmitted(s_job, order.payload, 2);
+    one.start(order, world.now);
+    one.resize(1, world.now);
+    world.pass(isKnown ? s_shrinkNotice + s_step : s_shrinkNotice - s_step);
+    one.stop({ order.task, 1, 5 }, world.now);
+    order.task = "00000000000000aa.0.0.1";
+    one.start(order, world.now);
+    CHECK(world.broken() == (isKnown ? Rules { Rule::Limit } : Rules {}));
+}
+
 } // namespace plantainhold::soak
--- a/plantainhold/testing/soak/SoakTest.cpp
+++ b/plantainhold/testing/soak/SoakTest.cpp
@@ -98,8 +98,24 @@
 
 TEST_CASE("a soak with faults breaks no rule")
 {
-    std::uint64_t seed = GENERATE(101, 102);
-    SoakResult result = play(optionsFor(seed, std::chrono::seconds(15)));
+    SoakOptions options = optionsFor(GENERATE(101, 102), std::chrono::seconds(15));
+    // The kinds that came later have a test of their own, so that a red one tells which they are.
+    for (std::uint8_t i = 0; i < static_cast<std::uint8_t>(FaultKind::JumpClock); ++i)
+        options.faults.kinds.push_back(static_cast<FaultKind>(i));
+    SoakResult result = play(options);
+    CHECK(result.isGreen());
+    CHECK(result.faults > 0);
+    CHECK(result.completedJobs > 0);
+}
+
+// Start times that go back, odd entries under ids of live executors, capacity that shrinks.
+TEST_CASE("a soak with executors whose clocks jump, odd entries and changing capacity breaks no rule")
+{
+    SoakOptions options = optionsFor(301, std::chrono::seconds(8));
+    options.enforcesCapacity = false;
+    options.faults.meanGap = Milliseconds(600);
+    options.faults.kinds = { FaultKind::JumpClock, FaultKind::OddEntries, FaultKind::ResizeExecutor };
+    SoakResult result = play(options);
     CHECK(result.isGreen());
     CHECK(result.faults > 0);
     CHECK(result.completedJobs > 0);
--- a/standin/SoakMain.cpp
+++ b/standin/SoakMain.cpp
@@ -1,5 +1,5 @@
 // standinSoak --bin FOLDER [--seed N] [--seconds S] [--instances I] [--executors E]
-//             [--jobs-per-second R] [--fault KIND]... [--fault-gap-ms MS] [--calm] [--keep]
+//             [--jobs-per-second R] [--fault KIND]... [--fault-gap-ms MS] [--calm] [--unguarded] [--keep]
 //
 // Plays one soak of real entry instances against stand-ins of the platform. Exits with 1
 // if a rule was broken, and names the folder with the logs then.
@@ -39,6 +39,7 @@
     TCLAP::MultiArg<std::string> kinds("", "fault", "a kind of fault; if given, no others occur", false, "KIND", line);
     TCLAP::ValueArg<std::int64_t> gap("", "fault-gap-ms", "mean time between faults", false, defaults.faults.meanGap.count(), "MS", line);
     TCLAP::SwitchArg calm("", "calm", "without faults", line);
+    TCLAP::SwitchArg unguarded("", "unguarded", "executors start also what does not fit", line);
     TCLAP::SwitchArg keep("", "keep", "keep the logs of a green run", line);
     line.parse(argc, argv);
     CommandLine given;
@@ -48,6 +49,7 @@
     given.options.executors = executors.getValue();
     given.options.jobsPerSecond = jobs.getValue();
     given.options.hasFaults = !calm.getValue();
+    given.options.enforcesCapacity = !unguarded.getValue();
     given.options.faults.meanGap = plantainhold::Milliseconds(gap.getValue());
     for (const std::string& it : kinds.getValue()) {
         std::optional<soak::FaultKind> kind = soak::faultKindOf(it);
--- a/standin/soak/ExecutorFleet.cpp
+++ b/standin/soak/ExecutorFleet.cpp
@@ -3,12 +3,14 @@
 #include "plantainhold/util/Sleep.h"
 #include "standin/FaultProxy.h"
 #include "standin/soak/ExecutorWire.h"
+#include "standin/soak/OddEntries.h"
 #include "standin/soak/SoakRandom.h"
 #include "standin/soak/StoreState.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <set>
 #include <utility>
 
 namespace plantainhold::soak {
@@ -30,6 +32,8 @@
     constexpr Milliseconds s_addressReuse { 2'000 };
     constexpr double s_maxClockDrift = 0.02;
     constexpr std::size_t s_executorsPerFreeHost = 5;
+    // Nobody listens there.
+    constexpr std::string_view s_emptyAddress = "127.0.0.1:9";
 
 } // namespace
 
@@ -47,7 +51,9 @@
     std::size_t host = 0;
     // Null while the executor is down.
     std::shared_ptr<ExecutorState> state;
-    std::int64_t lastBornUnixMs = 0;
+    // What the executor's clock of the day is ahead by; it may be negative.
+    Milliseconds clockError {};
+    std::set<std::int64_t> startTimes;
     std::uint64_t sequence = 0;
     // As written last by the present and by the former incarnation.
     std::string entry;
@@ -94,16 +100,19 @@
 {
     Executor& it = m_executors[executor];
     TimePoint now = std::chrono::steady_clock::now();
-    it.lastBornUnixMs = std::max(unixMs(), it.lastBornUnixMs + 1);
+    std::int64_t bornUnixMs = unixMs() + it.clockError.count();
+    while (!it.startTimes.insert(bornUnixMs).second)
+        ++bornUnixMs;
     it.host = host;
     it.sequence = 0;
     it.formerEntry = std::exchange(it.entry, {});
-    ExecutorTraits traits { it.id, it.lastBornUnixMs, 1 - s_maxClockDrift * m_dependencies.random.unit() };
+    ExecutorTraits traits { it.id, bornUnixMs, 1 - s_maxClockDrift * m_dependencies.random.unit() };
+    traits.enforcesCapacity = m_dependencies.enforcesCapacity;
     it.state = std::make_shared<ExecutorState>(std::move(traits), m_dependencies.ledger, m_dependencies.random, now);
     it.nextEntryAt = now + m_dependencies.random.between(Milliseconds(0), s_maxRegistrationDelay);
     m_hosts[host]->occupant = it.state;
     m_hosts[host]->isPromised = false;
-    m_dependencies.log.line("executor " + it.id + " born " + std::to_string(it.lastBornUnixMs) + " at " + m_hosts[host]->address);
+    m_dependencies.log.line("executor " + it.id + " born " + std::to_string(bornUnixMs) + " at " + m_hosts[host]->address);
 }
 
 void ExecutorFleet::crash(std::size_t executor)
@@ -153,6 +162,49 @@
     m_dependencies.store.put(s_executorsTopic, it->id, it->formerEntry);
 }
 
+void ExecutorFleet::jumpClock(std::size_t host, Milliseconds by)
+{
+    if (Executor* it = occupantOf(host))
+        it->clockError = by;
+}
+
+void ExecutorFleet::writeOddEntries(std::size_t host)
+{
+    Executor* it = occupantOf(host);
+    if (!it || it->entry.empty() || !m_isStoreReachable || m_hosts[host]->isIsolated)
+        return;
+    std::size_t kind = m_dependencies.random.below(s_oddEntryKinds);
+    m_dependencies.log.line("odd entry " + std::to_string(kind) + " under " + it->id);
+    m_dependencies.store.put(s_executorsTopic, it->id, oddEntry(kind, it->entry));
+    kind = m_dependencies.random.below(s_oddEntryKinds);
+    std::string id = "odd-" + std::to_string(++m_oddIds);
+    m_dependencies.log.line("odd entry " + std::to_string(kind) + " under " + id);
+    std::string sound = encodeEntry({ std::string(s_emptyAddress), 1, unixMs() }, it->state->traits().maxRuns);
+    m_dependencies.store.put(s_executorsTopic, id, oddEntry(kind, sound));
+    m_leftovers.push_back({ std::move(id), std::chrono::steady_clock::now() + s_missedHeartbeats * s_heartbeat });
+}
+
+void ExecutorFleet::removeLeftovers(TimePoint now)
+{
+    if (!m_isStoreReachable)
+        return;
+    for (const Leftover& it : m_leftovers) {
+        if (it.removeAt <= now)
+            m_dependencies.store.put(s_executorsTopic, it.id, {});
+    }
+    std::erase_if(m_leftovers, [&](const Leftover& it) { return it.removeAt <= now; });
+}
+
+void ExecutorFleet::resize(std::size_t host, std::uint32_t maxRuns)
+{
+    Executor* it = occupantOf(host);
+    if (!it)
+        return;
+    m_dependencies.log.line("executor " + it->id + " has room for " + std::to_string(maxRuns));
+    it->state->resize(maxRuns, std::chrono::steady_clock::now());
+    it->nextEntryAt = std::chrono::steady_clock::now();
+}
+
 ExecutorFleet::Executor* ExecutorFleet::occupantOf(std::size_t host)
 {
     auto it = std::find_if(m_executors.begin(), m_executors.end(), [&](const Executor& one) { return one.state && one.host == host; });
@@ -178,6 +230,7 @@
     for (;;) {
         TimePoint now = std::chrono::steady_clock::now();
         advanceAll(now);
+        removeLeftovers(now);
         m_dependencies.ledger.checkCancelled(now);
         co_await sleepFor(m_executor, s_advanceInterval);
     }
--- a/standin/soak/ExecutorFleet.h
+++ b/standin/soak/ExecutorFleet.h
@@ -26,6 +26,7 @@
         SoakLog& log;
         standin::FaultProxy& proxy;
         SoakRandom& random;
+        bool enforcesCapacity = true;
     };
 
     // All dependencies must outlive the fleet, which must outlive the executor's work. The
@@ -47,6 +48,14 @@
     // The entry of the executor's former incarnation is stored again, as a write that was
     // carried out late; the present one follows with the next heartbeat.
     void repeatFormerEntry(std::size_t host);
+    // The clock of the day of the executor there differs by this from now on; only its next
+    // incarnation's start time shows it.
+    void jumpClock(std::size_t host, Milliseconds by);
+    // Another writer puts odd entries: one under the id of the executor there, whose own
+    // entry follows with the next heartbeat, and one under an id that no executor has.
+    void writeOddEntries(std::size_t host);
+    // The executor there has room for this many runs from now on, and registers it.
+    void resize(std::size_t host, std::uint32_t maxRuns);
     // While a host is isolated its executor does not register.
     void setIsolated(std::size_t host, bool isIsolated);
     // While the store is away nobody registers.
@@ -55,6 +64,11 @@
 private:
     struct Host;
     struct Executor;
+    // An entry that nobody renews.
+    struct Leftover {
+        std::string id;
+        TimePoint removeAt;
+    };
 
     boost::asio::awaitable<ListenerResponse> handle(std::size_t host, ListenerRequest request);
     boost::asio::awaitable<ListenerResponse> report(std::shared_ptr<ExecutorState> state, ListenerRequest request);
@@ -65,6 +79,7 @@
     void crash(std::size_t executor);
     void start(std::size_t executor, std::size_t host);
     void writeEntry(Executor& executor);
+    void removeLeftovers(TimePoint now);
     // Returns hosts() if none is free.
     std::size_t freeHost() const;
     // Returns null if no executor lives there.
@@ -74,6 +89,8 @@
     Dependencies m_dependencies;
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::vector<Executor> m_executors;
+    std::vector<Leftover> m_leftovers;
+    std::uint64_t m_oddIds = 0;
     bool m_isStoreReachable = true;
 };
 
--- a/standin/soak/ExecutorState.cpp
+++ b/standin/soak/ExecutorState.cpp
@@ -50,7 +50,7 @@
     auto tombstone = m_tombstones.find(order.task);
     if (tombstone != m_tombstones.end() && order.number <= tombstone->second)
         return OrderResult::Superseded;
-    if (m_running.size() >= m_traits.maxRuns)
+    if (m_running.size() >= m_traits.maxRuns && m_traits.enforcesCapacity)
         return OrderResult::NoRoom;
     RunLedger::RunId id = m_ledger.runStarted({ order.task, order.number, order.payload, m_traits.id, m_traits.bornUnixMs, order.token }, now);
     // Beside another run of the same task the ledger has reported a violation already.
@@ -59,6 +59,8 @@
     // The payload of a job is the time that each of its tasks works, in ms.
     Milliseconds work(std::strtoll(order.payload.c_str(), nullptr, 10));
     m_running[order.task] = { id, order.number, now, now + work };
+    if (m_running.size() > knownRoom(now))
+        m_ledger.startedOverCapacity(id, m_running.size(), knownRoom(now));
     return OrderResult::Accepted;
 }
 
@@ -109,6 +111,23 @@
     }
 }
 
+void ExecutorState::resize(std::uint32_t maxRuns, TimePoint now)
+{
+    if (maxRuns < m_traits.maxRuns)
+        m_formerRooms.push_back({ now, m_traits.maxRuns });
+    m_traits.maxRuns = maxRuns;
+}
+
+std::uint32_t ExecutorState::knownRoom(TimePoint now) const
+{
+    std::uint32_t room = m_traits.maxRuns;
+    for (const FormerRoom& it : m_formerRooms) {
+        if (now <= it.until + s_shrinkNotice)
+            room = std::max(room, it.maxRuns);
+    }
+    return room;
+}
+
 void ExecutorState::crash()
 {
     for (auto& [task, run] : m_running)
--- a/standin/soak/ExecutorState.h
+++ b/standin/soak/ExecutorState.h
@@ -53,6 +53,8 @@
     std::uint32_t maxRuns = 8;
     // Broken on purpose, as a control of the checks.
     bool ignoresTokens = false;
+    // Otherwise it starts whatever it is told to start.
+    bool enforcesCapacity = true;
 };
 
 class ExecutorState {
@@ -84,6 +86,7 @@
 
     // Ends the runs whose work is done or whose lease has expired by now.
     void advance(TimePoint now);
+    void resize(std::uint32_t maxRuns, TimePoint now);
     // Ends everything without a trace.
     void crash();
 
@@ -94,6 +97,14 @@
     const std::vector<EndedRun>& ended() const { return m_ended; }
 
 private:
+    // Room that there was until then; callers may not know yet that it is gone.
+    struct FormerRoom {
+        TimePoint until;
+        std::uint32_t maxRuns = 0;
+    };
+
+    // The most runs that a caller may believe there is room for.
+    std::uint32_t knownRoom(TimePoint now) const;
     void extendLease(std::int64_t deadlineMs, TimePoint now);
     void end(std::map<std::string, ActiveRun>::iterator run, RunEnd how);
 
@@ -106,6 +117,7 @@
     std::map<std::string, ActiveRun> m_running;
     std::vector<EndedRun> m_ended;
     std::uint64_t m_endCount = 0;
+    std::vector<FormerRoom> m_formerRooms;
     // The highest run of each task that was stopped or has ended here.
     std::map<std::string, std::uint32_t> m_tombstones;
 };
--- a/standin/soak/FaultInjector.cpp
+++ b/standin/soak/FaultInjector.cpp
@@ -34,6 +34,12 @@
     // A fault of executors' links hits each third one.
     constexpr std::size_t s_hostStride = 3;
     constexpr double s_half = 0.5;
+    constexpr Milliseconds s_maxClockJump { 600'000 };
+    // An executor's room as it starts, and the largest to which it shrinks.
+    constexpr std::uint32_t s_usualRoom = 8;
+    constexpr std::uint32_t s_shrunkRoom = 4;
+    // The executor writes its entry within this time after an odd one.
+    constexpr Milliseconds s_oddEntryTime { 1'800 };
 
 } // namespace
 
@@ -82,6 +88,9 @@
         &FaultInjector::loseStoreAnswers,
         &FaultInjector::refuseStoreCalls,
         &FaultInjector::rebalanceGroup,
+        &FaultInjector::jumpClock,
+        &FaultInjector::writeOddEntries,
+        &FaultInjector::resizeExecutor,
     };
     ++m_activeFaults;
     m_dependencies.ledger.setCalmSince(std::nullopt);
@@ -298,4 +307,26 @@
     co_return;
 }
 
+asio::awaitable<void> FaultInjector::jumpClock(Fault fault)
+{
+    auto by = static_cast<std::int64_t>((2 * fault.strength - 1) * static_cast<double>(s_maxClockJump.count()));
+    m_dependencies.executors.jumpClock(hostFor(fault), Milliseconds(by));
+    m_dependencies.executors.restart(hostFor(fault), fault.duration);
+    co_await sleepFor(m_executor, fault.duration);
+}
+
+asio::awaitable<void> FaultInjector::writeOddEntries(Fault fault)
+{
+    m_dependencies.executors.writeOddEntries(hostFor(fault));
+    co_await sleepFor(m_executor, s_oddEntryTime);
+}
+
+asio::awaitable<void> FaultInjector::resizeExecutor(Fault fault)
+{
+    std::size_t host = hostFor(fault);
+    m_dependencies.executors.resize(host, static_cast<std::uint32_t>(fault.strength * (s_shrunkRoom + 1)));
+    co_await sleepFor(m_executor, fault.duration);
+    m_dependencies.executors.resize(host, s_usualRoom);
+}
+
 } // namespace plantainhold::soak
--- a/standin/soak/FaultInjector.h
+++ b/standin/soak/FaultInjector.h
@@ -61,6 +61,9 @@
     boost::asio::awaitable<void> loseStoreAnswers(Fault fault);
     boost::asio::awaitable<void> refuseStoreCalls(Fault fault);
     boost::asio::awaitable<void> rebalanceGroup(Fault fault);
+    boost::asio::awaitable<void> jumpClock(Fault fault);
+    boost::asio::awaitable<void> writeOddEntries(Fault fault);
+    boost::asio::awaitable<void> resizeExecutor(Fault fault);
 
     boost::asio::awaitable<void> restartInstance(std::size_t instance, int signal, Milliseconds away);
     std::size_t instanceFor(const Fault& fault) const;
--- a/standin/soak/JobClients.cpp
+++ b/standin/soak/JobClients.cpp
@@ -81,10 +81,10 @@
         m_instances.push_back(std::make_unique<HttpClient>(executor, it));
 }
 
-std::string JobClients::operatorConfig()
+std::string JobClients::operatorConfig(bool enforcesCapacity)
 {
     json::object queue { { "name", "soak-queue" }, { "host", s_host }, { "path_prefix", s_pathPrefix }, { "service", s_service }, { "priority", 0 }, { "max_attempts", 5 }, { "deadline_factor", 2.0 }, { "target_latency_ms", 2'000 } };
-    json::object service { { "name", s_service }, { "enforces_capacity", true } };
+    json::object service { { "name", s_service }, { "enforces_capacity", enforcesCapacity } };
     return json::serialize(json::object { { "version", 1 }, { "routes", json::array { std::move(queue) } }, { "services", json::array { std::move(service) } }, { "limits", json::object {} } });
 }
 
--- a/standin/soak/JobClients.h
+++ b/standin/soak/JobClients.h
@@ -28,7 +28,7 @@
     boost::asio::awaitable<void> submitJobs(double jobsPerSecond);
     void stop() { m_isStopped = true; }
     // The configuration of the queue that the clients use, as the operator writes it.
-    static std::string operatorConfig();
+    static std::string operatorConfig(bool enforcesCapacity);
 
 private:
     struct Job;
--- a/standin/soak/RunLedger.cpp
+++ b/standin/soak/RunLedger.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    constexpr std::string_view s_ruleNames[] = { "TWICE", "LOST", "UNASKED", "REFUSED", "MIXED" };
+    constexpr std::string_view s_ruleNames[] = { "TWICE", "LOST", "UNASKED", "REFUSED", "MIXED", "LIMIT" };
     constexpr std::string_view s_endNames[] = { "done", "stopped", "lapsed", "gone" };
 
     std::string_view jobIdOf(std::string_view task)
@@ -84,6 +84,11 @@
         report(Rule::Unasked, "start after a cancellation: [" + describe(run) + "]");
 }
 
+void RunLedger::startedOverCapacity(RunId run, std::size_t runs, std::size_t room)
+{
+    report(Rule::Limit, std::to_string(runs) + " runs and room for " + std::to_string(room) + ": [" + describe(run) + "]");
+}
+
 void RunLedger::stopOrdered(RunId run)
 {
     if (m_runs[run].stopUnixMs)
--- a/standin/soak/RunLedger.h
+++ b/standin/soak/RunLedger.h
@@ -24,6 +24,7 @@
     Unasked,
     Refused,
     Mixed,
+    Limit,
 };
 
 std::string_view nameOf(Rule rule);
@@ -74,6 +75,8 @@
 
     // What executors see. A run that has ended must not end again.
     RunId runStarted(RunStart start, TimePoint now);
+    // The start brought an executor that does not enforce its capacity to more runs than it has room for.
+    void startedOverCapacity(RunId run, std::size_t runs, std::size_t room);
     void stopOrdered(RunId run);
     void runEnded(RunId run, RunEnd end);
     void endAcknowledged(RunId run);
--- a/standin/soak/SoakOptions.h
+++ b/standin/soak/SoakOptions.h
@@ -17,6 +17,8 @@
     double jobsPerSecond = 15;
     // Without faults, every job must complete soon and no rule has an excuse.
     bool hasFaults = true;
+    // Whether executors reject what does not fit.
+    bool enforcesCapacity = true;
     // Its span is set to the duration.
     ScheduleOptions faults;
     // The folder with the programs, and the folder that receives the logs.
@@ -29,6 +31,8 @@
 inline constexpr Milliseconds s_visible { 3'000 };
 inline constexpr Milliseconds s_cancelLimit { 3'000 };
 inline constexpr Milliseconds s_stopTimeout { 900 };
+// Callers know a room that shrank after the stability time and one heartbeat.
+inline constexpr Milliseconds s_shrinkNotice { 4'800 };
 inline constexpr Milliseconds s_maxLease { 6'000 };
 // After the last fault every accepted job must end within this time.
 inline constexpr Milliseconds s_finishLimit { 30'000 };
--- a/standin/soak/SoakRun.cpp
+++ b/standin/soak/SoakRun.cpp
@@ -41,7 +41,7 @@
             , m_storeState(s_storePartitions, m_random)
             , m_store(m_context.get_executor(), m_subnet.ip(s_standInHost), m_storeState, m_random)
             , m_ledger(m_log, [this](std::uint64_t token) { return senderOf(token); })
-            , m_executors(m_context.get_executor(), m_subnet.ip(s_standInHost), options.executors, { m_storeState, m_ledger, m_log, m_proxy, m_random })
+            , m_executors(m_context.get_executor(), m_subnet.ip(s_standInHost), options.executors, { m_storeState, m_ledger, m_log, m_proxy, m_random, options.enforcesCapacity })
             , m_instances(options, m_subnet, m_proxy, m_store.address())
             , m_faults(m_context.get_executor(), { m_instances, m_executors, m_storeState, m_store, m_proxy, m_ledger, m_log })
             , m_clients(m_context.get_executor(), m_instances.callerAddresses(), m_ledger, options.seed, [this](std::size_t it) { return m_faults.isInTouch(it); })
@@ -50,7 +50,7 @@
 
         SoakResult play()
         {
-            m_storeState.put(platform::s_operatorTopic, platform::s_configKey, JobClients::operatorConfig());
+            m_storeState.put(platform::s_operatorTopic, platform::s_configKey, JobClients::operatorConfig(m_options.enforcesCapacity));
             for (std::size_t i = 0; i < m_instances.size(); ++i)
                 m_instances.start(i);
             asio::co_spawn(m_context, playPhases(), asio::detached);
--- a/standin/soak/SoakSchedule.cpp
+++ b/standin/soak/SoakSchedule.cpp
@@ -38,6 +38,9 @@
         { FaultKind::LoseStoreAnswers, "lose-store-answers", 4, ms(300), ms(3'000) },
         { FaultKind::RefuseStoreCalls, "refuse-store-calls", 2, ms(300), ms(4'000) },
         { FaultKind::RebalanceGroup, "rebalance-group", 3, ms(0), ms(0) },
+        { FaultKind::JumpClock, "jump-clock", 8, ms(0), ms(4'000) },
+        { FaultKind::OddEntries, "odd-entries", 8, ms(0), ms(0) },
+        { FaultKind::ResizeExecutor, "resize-executor", 8, ms(1'000), ms(9'000) },
     });
 
     const KindTraits& traitsOf(FaultKind kind)
@@ -69,7 +72,8 @@
     Fault drawFault(const KindTraits& kind, Milliseconds at, SoakRandom& random)
     {
         Fault fault { at, kind.kind, random.between(kind.minDuration, kind.maxDuration), static_cast<std::uint32_t>(random.below(1u << 20)), random.unit(), random.chance(s_ownerChance) };
-        if (kind.kind == FaultKind::RestartExecutor && random.chance(s_shortRestartChance))
+        bool isRestart = kind.kind == FaultKind::RestartExecutor || kind.kind == FaultKind::JumpClock;
+        if (isRestart && random.chance(s_shortRestartChance))
             fault.duration = random.between(Milliseconds(0), s_shortRestart);
         return fault;
     }
--- a/standin/soak/SoakSchedule.h
+++ b/standin/soak/SoakSchedule.h
@@ -32,6 +32,9 @@
     LoseStoreAnswers,
     RefuseStoreCalls,
     RebalanceGroup,
+    JumpClock,
+    OddEntries,
+    ResizeExecutor,
 };
 
 struct Fault {
