Soak: tasks that crash the executors that start them, and the rule BUDGET

The fault deadly-task makes the next job submitted have one task that crashes its executor 10 ms after each start. The ledger reports BUDGET for a third start after three executors crashed under such a task, and a job without one that is shown as failed, by whichever instance. Jobs with one may be shown as failed or not end.

--- a/plantainhold/testing/soak/RunLedgerTest.cpp
+++ b/plantainhold/testing/soak/RunLedgerTest.cpp
@@ -6,6 +6,7 @@
 #include "standin/soak/SoakOptions.h"
 #include "standin/soak/SoakRandom.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 namespace plantainhold::soak {
@@ -260,4 +261,69 @@
     CHECK(world.broken() == (isKnown ? Rules { Rule::Limit } : Rules {}));
 }
 
+TEST_CASE("a third start of a task after three executors crashed under it is reported, of an innocent one is not")
+{
+    bool isDeadly = GENERATE(true, false);
+    World world;
+    if (isDeadly)
+        world.ledger.jobSubmitted(s_job, "1000", 1, s_task);
+    auto startAndCrash = [&](std::uint32_t number) {
+        ExecutorState one = world.executor("e-" + std::to_string(number));
+        one.start(world.start(number, 5, one), world.now);
+        one.crash();
+    };
+    for (std::uint32_t number = 1; number <= 5; ++number)
+        startAndCrash(number);
+    CHECK(world.broken().empty());
+    startAndCrash(6);
+    CHECK(world.broken() == (isDeadly ? Rules { Rule::Budget } : Rules {}));
+}
+
+TEST_CASE("starts of a deadly task that end otherwise than by a crash are no evidence")
+{
+    World world;
+    world.ledger.jobSubmitted(s_job, "1000", 1, s_task);
+    for (std::uint32_t number = 1; number <= 8; ++number) {
+        ExecutorState one = world.executor("e-" + std::to_string(number));
+        one.start(world.start(number, 5, one), world.now);
+        world.pass(s_maxLease + s_step);
+        one.advance(world.now);
+    }
+    CHECK(std::find(world.broken().begin(), world.broken().end(), Rule::Budget) == world.broken().end());
+}
+
+TEST_CASE("a job that is shown as failed is reported unless it has a deadly task")
+{
+    bool isDeadly = GENERATE(true, false);
+    bool isInTouch = GENERATE(true, false);
+    World world;
+    if (isDeadly)
+        world.ledger.jobSubmitted(s_job, "1000", 1, s_task);
+    world.ledger.jobShown(s_job, JobAnswer::Failed, isInTouch, world.now + s_visible + s_step);
+    CHECK(world.broken() == (isDeadly ? Rules {} : Rules { Rule::Lost }));
+}
+
+TEST_CASE("a job with a deadly task that never ends is not missed")
+{
+    World world;
+    world.ledger.jobSubmitted(s_job, "1000", 1, s_task);
+    CHECK(world.ledger.openJobs() == 0);
+    world.ledger.checkFinished();
+    CHECK(world.broken().empty());
+}
+
+TEST_CASE("a deadly task crashes its executor a moment after its start, its neighbours do not")
+{
+    bool isDeadly = GENERATE(true, false);
+    World world;
+    std::string payload = isDeadly ? "1000 deadly 0.0" : "1000 deadly 0.1";
+    world.ledger.jobSubmitted(s_job, payload, 2);
+    ExecutorState one = world.executor("e-1");
+    StartOrder order = world.start(1, 5, one);
+    order.payload = payload;
+    one.start(order, world.now);
+    CHECK(!one.isCrashDue(world.now));
+    CHECK(one.isCrashDue(world.now + 2 * s_step) == isDeadly);
+}
+
 } // namespace plantainhold::soak
--- a/plantainhold/testing/soak/SoakTest.cpp
+++ b/plantainhold/testing/soak/SoakTest.cpp
@@ -121,4 +121,15 @@
     CHECK(result.completedJobs > 0);
 }
 
+TEST_CASE("a soak with tasks that crash their executors breaks no rule")
+{
+    SoakOptions options = optionsFor(401, std::chrono::seconds(8));
+    options.faults.meanGap = Milliseconds(2'000);
+    options.faults.kinds = { FaultKind::DeadlyTask };
+    SoakResult result = play(options);
+    CHECK(result.isGreen());
+    CHECK(result.faults > 0);
+    CHECK(result.completedJobs > 0);
+}
+
 } // namespace plantainhold::soak
--- a/standin/soak/ExecutorFleet.cpp
+++ b/standin/soak/ExecutorFleet.cpp
@@ -32,6 +32,10 @@
     constexpr Milliseconds s_addressReuse { 2'000 };
     constexpr double s_maxClockDrift = 0.02;
     constexpr std::size_t s_executorsPerFreeHost = 5;
+    // How long an executor is away that a task has crashed.
+    constexpr Milliseconds s_minCrashAway { 2'000 };
+    constexpr Milliseconds s_maxCrashAway { 4'000 };
+    constexpr double s_newIdChance = 0.5;
     // Nobody listens there.
     constexpr std::string_view s_emptyAddress = "127.0.0.1:9";
 
@@ -225,12 +229,34 @@
     start(executor, host);
 }
 
+void ExecutorFleet::crashDeadlyHit(TimePoint now)
+{
+    for (Executor& it : m_executors) {
+        if (!it.state || !it.state->isCrashDue(now))
+            continue;
+        Milliseconds away = m_dependencies.random.between(s_minCrashAway, s_maxCrashAway);
+        restart(it.host, away);
+        if (m_dependencies.random.chance(s_newIdChance))
+            rename(it);
+    }
+}
+
+void ExecutorFleet::rename(Executor& executor)
+{
+    if (executor.isListed)
+        m_leftovers.push_back({ executor.id, executor.lastEntryAt + s_missedHeartbeats * s_heartbeat });
+    executor.id = "e-new-" + std::to_string(++m_newIds);
+    executor.entry.clear();
+    executor.isListed = false;
+}
+
 asio::awaitable<void> ExecutorFleet::advanceForever()
 {
     for (;;) {
         TimePoint now = std::chrono::steady_clock::now();
         advanceAll(now);
         removeLeftovers(now);
+        crashDeadlyHit(now);
         m_dependencies.ledger.checkCancelled(now);
         co_await sleepFor(m_executor, s_advanceInterval);
     }
--- a/standin/soak/ExecutorFleet.h
+++ b/standin/soak/ExecutorFleet.h
@@ -76,6 +76,10 @@
     boost::asio::awaitable<void> registerForever(std::size_t executor);
     boost::asio::awaitable<void> startLater(std::size_t executor, std::size_t host, Milliseconds after);
     void advanceAll(TimePoint now);
+    // Crashes executors under which a deadly task was started; each is back a little later,
+    // under its id or under a new one at the address that it had.
+    void crashDeadlyHit(TimePoint now);
+    void rename(Executor& executor);
     void crash(std::size_t executor);
     void start(std::size_t executor, std::size_t host);
     void writeEntry(Executor& executor);
@@ -91,6 +95,7 @@
     std::vector<Executor> m_executors;
     std::vector<Leftover> m_leftovers;
     std::uint64_t m_oddIds = 0;
+    std::uint64_t m_newIds = 0;
     bool m_isStoreReachable = true;
 };
 
--- a/standin/soak/ExecutorState.cpp
+++ b/standin/soak/ExecutorState.cpp
@@ -8,6 +8,18 @@
 
 namespace plantainhold::soak {
 
+namespace {
+
+    constexpr Milliseconds s_crashDelay { 10 };
+
+    bool isDeadly(const StartOrder& order)
+    {
+        std::size_t mark = order.payload.find(s_deadlyMark);
+        return mark != std::string::npos && order.task.ends_with("." + order.payload.substr(mark + s_deadlyMark.size()));
+    }
+
+} // namespace
+
 ExecutorState::ExecutorState(ExecutorTraits traits, RunLedger& ledger, SoakRandom& random, TimePoint now)
     : m_traits(std::move(traits))
     , m_ledger(ledger)
@@ -56,7 +68,8 @@
     // Beside another run of the same task the ledger has reported a violation already.
     if (present != m_running.end())
         end(present, RunEnd::Stopped);
-    // The payload of a job is the time that each of its tasks works, in ms.
+    if (isDeadly(order) && !m_crashAt)
+        m_crashAt = now + s_crashDelay;
     Milliseconds work(std::strtoll(order.payload.c_str(), nullptr, 10));
     m_running[order.task] = { id, order.number, now, now + work };
     if (m_running.size() > knownRoom(now))
--- a/standin/soak/ExecutorState.h
+++ b/standin/soak/ExecutorState.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace plantainhold::soak {
@@ -33,6 +34,10 @@
     std::uint64_t token = 0;
 };
 
+// A job's payload is the time in ms that each of its tasks works; this and STEP.INDEX may
+// follow, and that task crashes its executor.
+inline constexpr std::string_view s_deadlyMark = " deadly ";
+
 struct StopOrder {
     std::string task;
     std::uint32_t number = 0;
@@ -87,6 +92,8 @@
     // Ends the runs whose work is done or whose lease has expired by now.
     void advance(TimePoint now);
     void resize(std::uint32_t maxRuns, TimePoint now);
+    // Whether a task that was started here crashes the executor now.
+    bool isCrashDue(TimePoint now) const { return m_crashAt && *m_crashAt <= now; }
     // Ends everything without a trace.
     void crash();
 
@@ -117,6 +124,7 @@
     std::map<std::string, ActiveRun> m_running;
     std::vector<EndedRun> m_ended;
     std::uint64_t m_endCount = 0;
+    std::optional<TimePoint> m_crashAt;
     std::vector<FormerRoom> m_formerRooms;
     // The highest run of each task that was stopped or has ended here.
     std::map<std::string, std::uint32_t> m_tombstones;
--- a/standin/soak/FaultInjector.cpp
+++ b/standin/soak/FaultInjector.cpp
@@ -5,6 +5,7 @@
 #include "standin/FaultProxy.h"
 #include "standin/soak/ExecutorFleet.h"
 #include "standin/soak/InstanceFleet.h"
+#include "standin/soak/JobClients.h"
 #include "standin/soak/RunLedger.h"
 #include "standin/soak/SoakOptions.h"
 #include "standin/soak/StoreService.h"
@@ -91,6 +92,7 @@
         &FaultInjector::jumpClock,
         &FaultInjector::writeOddEntries,
         &FaultInjector::resizeExecutor,
+        &FaultInjector::submitDeadlyTask,
     };
     ++m_activeFaults;
     m_dependencies.ledger.setCalmSince(std::nullopt);
@@ -329,4 +331,10 @@
     m_dependencies.executors.resize(host, s_usualRoom);
 }
 
+asio::awaitable<void> FaultInjector::submitDeadlyTask(Fault)
+{
+    m_dependencies.clients.makeNextDeadly();
+    co_return;
+}
+
 } // namespace plantainhold::soak
--- a/standin/soak/FaultInjector.h
+++ b/standin/soak/FaultInjector.h
@@ -16,6 +16,7 @@
 
 class ExecutorFleet;
 class InstanceFleet;
+class JobClients;
 class RunLedger;
 class SoakLog;
 class StoreService;
@@ -25,6 +26,7 @@
 public:
     struct Dependencies {
         InstanceFleet& instances;
+        JobClients& clients;
         ExecutorFleet& executors;
         StoreState& storeState;
         StoreService& store;
@@ -64,6 +66,7 @@
     boost::asio::awaitable<void> jumpClock(Fault fault);
     boost::asio::awaitable<void> writeOddEntries(Fault fault);
     boost::asio::awaitable<void> resizeExecutor(Fault fault);
+    boost::asio::awaitable<void> submitDeadlyTask(Fault fault);
 
     boost::asio::awaitable<void> restartInstance(std::size_t instance, int signal, Milliseconds away);
     std::size_t instanceFor(const Fault& fault) const;
--- a/standin/soak/JobClients.cpp
+++ b/standin/soak/JobClients.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <cmath>
 #include <cstdio>
+#include <utility>
 
 namespace plantainhold::soak {
 
@@ -98,6 +99,12 @@
     std::string payload = std::to_string(work.count());
     std::uint64_t first = 1 + m_random.below(4);
     std::uint64_t second = m_random.below(3);
+    std::string deadlyTask;
+    if (std::exchange(m_isNextDeadly, false)) {
+        std::string place = "0." + std::to_string(m_random.below(first));
+        payload += std::string(s_deadlyMark) + place;
+        deadlyTask = job->id + ".0." + place;
+    }
     json::object step { { "count", first }, { "cpu", s_taskMilliCores }, { "mem_mb", 64 }, { "estimate_ms", work.count() } };
     json::array steps { step };
     if (second) {
@@ -108,7 +115,7 @@
     job->body = json::serialize(json::object { { "spec", payload }, { "phases", std::move(steps) } });
     job->isToCancel = m_random.chance(s_cancelledShare);
     job->isToResubmit = m_random.chance(s_resubmittedShare);
-    m_ledger.jobSubmitted(job->id, std::move(payload), static_cast<std::uint32_t>(first + second));
+    m_ledger.jobSubmitted(job->id, std::move(payload), static_cast<std::uint32_t>(first + second), std::move(deadlyTask));
     return job;
 }
 
--- a/standin/soak/JobClients.h
+++ b/standin/soak/JobClients.h
@@ -26,6 +26,8 @@
 
     // Submits jobs at random times until stop() is called.
     boost::asio::awaitable<void> submitJobs(double jobsPerSecond);
+    // The next job submitted has a task that crashes each executor that starts it.
+    void makeNextDeadly() { m_isNextDeadly = true; }
     void stop() { m_isStopped = true; }
     // The configuration of the queue that the clients use, as the operator writes it.
     static std::string operatorConfig(bool enforcesCapacity);
@@ -50,6 +52,7 @@
     SoakRandom m_random;
     IsInTouch m_isInTouch;
     bool m_isStopped = false;
+    bool m_isNextDeadly = false;
 };
 
 } // namespace plantainhold::soak
--- a/standin/soak/RunLedger.h
+++ b/standin/soak/RunLedger.h
@@ -25,6 +25,7 @@
     Refused,
     Mixed,
     Limit,
+    Budget,
 };
 
 std::string_view nameOf(Rule rule);
@@ -85,7 +86,8 @@
     void endExcused(RunId run);
 
     // What clients see. A job must be submitted before anything else is reported about it.
-    void jobSubmitted(const std::string& job, std::string payload, std::uint32_t tasks);
+    // Its deadly task, if there is one, crashes each executor that starts it.
+    void jobSubmitted(const std::string& job, std::string payload, std::uint32_t tasks, std::string deadlyTask = {});
     void submissionOpen(const std::string& job);
     void submissionAccepted(const std::string& job, TimePoint now);
     void submissionRejected(const std::string& job);
@@ -132,11 +134,16 @@
         std::optional<TimePoint> cancelledAt;
         bool isFinal = false;
         std::vector<RunId> running;
+        std::string deadlyTask;
+        // Executors that crashed under the deadly task, and its starts once there were enough.
+        unsigned crashes = 0;
+        unsigned furtherStarts = 0;
         std::map<std::string, bool> doneTasks;
     };
 
     Job* jobOf(std::string_view task);
     void checkTwice(RunId run);
+    void checkBudget(RunId run);
     void checkUnasked(RunId run, TimePoint now);
     void report(Rule rule, std::string text);
     std::string describe(RunId run) const;
--- a/standin/soak/SoakRun.cpp
+++ b/standin/soak/SoakRun.cpp
@@ -43,8 +43,8 @@
             , m_ledger(m_log, [this](std::uint64_t token) { return senderOf(token); })
             , m_executors(m_context.get_executor(), m_subnet.ip(s_standInHost), options.executors, { m_storeState, m_ledger, m_log, m_proxy, m_random, options.enforcesCapacity })
             , m_instances(options, m_subnet, m_proxy, m_store.address())
-            , m_faults(m_context.get_executor(), { m_instances, m_executors, m_storeState, m_store, m_proxy, m_ledger, m_log })
             , m_clients(m_context.get_executor(), m_instances.callerAddresses(), m_ledger, options.seed, [this](std::size_t it) { return m_faults.isInTouch(it); })
+            , m_faults(m_context.get_executor(), { m_instances, m_clients, m_executors, m_storeState, m_store, m_proxy, m_ledger, m_log })
         {
         }
 
@@ -108,8 +108,8 @@
         RunLedger m_ledger;
         ExecutorFleet m_executors;
         InstanceFleet m_instances;
-        FaultInjector m_faults;
         JobClients m_clients;
+        FaultInjector m_faults;
         SoakResult m_result;
     };
 
--- a/standin/soak/SoakSchedule.cpp
+++ b/standin/soak/SoakSchedule.cpp
@@ -41,6 +41,7 @@
         { FaultKind::JumpClock, "jump-clock", 8, ms(0), ms(4'000) },
         { FaultKind::OddEntries, "odd-entries", 8, ms(0), ms(0) },
         { FaultKind::ResizeExecutor, "resize-executor", 8, ms(1'000), ms(9'000) },
+        { FaultKind::DeadlyTask, "deadly-task", 3, ms(0), ms(0) },
     });
 
     const KindTraits& traitsOf(FaultKind kind)
--- a/standin/soak/SoakSchedule.h
+++ b/standin/soak/SoakSchedule.h
@@ -35,6 +35,7 @@
     JumpClock,
     OddEntries,
     ResizeExecutor,
+    DeadlyTask,
 };
 
 struct Fault {
