--- a/standin/soak/SoakSchedule.h
+++ b/standin/soak/SoakSchedule.h
@@ -32,6 +32,10 @@
     LoseStoreAnswers,
     RefuseStoreCalls,
     RebalanceGroup,
+    JumpClock,
+    OddEntries,
+    ResizeExecutor,
+    DeadlyTask,
 };
 
 struct Fault {
