Count crashes under restored runs, and let gangs of suspects start

Found by review. The owner was killed after each start of a deadly task: its successors restored the run, lost it as never started, and counted nothing. An assignment that waited seconds for its record made a run that had just begun look sound. An executor that comes back under another id after the lease had expired now counts at once. A call for advice that throws is no longer forgotten: it counts as unanswered.

--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -254,7 +254,7 @@
         m_adviceQueue.pop_front();
         Advice advice;
         if (m_dependencies.advice)
-            advice = co_await m_dependencies.advice->advise(request, s_adviceTimeout);
+            advice = co_await resultOr(m_dependencies.advice->advise(request, s_adviceTimeout), Advice {}, m_dependencies.events, "advice");
         if (m_isStopped)
             break;
         m_scheduler->adviceReceived(request, advice, BootClock::now());
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -58,8 +58,12 @@
     // The newest fencing token that a start command for this run may have carried.
     std::uint64_t token = 0;
     TimePoint assignedAt {};
-    // When this owner sent the start.
+    // When this owner sent the start; unset for a run that a former owner started.
     TimePoint sentAt {};
+    bool wasSentHere() const { return sentAt != TimePoint {}; }
+    // Returns the earliest time at which the run can have begun, as far as this owner knows. A start may wait
+    // for its record for long after the assignment.
+    TimePoint begunAt() const { return wasSentHere() ? sentAt : assignedAt; }
     // How the run relates to the crash of its executor, if that has crashed; the task counts it once the run
     // is lost.
     CrashRelation crash = CrashRelation::None;
--- a/plantainhold/jobs/CrashEvidence.h
+++ b/plantainhold/jobs/CrashEvidence.h
@@ -33,8 +33,8 @@
     static constexpr Milliseconds s_soonLimit { 250 };
     // A run that was at work for this long is no cause.
     static constexpr Milliseconds s_soundAfter { 5'000 };
-    // Crashes after which a task is given up, whatever else they tell. One more start than that would be the
-    // third after three crashes.
+    // Crashes after which a task is given up, whatever else they tell. The sixth start would be the third after
+    // three crashes.
     static constexpr std::uint32_t s_limit = 5;
     // Crashes soon after a start, after which it is given up if one of them came alone; two of them, where
     // executors crash for other reasons.
--- a/plantainhold/jobs/JobLeases.cpp
+++ b/plantainhold/jobs/JobLeases.cpp
@@ -117,6 +117,8 @@
     std::erase_if(runs, [&](const ActiveRun* it) { return !isOver(*it); });
     if (!runs.empty())
         markCrash(executor, s_noIncarnation, now);
+    if (result.address == executor.reportedAddress && result.sentAt >= executor.reportedSince)
+        countExpired(executor, s_noIncarnation, now);
     for (ActiveRun* it : runs)
         loseRun(*it, "another executor responds at its address", Milliseconds(0), now);
 }
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -102,7 +102,8 @@
     run.phase = phase;
     run.token = executor.token;
     run.assignedAt = now;
-    run.isSuspect = task.crashes.isSuspect();
+    // The members of a gang must be able to run beside each other.
+    run.isSuspect = task.crashes.isSuspect() && !task.step->spec->isGang;
     executor.suspectRuns += run.isSuspect;
     run.progressedAt = now;
     run.checkpoint = task.checkpoint;
--- a/plantainhold/testing/jobs/DeadlyTaskTest.cpp
+++ b/plantainhold/testing/jobs/DeadlyTaskTest.cpp
@@ -171,6 +171,36 @@
     CHECK(fixture.storedJob("j").state == JobState::Failed);
 }
 
+// BUDGET: the owner was killed after each start of a deadly task. Its successors restored the run, lost it
+// without counting the crash, and started the task again.
+TEST_CASE("a restored run counts the crash of its executor")
+{
+    SchedulerFixture fixture;
+    fixture.list("x", 8'000, 2);
+    fixture.restore("j", { SchedulerFixture::step(1, 1'000) }, { JobState::Running, true, { { 0, 0, 0, 1, 0, false, "x", 1, {}, {} } } });
+    fixture.advance();
+    fixture.report("x", {}, {}, 2);
+    fixture.advance();
+    fixture.report("x", {}, {}, 2);
+    CHECK(fixture.events().find(EventId::TaskCrashedExecutor).find("task=j.0.0.0 run=1") != std::string::npos);
+}
+
+// LOST: a member of a gang that was suspected kept the others from the only executor, for ever.
+TEST_CASE("a gang under whose members an executor crashed starts again on one executor")
+{
+    SchedulerFixture fixture;
+    fixture.addExecutor("x", 8'000);
+    StepSpec gang = SchedulerFixture::step(2, 1'000);
+    gang.isGang = true;
+    fixture.submit("j", 0, { gang });
+    fixture.accept(fixture.advance());
+    fixture.advance();
+    fixture.report("x", {}, {}, 2);
+    fixture.advance();
+    fixture.report("x", {}, {}, 2);
+    CHECK(startsWithin(fixture, Milliseconds(3'000)) == 2);
+}
+
 // A crash is stored before the next start of the task is sent.
 TEST_CASE("crashes under a task are stored with its progress")
 {
