--- a/plantainhold/testing/entry/ExecutorCallsTest.cpp
+++ b/plantainhold/testing/entry/ExecutorCallsTest.cpp
@@ -4,6 +4,7 @@
 #include "plantainhold/entry/OwnershipManager.h"
 #include "plantainhold/testing/jobs/SchedulerFixture.h"
 #include "plantainhold/testing/store/MemoryStore.h"
+#include "plantainhold/util/BootClock.h"
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
@@ -28,7 +29,8 @@
 // of a link to the executor, and the run stayed in phase Starting.
 TEST_CASE("a start for an executor without a link is logged, and its task is placed again")
 {
-    SchedulerFixture fixture;
+    // ExecutorCalls has the clock of the machine.
+    SchedulerFixture fixture({ 0, true, {} }, false, BootClock::now());
     fixture.addExecutor("x", 8'000);
     std::vector<ExecutorCommand> commands = startJob(fixture);
     asio::io_context context;
--- a/plantainhold/testing/jobs/SchedulerFixture.h
+++ b/plantainhold/testing/jobs/SchedulerFixture.h
@@ -26,8 +26,10 @@
     // Address of all executors.
     static constexpr const char* s_address = "10.0.0.1:80";
 
-    explicit SchedulerFixture(OwnerTerm former = { 0, true, {} }, bool needsAdvice = false)
-        : m_scheduler(m_limits, s_generation, former, m_events, m_now)
+    // The test's clock begins at `start`.
+    explicit SchedulerFixture(OwnerTerm former = { 0, true, {} }, bool needsAdvice = false, TimePoint start = TimePoint(std::chrono::hours(1)))
+        : m_now(start)
+        , m_scheduler(m_limits, s_generation, former, m_events, m_now)
     {
         auto config = std::make_shared<FleetConfig>();
         for (std::int32_t priority : { 0, 2 }) {
@@ -169,7 +171,7 @@
 
     SchedulerLimits m_limits;
     KeptEvents m_events;
-    TimePoint m_now { std::chrono::hours(1) };
+    TimePoint m_now;
     JobTable m_table;
     std::uint64_t m_offset = 0;
     JobScheduler m_scheduler;
