--- a/review/standin/executor.py
+++ b/review/standin/executor.py
@@ -12,6 +12,8 @@
 from http11 import Server
 
 ENDS_A_LIST = 500
+# Longer than any caller waits.
+SILENCE_S = 30
 
 
 class Run:
@@ -37,6 +39,12 @@
         self.back_s = back_s
         self.is_up = False
         self.is_silent = False
+        # Set where other programs reach the executor through a proxy, and where it closes each connection after
+        # one call.
+        self.proxy = None
+        self.closes_connections = False
+        # How long a report takes on its way back.
+        self.report_s = 0.0
         self.sequence = 0
         self.port = world.free_port()
         self.beats = None
@@ -54,18 +62,23 @@
         self.acked = 0
         self.over = {}
         self.changed = asyncio.Event()
-        self.server = Server(self.handle)
+        self.server = Server(self.handle, self.closes_connections)
         address = await self.server.start(self.port)
-        self.port = int(address.rsplit(":", 1)[1])
+        if self.proxy:
+            self.proxy.target = address
         self.is_up = True
-        self.world.record("executor_up", executor=self.name, id=self.id, address=address, labels=self.labels, capacity=self.capacity)
+        self.world.record("executor_up", executor=self.name, id=self.id, address=self.address(), labels=self.labels, capacity=self.capacity)
         self.beat()
         self.beats = asyncio.create_task(self.keep_beating())
         self.reaper = asyncio.create_task(self.watch_lease())
 
+    def address(self):
+        """Returns the address that the executor tells others."""
+        return self.proxy.address if self.proxy else self.server.address
+
     def beat(self):
         self.sequence += 1
-        entry = {"service": self.world.service, "address": self.server.address, "zone": "z-a", "version": "v1", "slots": 8,
+        entry = {"service": self.world.service, "address": self.address(), "zone": "z-a", "version": "v1", "slots": 8,
                  "state": "ready", "cold_left_ms": 0, "capacity": self.capacity, "labels": self.labels,
                  "clock_ms": self.clock(), "born": self.born, "sequence": self.sequence}
         self.world.store.put("keyed.servers", self.id, json.dumps(entry).encode())
@@ -94,7 +107,15 @@
             asyncio.create_task(self.expire_entry(self.id))
         asyncio.create_task(self.come_back(keeps_id, labels or self.labels, capacity or self.capacity))
 
-    def end_life(self):
+    def go_dark(self):
+        """Ends this life for good and without a word: open connections stay so, but nothing answers on them."""
+        self.is_up = False
+        self.is_silent = True
+        self.world.record("executor_dark", executor=self.name, id=self.id)
+        self.end_life(is_silent=True)
+        asyncio.create_task(self.expire_entry(self.id))
+
+    def end_life(self, is_silent=False):
         for it in (self.beats, self.reaper):
             it.cancel()
         for run in self.running.values():
@@ -103,7 +124,7 @@
                     timer.cancel()
             self.world.ended(self, run, "crashed")
         self.running.clear()
-        self.server.stop()
+        self.server.stop(is_silent)
 
     async def come_back(self, keeps_id, labels, capacity):
         await asyncio.sleep(self.back_s)
@@ -151,7 +172,7 @@
 
     async def handle(self, request):
         if self.is_silent:
-            await asyncio.sleep(30)
+            await asyncio.sleep(SILENCE_S)
             return None
         if request.path == "/health":
             return 200, {}
@@ -167,7 +188,11 @@
             self.world.record("refused", executor=self.name, call=request.path, reason="fence", token=body.get("fencing_token", 0))
             return self.refusal("fence")
         self.token = body.get("fencing_token", 0)
-        return await handler(body)
+        answer = await handler(body)
+        if self.is_silent:
+            await asyncio.sleep(SILENCE_S)
+            return None
+        return answer
 
     def refusal(self, reason):
         return 409, {"clock_ms": self.clock(), "reason": reason}
@@ -219,7 +244,10 @@
 
     async def hold(self, body):
         self.raise_deadline(body)
+        self.world.held(self)
         cursor = body.get("ack_cursor", 0)
+        if cursor:
+            self.world.noted(self, cursor)
         if cursor > self.acked:
             self.acked = cursor
             self.finished = [it for it in self.finished if it[0] > cursor]
@@ -229,6 +257,8 @@
                 await asyncio.wait_for(self.changed.wait(), wait)
             except TimeoutError:
                 pass
+        if self.report_s:
+            await asyncio.sleep(self.report_s)
         running = [[it.task, it.number, self.checkpoint_of(it), self.percent(it), 0] for it in self.running.values()]
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": running, "finished": self.finished[:ENDS_A_LIST]}
 
--- a/review/standin/http11.py
+++ b/review/standin/http11.py
@@ -40,8 +40,9 @@
 class Server:
     """Serves requests with handler(request), which returns (status, body) or None for no answer."""
 
-    def __init__(self, handler):
+    def __init__(self, handler, closes_connections=False):
         self._handler = handler
+        self._closes_connections = closes_connections
         self._server = None
         self._writers = set()
         self.address = None
@@ -52,11 +53,13 @@
         self.address = f"{host}:{port}"
         return self.address
 
-    def stop(self):
-        """Stops listening and resets all connections, as the end of a process does."""
+    def stop(self, keeps_connections=False):
+        """Stops listening and resets all connections, as the end of a process does, or keeps those that are open."""
         if self._server:
             self._server.close()
             self._server = None
+        if keeps_connections:
+            return
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -76,8 +79,11 @@
                 kind = "application/octet-stream" if isinstance(content, bytes) else "application/json"
                 if not isinstance(content, bytes):
                     content = json.dumps(content, separators=(",", ":")).encode()
-                writer.write(f"HTTP/1.1 {status} -\r\nContent-Type: {kind}\r\nContent-Length: {len(content)}\r\n\r\n".encode() + content)
+                closing = "Connection: close\r\n" if self._closes_connections else ""
+                writer.write(f"HTTP/1.1 {status} -\r\n{closing}Content-Type: {kind}\r\nContent-Length: {len(content)}\r\n\r\n".encode() + content)
                 await writer.drain()
+                if closing:
+                    return
         except (ConnectionError, OSError):
             return
         finally:
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -21,6 +21,7 @@
 PROGRAM = "target/bin/plantainhold-jobsd"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 RECORDED_REFUSALS = 5
+POLL_S = 0.02
 PORTS = (12000, 32000)
 READY_TRIES = 200
 # Jobs are judged this long after the last one was handed in, and after as long as one may have nothing running.
@@ -127,6 +128,12 @@
     def record(self, event, **fields):
         self.log.append({"at_s": self.at(), "event": event, **fields})
 
+    def held(self, executor):
+        """Called when an executor has received a call for its report, which may have prolonged its lease."""
+
+    def noted(self, executor, number):
+        """Called when an executor has received the acknowledgement of its ends up to this number."""
+
     def append_refused(self, topic, largest):
         """Called when the store refused an append because of a record of `largest` bytes; the first are recorded."""
         if self.store.refused <= RECORDED_REFUSALS:
@@ -219,7 +226,7 @@
         while time.monotonic() < end:
             if condition():
                 return True
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(POLL_S)
         return condition()
 
     def events(self, event):
@@ -228,15 +235,19 @@
     def starts_of(self, job):
         return [it for it in self.log if it["event"] == "start" and it["task"].startswith(job + ".")]
 
+    async def add_executor(self):
+        i = len(self.executors)
+        it = Executor(self, f"executor-{i}", self.capacity_of(i), self.labels_of(i), self.stop_s, self.back_s)
+        self.executors.append(it)
+        await it.start()
+
     async def boot(self):
         if not (ROOT / PROGRAM).exists():
             raise RuntimeError(f"{PROGRAM} is not built")
         await self.store.start()
         self.configure([self.route(i) for i in range(len(self.queues))])
-        for i in range(self.executors_n):
-            it = Executor(self, f"executor-{i}", self.capacity_of(i), self.labels_of(i), self.stop_s, self.back_s)
-            self.executors.append(it)
-            await it.start()
+        for _ in range(self.executors_n):
+            await self.add_executor()
         for i in range(self.instances_n):
             it = Instance(self, f"instance-{i}")
             self.instances.append(it)
@@ -287,8 +298,7 @@
                     it.process.kill()
                     await it.process.wait()
             for it in self.executors:
-                if it.is_up:
-                    it.server.stop()
+                it.server.stop()
             self.store.server.stop()
             (self.case / "record.txt").write_text("".join(json.dumps(it) + "\n" for it in self.log))
             if os.environ.get("KEEP"):
