--- a/review/standin/executor.py
+++ b/review/standin/executor.py
@@ -1,7 +1,7 @@
 """Stand-in of one machine that runs tasks: a life follows a life, each with its own id or with the same one.
 
-What a task does is said by its spec, a JSON text: "ms" is how long it works, "ends" how it ends ("done"
-if left out), "crash_after_ms" after which time of work it brings down the executor that runs it.
+What a task does is said by its spec, a JSON text: "ms" is how long it works (0: until it is stopped), "ends" how
+it ends ("done" if left out).
 """
 
 import asyncio
@@ -17,16 +17,14 @@
 
 
 class Run:
-    def __init__(self, task, number, spec, work_s, checkpoint):
+    def __init__(self, task, number, spec, work_s):
         self.task = task
         self.number = number
         self.spec = spec
         self.work_s = work_s
-        self.checkpoint = checkpoint
         self.started = time.monotonic()
         self.is_stopping = False
         self.timer = None
-        self.fate = None
 
 
 class Executor:
@@ -95,9 +93,8 @@
     def clock(self):
         return int((time.monotonic() - self.zero) * 1000) + 1000
 
-    def crash(self, cause, keeps_id=False, labels=None, capacity=None):
-        """Ends this life: nothing runs any more. Another one begins after back_s, under a new id or the same
-        one, and of another kind or size if these are given."""
+    def crash(self, cause, keeps_id=False):
+        """Ends this life: nothing runs any more. Another one begins after back_s, under a new id or the same one."""
         if not self.is_up:
             return
         self.is_up = False
@@ -105,7 +102,7 @@
         self.end_life()
         if not keeps_id:
             asyncio.create_task(self.expire_entry(self.id))
-        asyncio.create_task(self.come_back(keeps_id, labels or self.labels, capacity or self.capacity))
+        asyncio.create_task(self.come_back(keeps_id))
 
     def go_dark(self):
         """Ends this life for good and without a word: open connections stay so, but nothing answers on them."""
@@ -119,17 +116,14 @@
         for it in (self.beats, self.reaper):
             it.cancel()
         for run in self.running.values():
-            for timer in (run.timer, run.fate):
-                if timer:
-                    timer.cancel()
+            if run.timer:
+                run.timer.cancel()
             self.world.ended(self, run, "crashed")
         self.running.clear()
         self.server.stop(is_silent)
 
-    async def come_back(self, keeps_id, labels, capacity):
+    async def come_back(self, keeps_id):
         await asyncio.sleep(self.back_s)
-        self.labels = labels
-        self.capacity = capacity
         await self.start(keeps_id)
 
     async def watch_lease(self):
@@ -143,22 +137,15 @@
         if self.running.get(run.task) is not run:
             return
         del self.running[run.task]
-        for timer in (run.timer, run.fate):
-            if timer:
-                timer.cancel()
+        if run.timer:
+            run.timer.cancel()
         self.over[run.task] = max(self.over.get(run.task, 0), run.number)
         self.ends += 1
-        self.finished.append([self.ends, run.task, run.number, how, self.checkpoint_of(run)])
+        self.finished.append([self.ends, run.task, run.number, how, ""])
         self.world.ended(self, run, how, self.ends)
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def checkpoint_of(self, run):
-        if not self.world.checkpointing:
-            return ""
-        worked = int(time.monotonic() - run.started)
-        return f"{worked:016x}" if worked else run.checkpoint
-
     def used(self):
         total = {"cpu": 0, "mem_mb": 0, "gpu": 0}
         for run in self.running.values():
@@ -218,14 +205,11 @@
             return self.refusal("room")
         self.raise_deadline(body)
         spec = json.loads(body["spec"]) if body["spec"].startswith("{") else {}
-        run = Run(task, number, body["spec"], spec.get("ms", 1000) / 1000, body.get("checkpoint", ""))
+        run = Run(task, number, body["spec"], spec.get("ms", 1000) / 1000)
         self.running[task] = run
         self.world.started(self, run, used, exceeds)
-        loop = asyncio.get_running_loop()
-        if "crash_after_ms" in spec:
-            run.fate = loop.call_later(spec["crash_after_ms"] / 1000, self.crash, task)
         if run.work_s:
-            run.timer = loop.call_later(run.work_s, self.end, run, spec.get("ends", "done"))
+            run.timer = asyncio.get_running_loop().call_later(run.work_s, self.end, run, spec.get("ends", "done"))
         return 200, {"clock_ms": self.clock()}
 
     async def run_stop(self, body):
@@ -259,7 +243,7 @@
                 pass
         if self.report_s:
             await asyncio.sleep(self.report_s)
-        running = [[it.task, it.number, self.checkpoint_of(it), self.percent(it), 0] for it in self.running.values()]
+        running = [[it.task, it.number, "", self.percent(it), 0] for it in self.running.values()]
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": running, "finished": self.finished[:ENDS_A_LIST]}
 
     @staticmethod
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -63,7 +63,6 @@
         self.parts = parts
         self.topics = {}
         self.groups = {}
-        self.delay_s = 0.0
         self.refused = 0
         self.on_refused = on_refused
         self.server = Server(self.handle)
@@ -85,8 +84,6 @@
         self.partition(topic, 0).append([bytes([len(key)]) + key + value])
 
     async def handle(self, request):
-        if self.delay_s:
-            await asyncio.sleep(self.delay_s)
         handlers = {
             "/api/log-append": self.log_append, "/api/log-read": self.log_read, "/api/log-newest": self.log_newest,
             "/api/log-join": self.log_join, "/api/log-leave": self.log_leave, "/api/log-owners": self.log_owners,
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -44,10 +44,9 @@
 class Instance:
     """One process of the daemon, started with the command of the deploy file."""
 
-    def __init__(self, world, name, cores=1):
+    def __init__(self, world, name):
         self.world = world
         self.name = name
-        self.cores = cores
         self.process = None
         self.choose_ports()
 
@@ -58,7 +57,7 @@
         bounds = self.world.bounds
         text = (ROOT / "deploy/settings.toml").read_text()
         values = {
-            "node_name": self.name, "zone": "z-a", "bounds.grace_s": 6, "limits.cpu_share": 1, "limits.cores": self.cores,
+            "node_name": self.name, "zone": "z-a", "bounds.grace_s": 6, "limits.cpu_share": 1, "limits.cores": 1,
             "listen.frontend": self.callers, "listen.readiness": self.readiness, "ip": "127.0.0.1",
             "port_range.0": self.metrics.split(":")[1], "port_range.1": self.peers.split(":")[1],
             "platform.address": self.world.store.server.address, "platform.parts": 8, "platform.ttl_min_ms": 1000,
@@ -102,7 +101,6 @@
     enforces_capacity = True
     heartbeat_s = 1.1
     hold_max_ms = 10000
-    checkpointing = False
     stop_s = 0.2
     back_s = 2.0
     queues = [{"priority": 0, "max_attempts": 3}]
