Store the queue's settings with each job

Cause: what a job was accepted under was not stored with it. The scheduler looked the queue up by name in the newest configuration; for one that was gone it went on with defaults: no service, to which no executor belongs, and one attempt. Nothing said so in the log.

Change: service, priority, attempts, advice and objective travel with the job, from the submission on. A configuration that is not older and names the same queue (name, host, prefix) goes before them, any other leaves them; if that changes them, the owner stores them with the progress. Jobs without settings, of a release before, wait with JobSettingsUnknown (662).

Ruled out: a lost record (the job is known and shown as queued) and a lost end of the run (it is applied and acknowledged).

--- a/bench/JobFleet.cpp
+++ b/bench/JobFleet.cpp
@@ -95,18 +95,17 @@
 JobFleet::JobFleet(const JobFleetOptions& options)
     : m_options(options)
     , m_random(options.seed)
-    , m_config(std::make_shared<FleetConfig>())
+    , m_config(std::make_shared<FleetConfig>(1))
 {
-    m_config->version = 1;
     for (std::size_t i = 0; i < s_queues.size(); ++i) {
         Queue queue;
         queue.name = s_queues[i];
-        queue.service = "service";
-        queue.maxAttempts = 3;
-        queue.deadlineFactor = s_deadlineFactors[i];
-        queue.targetLatencyMs = s_latencies[i];
-        queue.priority = s_priorities[i];
-        m_config->queues.push_back(queue);
+        queue.settings.service = "service";
+        queue.settings.maxAttempts = 3;
+        queue.settings.deadlineFactor = s_deadlineFactors[i];
+        queue.settings.targetLatencyMs = s_latencies[i];
+        queue.settings.priority = s_priorities[i];
+        m_config->add(queue);
     }
     m_scheduler = std::make_unique<JobScheduler>(SchedulerLimits(), 1, OwnerTerm { 0, true, {} }, m_events, at(0));
     m_scheduler->termRecorded();
--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -116,11 +116,11 @@
         m_log.note(EventId::QueuesRejected, { { "offset", record.offset }, { "fault", fault } });
         return;
     }
-    if (m_config && config->version <= m_config->version)
+    if (m_config && config->version() <= m_config->version())
         return;
     m_config = std::make_shared<const FleetConfig>(std::move(*config));
     m_callerServer->setLimits(m_config->limits);
-    m_log.note(EventId::QueuesInForce, { { "version", m_config->version }, { "queues", m_config->queues.size() }, { "offset", record.offset } });
+    m_log.note(EventId::QueuesInForce, { { "version", m_config->version() }, { "queues", m_config->queues().size() }, { "offset", record.offset } });
     if (m_owner)
         m_owner->configure(m_config);
 }
@@ -181,7 +181,7 @@
 
 asio::awaitable<HttpResponse> EntryInstance::metricsResponse()
 {
-    MetricsInput input { m_service.counters(), m_records.table().size(), m_owner && m_owner->scheduler() ? m_owner->scheduler() : nullptr, m_owner ? m_owner->queuedCommands() : 0, m_config ? m_config->version : 0, m_log.droppedLines() };
+    MetricsInput input { m_service.counters(), m_records.table().size(), m_owner && m_owner->scheduler() ? m_owner->scheduler() : nullptr, m_owner ? m_owner->queuedCommands() : 0, m_config ? m_config->version() : 0, m_log.droppedLines() };
     co_return HttpResponse { 200, renderMetrics(input), "text/plain; version=0.0.4" };
 }
 
--- a/plantainhold/jobs/ActiveJob.cpp
+++ b/plantainhold/jobs/ActiveJob.cpp
@@ -29,7 +29,7 @@
 
 bool ActiveStep::lacksAdvice(TimePoint now) const
 {
-    return job().queue.needsAdvice && now >= ticketsUntil;
+    return job().settings.needsAdvice && now >= ticketsUntil;
 }
 
 bool ActiveOccurrence::isReady(const ActiveStep& step) const
@@ -103,9 +103,11 @@
 
 JobProgress ActiveJob::progress() const
 {
-    JobProgress progress { state, hasStarted, {} };
+    JobProgress progress { state, hasStarted, {}, {} };
     if (isFinal(state))
         return progress;
+    if (!settings.hasSameTerms(spec->settings))
+        progress.settings = settings;
     for (const ActiveOccurrence& occurrence : occurrences) {
         for (const ActiveStep& step : occurrence.steps) {
             for (const ActiveTask& task : step.tasks) {
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -7,7 +7,7 @@
 #include "plantainhold/jobs/HeadroomTrend.h"
 #include "plantainhold/jobs/JobProgress.h"
 #include "plantainhold/jobs/JobSpec.h"
-#include "plantainhold/jobs/Queue.h"
+#include "plantainhold/jobs/QueueSettings.h"
 #include "plantainhold/ports/Clock.h"
 
 #include <cstdint>
@@ -173,7 +173,8 @@
 struct ActiveJob {
     std::string id;
     std::shared_ptr<const JobSpec> spec;
-    Queue queue;
+    // The settings of its queue that are in force for it.
+    QueueSettings settings;
     JobState state = JobState::Queued;
     // One of its tasks has started.
     bool hasStarted = false;
--- a/plantainhold/jobs/Eligibility.cpp
+++ b/plantainhold/jobs/Eligibility.cpp
@@ -24,7 +24,7 @@
 bool canRunSomewhere(const ActiveStep& step, std::span<ActiveExecutor* const> executors)
 {
     const StepSpec& spec = *step.spec;
-    const std::string& service = step.job().queue.service;
+    const std::string& service = step.job().settings.service;
     return std::any_of(executors.begin(), executors.end(), [&](const ActiveExecutor* it) {
         return it->isListed && it->entry.service == service && spec.reserved().fitsIn(it->entry.capacity) && hasLabel(*it, spec.requiredLabel);
     });
@@ -46,13 +46,13 @@
 PlacementObstacle eligibilityObstacle(const ActiveExecutor& executor, const ActiveStep& step, TimePoint now)
 {
     const StepSpec& spec = *step.spec;
-    if (executor.entry.service != step.job().queue.service)
+    if (executor.entry.service != step.job().settings.service)
         return PlacementObstacle::OtherService;
     if (PlacementObstacle obstacle = workObstacle(executor, now); obstacle != PlacementObstacle::None)
         return obstacle;
     if (!hasLabel(executor, spec.requiredLabel))
         return PlacementObstacle::MissingLabel;
-    if (step.job().queue.needsAdvice && !step.tickets.contains(executor.entry.id))
+    if (step.job().settings.needsAdvice && !step.tickets.contains(executor.entry.id))
         return PlacementObstacle::NoTicket;
     if (executor.suspectRuns)
         return PlacementObstacle::SuspectThere;
--- a/plantainhold/jobs/FleetLoad.cpp
+++ b/plantainhold/jobs/FleetLoad.cpp
@@ -43,7 +43,7 @@
     for (const ActiveStep* it : steps) {
         if (it->spec->isLongRunning || it->spec->isBestEffort())
             continue;
-        ServiceLoad& load = m_services[it->job().queue.service];
+        ServiceLoad& load = m_services[it->job().settings.service];
         load.demand += static_cast<double>(it->waitingTasks() * it->spec->resources.millicores);
         load.largest = std::max(load.largest, it->spec->resources.millicores);
     }
--- a/plantainhold/jobs/JobCodec.cpp
+++ b/plantainhold/jobs/JobCodec.cpp
@@ -56,6 +56,23 @@
         return step;
     }
 
+    void encodeSettings(const QueueSettings& settings, wire::QueueSettingsRecord& record)
+    {
+        record.set_config_version(settings.configVersion);
+        record.set_address_hash(settings.addressHash);
+        record.set_service(settings.service);
+        record.set_priority(settings.priority);
+        record.set_max_attempts(settings.maxAttempts);
+        record.set_deadline_factor(settings.deadlineFactor);
+        record.set_target_latency_ms(settings.targetLatencyMs);
+        record.set_needs_advice(settings.needsAdvice);
+    }
+
+    QueueSettings decodeSettings(const wire::QueueSettingsRecord& record)
+    {
+        return { record.config_version(), record.address_hash(), record.service(), record.priority(), record.max_attempts(), record.deadline_factor(), record.target_latency_ms(), record.needs_advice() };
+    }
+
     void encodeTask(const TaskProgress& task, wire::TaskProgressRecord& record)
     {
         record.set_occurrence(task.occurrence);
@@ -95,6 +112,8 @@
         JobProgress progress;
         progress.state = static_cast<JobState>(record.state());
         progress.hasStarted = record.begun();
+        if (record.has_settings())
+            progress.settings = decodeSettings(record.settings());
         return progress;
     }
 
@@ -111,6 +130,8 @@
     record.set_first_due_unix_ms(spec.firstDueUnixMs);
     record.set_interval_ms(spec.intervalMs);
     record.set_accepted_unix_ms(spec.acceptedUnixMs);
+    if (spec.settings.areKnown())
+        encodeSettings(spec.settings, *record.mutable_settings());
     return record.SerializeAsString();
 }
 
@@ -128,6 +149,8 @@
     spec.firstDueUnixMs = record.first_due_unix_ms();
     spec.intervalMs = record.interval_ms();
     spec.acceptedUnixMs = record.accepted_unix_ms();
+    if (record.has_settings())
+        spec.settings = decodeSettings(record.settings());
     return spec;
 }
 
@@ -140,6 +163,8 @@
     record.set_state(static_cast<std::uint32_t>(progress.state));
     record.set_begun(progress.hasStarted);
     record.set_tasks(table.SerializeAsString());
+    if (progress.settings)
+        encodeSettings(*progress.settings, *record.mutable_settings());
     return record.SerializeAsString();
 }
 
--- a/plantainhold/jobs/JobEnds.cpp
+++ b/plantainhold/jobs/JobEnds.cpp
@@ -115,7 +115,8 @@
     endRun(task, now);
     if (isFinal(job.state))
         return;
-    bool isSpent = !isLongRunning && (task.failures >= job.queue.maxAttempts || (step.spec->isGang && step.tasks.front().failures >= job.queue.maxAttempts));
+    const ActiveTask& counted = step.spec->isGang ? step.tasks.front() : task;
+    bool isSpent = !isLongRunning && job.settings.areKnown() && counted.failures >= job.settings.maxAttempts;
     if (isSpent && !task.isDone) {
         m_events.note(EventId::JobEnded, { { "job", job.id }, { "state", "failed" }, { "task", end.task.text() }, { "failures", task.failures } });
         finish(job, JobState::Failed, now);
@@ -123,7 +124,7 @@
     }
     if (step.isDone()) {
         if (step.longestRun.count())
-            m_prioritizer.learn(job.queue.name, step.spec->estimateMs, step.longestRun);
+            m_prioritizer.learn(job.spec->queue, step.spec->estimateMs, step.longestRun);
         refreshOccurrence(*step.occurrence);
     }
     if (job.isDone()) {
@@ -140,7 +141,7 @@
         return;
     auto took = std::chrono::duration_cast<Milliseconds>(now - run.assignedAt);
     task.step->longestRun = std::max(task.step->longestRun, took);
-    auto expected = m_prioritizer.expected(task.step->job().queue.name, task.step->spec->estimateMs);
+    auto expected = m_prioritizer.expected(task.step->job().spec->queue, task.step->spec->estimateMs);
     double ratio = static_cast<double>(took.count()) / static_cast<double>(std::max<std::int64_t>(1, expected.count()));
     executor.slowness += s_slownessSmoothing * (std::log(std::max(ratio, s_minRatio)) - executor.slowness);
 }
--- a/plantainhold/jobs/JobEvictions.cpp
+++ b/plantainhold/jobs/JobEvictions.cpp
@@ -43,7 +43,7 @@
         // A long-running task that ran before must be restarted soon, however full the executors are.
         if (by.step->spec->isLongRunning)
             return by.lastRun > 0;
-        return by.step->job().queue.priority < step.job().queue.priority;
+        return by.step->job().settings.priority < step.job().settings.priority;
     }
 
 } // namespace
@@ -65,7 +65,7 @@
         return false;
     ActiveStep& step = *task.step;
     Resources wanted = step.spec->reserved();
-    std::int32_t after = step.spec->isLongRunning ? s_anyPriority : step.job().queue.priority;
+    std::int32_t after = step.spec->isLongRunning ? s_anyPriority : step.job().settings.priority;
     ActiveExecutor* best = nullptr;
     std::vector<ActiveRun*> bestVictims;
     double bestLoss = std::numeric_limits<double>::max();
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -143,7 +143,7 @@
     std::vector<const ActiveExecutor*> open;
     for (const ActiveExecutor* it : m_executorList) {
         bool fits = step.spec->reserved().fitsIn(it->entry.capacity) && hasLabel(*it, step.spec->requiredLabel);
-        if (fits && workObstacle(*it, now) == PlacementObstacle::None && it->entry.service == step.job().queue.service)
+        if (fits && workObstacle(*it, now) == PlacementObstacle::None && it->entry.service == step.job().settings.service)
             open.push_back(it);
     }
     // Each executor in the request costs time, so only those with most free capacity are included.
@@ -244,11 +244,11 @@
 {
     const ActiveStep& step = *task.step;
     bool isBestEffort = step.spec->isBestEffort() && !step.occurrence->placedTasks();
-    if (isBestEffort && !m_load.isMostlyReserved(step.job().queue.service))
+    if (isBestEffort && !m_load.isMostlyReserved(step.job().settings.service))
         return task.waitingSince + s_starvedAfter;
     // A long-running task that never ran gives way to short tasks only while there are many of them.
     bool isNew = step.spec->isLongRunning && !task.lastRun;
-    if (isNew && m_load.isMostlyFree(step.job().queue.service))
+    if (isNew && m_load.isMostlyFree(step.job().settings.service))
         return task.waitingSince + s_starvedAfter;
     return TimePoint::max();
 }
--- a/plantainhold/jobs/JobPrioritizer.cpp
+++ b/plantainhold/jobs/JobPrioritizer.cpp
@@ -53,7 +53,7 @@
 
 TimePoint JobPrioritizer::objectiveOf(const ActiveJob& job) const
 {
-    double allowed = job.queue.deadlineFactor * job.criticalPathMs * slowdownOf(job.queue.name) + job.queue.targetLatencyMs;
+    double allowed = job.settings.deadlineFactor * job.criticalPathMs * slowdownOf(job.spec->queue) + job.settings.targetLatencyMs;
     return job.firstSeenAt + Milliseconds(static_cast<std::int64_t>(allowed));
 }
 
@@ -62,15 +62,15 @@
     const ActiveJob& job = step.job();
     if (step.spec->isLongRunning) {
         bool isReturning = std::any_of(step.tasks.begin(), step.tasks.end(), [](const ActiveTask& it) { return it.isWaiting() && it.lastRun; });
-        return { job.queue.priority, isReturning ? UrgencyClass::Returning : UrgencyClass::LongRunning, static_cast<std::int64_t>(job.serial), &step };
+        return { job.settings.priority, isReturning ? UrgencyClass::Returning : UrgencyClass::LongRunning, static_cast<std::int64_t>(job.serial), &step };
     }
     auto serial = static_cast<std::int64_t>(job.serial);
     TimePoint objective = objectiveOf(job);
-    TimePoint end = now + Milliseconds(static_cast<std::int64_t>(job.remainingPathMs[step.number] * slowdownOf(job.queue.name)));
+    TimePoint end = now + Milliseconds(static_cast<std::int64_t>(job.remainingPathMs[step.number] * slowdownOf(job.spec->queue)));
     if (end <= objective)
-        return { job.queue.priority, job.wasPlaced ? UrgencyClass::Started : UrgencyClass::OnTime, job.wasPlaced ? serial : -serial, &step };
+        return { job.settings.priority, job.wasPlaced ? UrgencyClass::Started : UrgencyClass::OnTime, job.wasPlaced ? serial : -serial, &step };
     bool isLate = end <= job.firstSeenAt + s_lateFactor * (objective - job.firstSeenAt);
-    return { job.queue.priority, isLate ? UrgencyClass::Late : UrgencyClass::Unreachable, serial, &step };
+    return { job.settings.priority, isLate ? UrgencyClass::Late : UrgencyClass::Unreachable, serial, &step };
 }
 
 void JobPrioritizer::sort(std::vector<ActiveStep*>& steps, TimePoint now) const
--- a/plantainhold/jobs/JobProgress.h
+++ b/plantainhold/jobs/JobProgress.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "plantainhold/jobs/CrashEvidence.h"
+#include "plantainhold/jobs/QueueSettings.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +49,8 @@
     JobState state = JobState::Queued;
     bool hasStarted = false;
     std::vector<TaskProgress> tasks;
+    // The settings in force, if they are not those that the job was accepted under.
+    std::optional<QueueSettings> settings;
 };
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -37,15 +37,28 @@
 void JobScheduler::configure(std::shared_ptr<const FleetConfig> config)
 {
     m_config = std::move(config);
-    for (auto& [id, job] : m_jobs) {
-        for (const Queue& it : m_config->queues) {
-            if (it.name == job->queue.name)
-                job->queue = it;
-        }
-    }
+    for (auto& [id, job] : m_jobs)
+        applySettings(*job);
     m_needsPlacement = true;
 }
 
+void JobScheduler::applySettings(ActiveJob& job)
+{
+    if (!m_config)
+        return;
+    const QueueSettings& settings = m_config->settingsFor(job.spec->queue, job.settings);
+    if (&settings == &job.settings)
+        return;
+    bool areChanged = !settings.hasSameTerms(job.settings);
+    job.settings = settings;
+    if (!areChanged || isFinal(job.state))
+        return;
+    // The next owner may know a configuration only that no longer names the queue.
+    markDirty(job);
+    for (ActiveOccurrence& it : job.occurrences)
+        refreshOccurrence(it);
+}
+
 void JobScheduler::cancel(std::string_view id, TimePoint now)
 {
     auto it = m_jobs.find(std::string(id));
@@ -109,7 +122,7 @@
     run.checkpoint = task.checkpoint;
     const StepSpec& spec = *task.step->spec;
     executor.reserved += spec.reserved();
-    run.priority = task.step->job().queue.priority;
+    run.priority = task.step->job().settings.priority;
     if (!spec.isLongRunning && !spec.isGang)
         executor.preemptible[ActiveExecutor::priorityIndex(run.priority)] += spec.reserved();
     executor.runs.push_back(&run);
@@ -150,7 +163,7 @@
 
 void JobScheduler::refreshReady(ActiveStep& step)
 {
-    bool isReady = !isFinal(step.job().state) && step.waitingTasks() > 0 && step.occurrence->isReady(step);
+    bool isReady = !isFinal(step.job().state) && step.job().settings.areKnown() && step.waitingTasks() > 0 && step.occurrence->isReady(step);
     if (isReady)
         m_ready.insert(&step);
     else
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -66,7 +66,8 @@
     // Key, among the progress records, of the learned state. takeBatch() adds the record from time to time.
     static constexpr std::string_view s_learnedKey = "@learned";
     void restoreLearned(const LearnedState& state);
-    // Sets the queues and services in force. Jobs of a queue that was removed keep its last settings.
+    // Sets the queues and services in force. Jobs of a queue that it does not name keep the settings that they
+    // have.
     void configure(std::shared_ptr<const FleetConfig> config);
     // Adds a job that was read from the store, with its progress, if any. Repeated calls have no effect.
     void submit(std::string_view id, const StoredJob& job, TimePoint now);
@@ -133,6 +134,7 @@
     // reach into the range of the next generation.
     static constexpr unsigned s_tokenBits = 24;
 
+    void applySettings(ActiveJob& job);
     void restore(ActiveJob& job, const JobProgress& progress, TimePoint now);
     void restoreTask(ActiveJob& job, const TaskProgress& progress, TimePoint now);
     ActiveExecutor& executorFor(const std::string& id, std::int64_t startedUnixMs);
--- a/plantainhold/jobs/JobSpec.h
+++ b/plantainhold/jobs/JobSpec.h
@@ -1,6 +1,7 @@
 // A job as submitted: steps of identical tasks, ordered by dependencies, run once or at set times.
 #pragma once
 
+#include "plantainhold/jobs/QueueSettings.h"
 #include "plantainhold/ports/Resources.h"
 
 #include <cstdint>
@@ -51,6 +52,8 @@
 
 struct JobSpec {
     std::string queue;
+    // The settings of the queue under which the job was accepted.
+    QueueSettings settings;
     // Passed to the executors unchanged.
     std::string payload;
     std::vector<StepSpec> steps;
--- a/plantainhold/jobs/JobStorage.cpp
+++ b/plantainhold/jobs/JobStorage.cpp
@@ -39,16 +39,10 @@
     job->id = id;
     job->spec = stored.spec;
     job->computeCriticalPath();
-    job->queue.name = stored.spec->queue;
+    job->settings = stored.spec->settings;
     job->firstSeenAt = now;
     // Sorts by time of submission, also across owners.
     job->serial = static_cast<std::uint64_t>(stored.spec->acceptedUnixMs) << 16 | (m_nextSerial++ & 0xffff);
-    if (m_config) {
-        for (const Queue& it : m_config->queues) {
-            if (it.name == job->queue.name)
-                job->queue = it;
-        }
-    }
     ActiveJob& added = *job;
     m_jobs.emplace(std::string(id), std::move(job));
     if (!stored.progress.empty()) {
@@ -57,6 +51,9 @@
         else
             m_events.note(EventId::StoredRecordMalformed, { { "job", id }, { "what", "progress" } });
     }
+    applySettings(added);
+    if (!added.settings.areKnown())
+        m_events.note(EventId::JobSettingsUnknown, { { "job", id }, { "queue", added.spec->queue }, { "config_version", m_config ? m_config->version() : 0 } });
     if (added.spec->isTimed())
         m_timed.push_back(&added);
     else if (added.occurrences.empty())
@@ -76,6 +73,8 @@
     job.state = progress.state;
     job.hasStarted = progress.hasStarted;
     job.wasPlaced = progress.hasStarted || !progress.tasks.empty();
+    if (progress.settings)
+        job.settings = *progress.settings;
     for (const TaskProgress& it : progress.tasks)
         restoreTask(job, it, now);
 }
--- a/plantainhold/jobs/PlacementRound.cpp
+++ b/plantainhold/jobs/PlacementRound.cpp
@@ -9,15 +9,15 @@
 bool PlacementRound::isComparable(const ActiveStep& step)
 {
     const StepSpec& spec = *step.spec;
-    return spec.requiredLabel.empty() && !spec.maxPerExecutor && !spec.isGang && !step.job().queue.needsAdvice;
+    return spec.requiredLabel.empty() && !spec.maxPerExecutor && !spec.isGang && !step.job().settings.needsAdvice;
 }
 
 PlacementRound::Terms PlacementRound::termsOf(const ActiveTask& task, Means means)
 {
     const StepSpec& spec = *task.step->spec;
-    const Queue& queue = task.step->job().queue;
+    const QueueSettings& settings = task.step->job().settings;
     bool isReturning = spec.isLongRunning && task.lastRun > 0;
-    return { queue.service, spec.isBestEffort() ? std::string_view(spec.image) : std::string_view(), means, queue.priority, spec.isLongRunning, isReturning };
+    return { settings.service, spec.isBestEffort() ? std::string_view(spec.image) : std::string_view(), means, settings.priority, spec.isLongRunning, isReturning };
 }
 
 Resources PlacementRound::wantedBy(const ActiveStep& step)
--- a/plantainhold/jobs/Queue.h
+++ b/plantainhold/jobs/Queue.h
@@ -1,9 +1,13 @@
 // The queues, services and limits that the configuration in force defines.
 #pragma once
 
+#include "plantainhold/jobs/QueueSettings.h"
+
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace plantainhold {
@@ -12,17 +16,8 @@
     std::string name;
     std::string host;
     std::string pathPrefix;
-    // The service whose executors run the queue's tasks.
-    std::string service;
-    // 0 is the highest priority.
-    std::int32_t priority = 0;
-    std::uint32_t maxAttempts = 1;
-    // A job's objective is this factor times its critical path, plus targetLatencyMs.
-    double deadlineFactor = 1;
-    std::uint32_t targetLatencyMs = 0;
     std::uint32_t timeoutMs = 0;
-    // The advice service must approve the executors of each step.
-    bool needsAdvice = false;
+    QueueSettings settings;
 };
 
 struct ServiceRule {
@@ -40,14 +35,33 @@
     std::uint32_t idleTimeoutMs = 15'000;
 };
 
-struct FleetConfig {
-    std::uint64_t version = 0;
-    std::vector<Queue> queues;
+class FleetConfig {
+public:
+    explicit FleetConfig(std::uint64_t version = 0)
+        : m_version(version)
+    {
+    }
+
+    std::uint64_t version() const { return m_version; }
+    // Adds a queue; its settings take this version and the queue's address. Of two queues with one name the
+    // later one counts. Not thread-safe.
+    void add(Queue queue);
+    const std::vector<Queue>& queues() const { return m_queues; }
+    // Returns the queue of this host with the longest prefix of the path; nullptr if there is none. Thread-safe
+    // while no queue is added, like settingsFor().
+    const Queue* route(std::string_view host, std::string_view path) const;
+    // Returns the settings in force for a job of this queue that has had the given ones: those of this
+    // configuration if it is not older and names the same queue, else the given ones. The reference is valid as
+    // long as both the configuration and the argument are.
+    const QueueSettings& settingsFor(const std::string& queue, const QueueSettings& former) const;
+
     std::vector<ServiceRule> services;
     HttpLimits limits;
 
-    // Returns the queue of this host with the longest prefix of the path; nullptr if there is none.
-    const Queue* route(std::string_view host, std::string_view path) const;
+private:
+    std::uint64_t m_version = 0;
+    std::vector<Queue> m_queues;
+    std::unordered_map<std::string, std::size_t> m_indexByName;
 };
 
 } // namespace plantainhold
--- a/plantainhold/testing/entry/JobOwnerTest.cpp
+++ b/plantainhold/testing/entry/JobOwnerTest.cpp
@@ -158,12 +158,11 @@
 
         static std::shared_ptr<const FleetConfig> config(std::uint64_t version)
         {
-            FleetConfig config;
-            config.version = version;
+            FleetConfig config(version);
             Queue queue;
             queue.name = s_service;
-            queue.service = s_service;
-            config.queues.push_back(queue);
+            queue.settings.service = s_service;
+            config.add(queue);
             return std::make_shared<const FleetConfig>(std::move(config));
         }
 
--- a/plantainhold/testing/jobs/JobPrioritizerTest.cpp
+++ b/plantainhold/testing/jobs/JobPrioritizerTest.cpp
@@ -26,10 +26,9 @@
             job->id = std::to_string(m_jobs.size());
             job->spec = spec;
             job->computeCriticalPath();
-            job->queue.name = spec->queue;
-            job->queue.priority = priority;
-            job->queue.deadlineFactor = 2;
-            job->queue.targetLatencyMs = 250;
+            job->settings.priority = priority;
+            job->settings.deadlineFactor = 2;
+            job->settings.targetLatencyMs = 250;
             job->serial = m_jobs.size();
             job->firstSeenAt = s_start - age;
             job->addOccurrence(s_start);
--- a/plantainhold/testing/jobs/JobSimulation.cpp
+++ b/plantainhold/testing/jobs/JobSimulation.cpp
@@ -22,12 +22,12 @@
 {
     Queue queue;
     queue.name = "queue";
-    queue.service = "service";
-    queue.maxAttempts = RunHistory::s_maxAttempts;
-    queue.targetLatencyMs = 500;
-    m_config->queues.push_back(queue);
+    queue.settings.service = "service";
+    queue.settings.maxAttempts = RunHistory::s_maxAttempts;
+    queue.settings.targetLatencyMs = 500;
+    m_config->add(queue);
     ServiceRule service;
-    service.name = queue.service;
+    service.name = queue.settings.service;
     service.enforcesCapacity = options.enforcesCapacity;
     m_config->services.push_back(service);
 }
--- a/plantainhold/testing/jobs/JobSimulation.h
+++ b/plantainhold/testing/jobs/JobSimulation.h
@@ -20,7 +20,7 @@
 namespace plantainhold {
 
 class SimulatedOwner;
-struct FleetConfig;
+class FleetConfig;
 
 class JobSimulation {
 public:
--- a/plantainhold/testing/jobs/PlacementRoundTest.cpp
+++ b/plantainhold/testing/jobs/PlacementRoundTest.cpp
@@ -24,8 +24,8 @@
             spec->steps.push_back(std::move(step));
             ActiveJob& job = *m_jobs.emplace_back(std::make_unique<ActiveJob>());
             job.spec = spec;
-            job.queue.service = "service";
-            job.queue.priority = priority;
+            job.settings.service = "service";
+            job.settings.priority = priority;
             return job.addOccurrence({}).steps[0].tasks[0];
         }
 
--- a/plantainhold/testing/jobs/SchedulerFixture.h
+++ b/plantainhold/testing/jobs/SchedulerFixture.h
@@ -23,6 +23,8 @@
 class SchedulerFixture {
 public:
     static constexpr std::uint64_t s_generation = 3;
+    // Version of the configuration under which jobs are accepted.
+    static constexpr std::uint64_t s_configVersion = 5;
     // Address of all executors.
     static constexpr const char* s_address = "10.0.0.1:80";
 
@@ -31,20 +33,23 @@
         : m_now(start)
         , m_scheduler(m_limits, s_generation, former, m_events, m_now)
     {
-        auto config = std::make_shared<FleetConfig>();
+        auto config = std::make_shared<FleetConfig>(s_configVersion);
         for (std::int32_t priority : { 0, 2 }) {
             Queue queue;
             queue.name = "q" + std::to_string(priority);
-            queue.service = "service";
-            queue.priority = priority;
-            queue.maxAttempts = 2;
-            queue.needsAdvice = needsAdvice;
-            config->queues.push_back(queue);
+            queue.settings.service = "service";
+            queue.settings.priority = priority;
+            queue.settings.maxAttempts = 2;
+            queue.settings.needsAdvice = needsAdvice;
+            config->add(queue);
         }
-        m_scheduler.configure(config);
+        m_accepting = config;
+        configure(config);
         m_scheduler.termRecorded();
     }
 
+    void configure(std::shared_ptr<const FleetConfig> config) { m_scheduler.configure(std::move(config)); }
+
     // Lists an executor, or another incarnation of it, without a report.
     void list(const std::string& id, std::int64_t millicores, std::int64_t startedUnixMs, std::string_view address = s_address)
     {
@@ -78,6 +83,7 @@
     {
         JobSpec spec;
         spec.queue = "q" + std::to_string(priority);
+        spec.settings = m_accepting->settingsFor(spec.queue, {});
         spec.steps = std::move(steps);
         m_table.applySubmission(JobTable::submissionKey(id), encodeSubmission(spec));
         m_scheduler.submit(id, *m_table.find(id), m_now);
@@ -126,12 +132,16 @@
     {
         JobSpec spec;
         spec.queue = "q0";
+        spec.settings = m_accepting->settingsFor(spec.queue, {});
         spec.steps = std::move(steps);
         m_table.applySubmission(JobTable::submissionKey(id), encodeSubmission(spec));
         m_table.applyProgress(id, encodeProgress(progress), m_offset++);
         m_scheduler.submit(id, *m_table.find(id), m_now);
     }
 
+    // Adds a job as another owner stored it.
+    void takeOver(const std::string& id, const StoredJob& job) { m_scheduler.submit(id, job, m_now); }
+
     // Answers the starts with responses that do not show which incarnation handled them.
     void answer(const std::vector<ExecutorCommand>& commands, CommandResult outcome)
     {
@@ -173,6 +183,7 @@
     KeptEvents m_events;
     TimePoint m_now;
     JobTable m_table;
+    std::shared_ptr<const FleetConfig> m_accepting;
     std::uint64_t m_offset = 0;
     JobScheduler m_scheduler;
 };
--- a/plantainhold/testing/platform/DecodersTest.cpp
+++ b/plantainhold/testing/platform/DecodersTest.cpp
@@ -115,12 +115,12 @@
     std::string fault;
     std::optional<FleetConfig> config = platform::decodeConfig(s_config, fault);
     REQUIRE(config);
-    CHECK(config->version == 7);
+    CHECK(config->version() == 7);
     CHECK(config->limits.maxBodyBytes == 1'000);
     REQUIRE(config->route("h.example", "/a/b/x"));
     CHECK(config->route("h.example", "/a/b/x")->name == "s");
     CHECK(config->route("h.example", "/a/x")->name == "r");
-    CHECK(config->route("h.example", "/a/x")->deadlineFactor == 2.5);
+    CHECK(config->route("h.example", "/a/x")->settings.deadlineFactor == 2.5);
     CHECK(config->route("other.example", "/a/x") == nullptr);
     CHECK(config->route("h.example", "/c") == nullptr);
     CHECK_FALSE(platform::decodeConfig(R"({"version":"7"})", fault));
@@ -176,7 +176,7 @@
     std::string fault;
     std::optional<FleetConfig> config = platform::decodeConfig(replaced(replaced(s_config, "\"priority\":2", "\"priority\":4294967297"), "\"max_body_bytes\":1000", "\"max_body_bytes\":4294967297"), fault);
     REQUIRE(config);
-    CHECK(config->queues.front().priority == platform::s_maxPriority);
+    CHECK(config->queues().front().settings.priority == platform::s_maxPriority);
     CHECK(config->limits.maxBodyBytes == platform::s_maxCount);
     CHECK_FALSE(platform::decodeConfig(replaced(s_config, "\"version\":7", "\"version\":1e300"), fault));
 }
