Ask the advice service about each executor once

Cause: a refusal was forgotten, and the same question asked again. A request named the 30 executors with the most free capacity, and an answer that approved none left no trace. While tickets were valid nobody else was asked about, though their holders could be full, draining or gone.

Change: StepAdvice keeps what was said about each incarnation of an executor; a step asks about others as long as tasks of it wait, first those approved before, then where the queue's last step was allowed. 30 executors at first, up to 100 after refusals. Calls for steps that wait no longer are not made, ids that were not named are ignored. TaskStalled tells no_ticket from advice_refused.

--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -253,7 +253,7 @@
         AdviceRequest request = std::move(m_adviceQueue.front());
         m_adviceQueue.pop_front();
         Advice advice;
-        if (m_dependencies.advice)
+        if (m_dependencies.advice && m_scheduler->isAdviceWanted(request))
             advice = co_await resultOr(m_dependencies.advice->advise(request, s_adviceTimeout), Advice {}, m_dependencies.events, "advice");
         if (m_isStopped)
             break;
--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace plantainhold {
@@ -110,6 +111,9 @@
     // The executor has discarded ends up to this number.
     std::uint64_t endsAcknowledged = 0;
 
+    // For queues that need advice: whether the service allowed the last step that was asked about here.
+    std::unordered_map<std::string, bool> adviceByQueue;
+
     // Number of calls that failed since the last report.
     std::uint32_t failedCalls = 0;
 
--- a/plantainhold/jobs/ActiveJob.cpp
+++ b/plantainhold/jobs/ActiveJob.cpp
@@ -16,22 +16,11 @@
     return *occurrence->job;
 }
 
-std::string ActiveStep::ticketFor(const std::string& executor) const
-{
-    auto it = tickets.find(executor);
-    return it == tickets.end() ? std::string() : it->second;
-}
-
 bool ActiveStep::hasSuspectRun() const
 {
     return std::any_of(tasks.begin(), tasks.end(), [](const ActiveTask& it) { return it.run && it.run->isSuspect; });
 }
 
-bool ActiveStep::lacksAdvice(TimePoint now) const
-{
-    return job().settings.needsAdvice && now >= ticketsUntil;
-}
-
 bool ActiveOccurrence::isReady(const ActiveStep& step) const
 {
     return std::all_of(step.spec->after.begin(), step.spec->after.end(), [this](std::uint32_t it) { return steps[it].isDone(); });
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -8,6 +8,7 @@
 #include "plantainhold/jobs/JobProgress.h"
 #include "plantainhold/jobs/JobSpec.h"
 #include "plantainhold/jobs/QueueSettings.h"
+#include "plantainhold/jobs/StepAdvice.h"
 #include "plantainhold/ports/Clock.h"
 
 #include <cstdint>
@@ -16,7 +17,6 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace plantainhold {
@@ -135,12 +135,8 @@
     std::vector<ActiveTask> tasks;
     std::uint32_t doneTasks = 0;
     std::uint32_t placedTasks = 0;
-    // For a queue that needs advice: tickets by executor, when they expire, whether a request is in
-    // flight, and when the next request may be made.
-    std::unordered_map<std::string, std::string> tickets;
-    TimePoint ticketsUntil {};
-    bool isAdviceRequested = false;
-    TimePoint requestAdviceAfter {};
+    // For a queue that needs advice.
+    StepAdvice advice;
     // Until this time it is not decided whether one of the tasks crashes its executors.
     TimePoint verdictAt {};
     // Duration of the longest run of its tasks that was neither slowed down nor resumed; 0 if there
@@ -152,12 +148,8 @@
     bool isDone() const { return doneTasks == tasks.size(); }
     std::uint32_t waitingTasks() const { return static_cast<std::uint32_t>(tasks.size()) - doneTasks - placedTasks; }
     ActiveJob& job() const;
-    // Returns an empty string if the executor has no ticket.
-    std::string ticketFor(const std::string& executor) const;
     // True if a task of the step that may crash its executor has a run.
     bool hasSuspectRun() const;
-    // True if the queue needs advice and no valid advice is held.
-    bool lacksAdvice(TimePoint now) const;
 };
 
 struct ActiveOccurrence {
--- a/plantainhold/jobs/Eligibility.cpp
+++ b/plantainhold/jobs/Eligibility.cpp
@@ -52,8 +52,13 @@
         return obstacle;
     if (!hasLabel(executor, spec.requiredLabel))
         return PlacementObstacle::MissingLabel;
-    if (step.job().settings.needsAdvice && !step.tickets.contains(executor.entry.id))
-        return PlacementObstacle::NoTicket;
+    if (step.job().settings.needsAdvice) {
+        StepAdvice::Opinion opinion = step.advice.opinionOf(executor, now);
+        if (opinion == StepAdvice::Opinion::Refused)
+            return PlacementObstacle::AdviceRefused;
+        if (opinion != StepAdvice::Opinion::Approved)
+            return PlacementObstacle::NoTicket;
+    }
     if (executor.suspectRuns)
         return PlacementObstacle::SuspectThere;
     bool isOneTooMany = spec.maxPerExecutor && tasksOn(executor, step) >= spec.maxPerExecutor;
--- a/plantainhold/jobs/JobCommands.cpp
+++ b/plantainhold/jobs/JobCommands.cpp
@@ -108,7 +108,7 @@
         executor.avoidedUntil = std::max(executor.avoidedUntil, now + s_unavailableDelay);
     // The ticket had expired or was issued for another incarnation of the executor.
     if (outcome == CommandResult::NoTicket)
-        task->step->ticketsUntil = now;
+        task->step->advice.ticketRejected(executor.entry.id);
     if (outcome == CommandResult::Invalid)
         delay = s_invalidDelay;
     task->avoided = &executor;
--- a/plantainhold/jobs/JobEvictions.cpp
+++ b/plantainhold/jobs/JobEvictions.cpp
@@ -48,6 +48,11 @@
 
 } // namespace
 
+std::int32_t JobScheduler::preemptsAfter(const ActiveStep& step)
+{
+    return step.spec->isLongRunning ? s_anyPriority : step.job().settings.priority;
+}
+
 bool JobScheduler::preemptFor(ActiveTask& task, TimePoint now)
 {
     if (task.nominated) {
@@ -65,7 +70,7 @@
         return false;
     ActiveStep& step = *task.step;
     Resources wanted = step.spec->reserved();
-    std::int32_t after = step.spec->isLongRunning ? s_anyPriority : step.job().settings.priority;
+    std::int32_t after = preemptsAfter(step);
     ActiveExecutor* best = nullptr;
     std::vector<ActiveRun*> bestVictims;
     double bestLoss = std::numeric_limits<double>::max();
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -44,12 +44,8 @@
     constexpr double s_latencyCriticalUse = 0.45;
     constexpr double s_bestEffortLoadLimit = 1.0;
     constexpr double s_bestEffortLoadWeight = 100;
-    constexpr std::size_t s_advisedExecutors = 30;
-    constexpr Milliseconds s_adviceRetry { 300 };
     // Interval at which an executor without runs is sought for a suspect.
     constexpr Milliseconds s_seclusionRetry { 50 };
-    // Time reserved for a command to reach the executor before its ticket expires.
-    constexpr Milliseconds s_ticketReserve { 500 };
     // Maximum number of steps considered in one round.
     constexpr std::size_t s_stepsScanned = 400;
 
@@ -121,67 +117,14 @@
         TimePoint starved = waiting == step.tasks.end() ? TimePoint::max() : starvedSince(*waiting);
         if (now < starved)
             m_placeAgainAt = std::min(m_placeAgainAt, starved);
-        if (step.lacksAdvice(now))
+        bool needsAdvice = step.job().settings.needsAdvice;
+        if (!needsAdvice || step.advice.hasTicket(now))
+            spec.isGang ? placeGang(step, now) : placeStep(step, now);
+        if (needsAdvice && step.waitingTasks())
             requestAdvice(step, now);
-        else if (spec.isGang)
-            placeGang(step, now);
-        else
-            placeStep(step, now);
     }
 }
 
-void JobScheduler::requestAdvice(ActiveStep& step, TimePoint now)
-{
-    if (step.isAdviceRequested)
-        return;
-    if (now < step.requestAdviceAfter) {
-        m_needsPlacement = true;
-        wakeAt(step.requestAdviceAfter);
-        return;
-    }
-    AdviceRequest request { step.job().id, step.occurrence->number, step.number, {} };
-    std::vector<const ActiveExecutor*> open;
-    for (const ActiveExecutor* it : m_executorList) {
-        bool fits = step.spec->reserved().fitsIn(it->entry.capacity) && hasLabel(*it, step.spec->requiredLabel);
-        if (fits && workObstacle(*it, now) == PlacementObstacle::None && it->entry.service == step.job().settings.service)
-            open.push_back(it);
-    }
-    // Each executor in the request costs time, so only those with most free capacity are included.
-    std::sort(open.begin(), open.end(), [](const ActiveExecutor* a, const ActiveExecutor* b) { return a->freeCapacity().millicores > b->freeCapacity().millicores; });
-    for (const ActiveExecutor* it : open) {
-        if (request.executors.size() < s_advisedExecutors)
-            request.executors.push_back(it->entry.id);
-    }
-    if (request.executors.empty())
-        return;
-    step.isAdviceRequested = true;
-    m_adviceRequests.push_back(std::move(request));
-}
-
-std::vector<AdviceRequest> JobScheduler::adviceRequests()
-{
-    return std::exchange(m_adviceRequests, {});
-}
-
-void JobScheduler::adviceReceived(const AdviceRequest& request, const Advice& advice, TimePoint now)
-{
-    auto found = m_jobs.find(request.job);
-    ActiveTask* task = found == m_jobs.end() ? nullptr : found->second->find({ request.job, request.occurrence, request.step, 0 });
-    if (!task)
-        return;
-    ActiveStep& step = *task->step;
-    step.isAdviceRequested = false;
-    // Without a response, or without an approved executor, advice is requested again later.
-    step.requestAdviceAfter = now + s_adviceRetry;
-    step.tickets.clear();
-    for (const auto& [executor, ticket] : advice.approved)
-        step.tickets[executor] = ticket;
-    step.ticketsUntil = step.tickets.empty() ? now : now + std::max(advice.validity - s_ticketReserve, advice.validity / 2);
-    m_events.note(EventId::AdviceTaken, { { "job", request.job }, { "step", request.step }, { "asked", request.executors.size() }, { "approved", step.tickets.size() }, { "answered", advice.hasResponse }, { "valid_ms", advice.validity.count() } });
-    m_needsPlacement = true;
-    wakeAt(now);
-}
-
 void JobScheduler::placeStep(ActiveStep& step, TimePoint now)
 {
     m_candidates.clear();
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -114,6 +114,8 @@
     void dropLater(std::span<const std::string> ids, TimePoint now);
     // Returns the advice requests since the last call. Each must be followed by adviceReceived().
     std::vector<AdviceRequest> adviceRequests();
+    // False if no task of the step waits any more, so that the call need not be made.
+    bool isAdviceWanted(const AdviceRequest& request);
     void adviceReceived(const AdviceRequest& request, const Advice& advice, TimePoint now);
     // Returns the commands since the last call.
     std::vector<ExecutorCommand> takeCommands();
@@ -208,6 +210,14 @@
 
     void place(TimePoint now);
     void requestAdvice(ActiveStep& step, TimePoint now);
+    // Returns the executors that the step's next request names, best first; empty if no other executor could help.
+    std::vector<const ActiveExecutor*> executorsToAskAbout(const ActiveStep& step, TimePoint now) const;
+    // Remembers the answer for the next step of the queue.
+    void noteAdvice(const ActiveStep& step, std::span<const std::string> executors, TimePoint now);
+    // Returns nullptr if the job has ended.
+    ActiveStep* stepOf(const AdviceRequest& request);
+    // Tasks of the step may preempt those whose priority is a larger number than this.
+    static std::int32_t preemptsAfter(const ActiveStep& step);
     void placeStep(ActiveStep& step, TimePoint now);
     void placeGang(ActiveStep& step, TimePoint now);
     bool placeTask(ActiveTask& task, TimePoint now);
--- a/plantainhold/jobs/JobStorage.cpp
+++ b/plantainhold/jobs/JobStorage.cpp
@@ -188,7 +188,7 @@
         if (!task || !task->run || task->run->number != it.run || task->run->phase != RunPhase::Recording)
             continue;
         task->run->phase = RunPhase::Starting;
-        m_commands.push_back({ CommandKind::Start, task->run->executor->entry.id, it.task, it.run, found->second->spec, task->checkpoint, task->step->ticketFor(task->run->executor->entry.id), 100 });
+        m_commands.push_back({ CommandKind::Start, task->run->executor->entry.id, it.task, it.run, found->second->spec, task->checkpoint, task->step->advice.ticketFor(task->run->executor->entry.id), 100 });
     }
     // Removes jobs that have ended, whose final state is stored and that have no runs left.
     for (const auto& [id, bytes] : batch.progress) {
--- a/plantainhold/jobs/PlacementObstacle.h
+++ b/plantainhold/jobs/PlacementObstacle.h
@@ -20,7 +20,10 @@
     // The executor gets no tasks for a while, after failures or refusals.
     Avoided,
     MissingLabel,
+    // The advice service was not asked about the executor yet, or its ticket has expired.
     NoTicket,
+    // The advice service does not allow the step there.
+    AdviceRefused,
     // A task that may crash the executor runs there.
     SuspectThere,
     // The task may crash the executor, and waits for one where nothing else has begun shortly before.
@@ -38,7 +41,7 @@
 
 constexpr std::string_view nameOf(PlacementObstacle obstacle)
 {
-    constexpr std::array<std::string_view, s_placementObstacles> s_names { "none", "other_service", "no_room", "unlisted", "unconfirmed", "draining", "unreachable", "avoided", "missing_label", "no_ticket", "suspect_there", "not_alone", "too_many_of_step", "best_effort_load", "room_for_short_tasks", "pressure" };
+    constexpr std::array<std::string_view, s_placementObstacles> s_names { "none", "other_service", "no_room", "unlisted", "unconfirmed", "draining", "unreachable", "avoided", "missing_label", "no_ticket", "advice_refused", "suspect_there", "not_alone", "too_many_of_step", "best_effort_load", "room_for_short_tasks", "pressure" };
     return s_names[static_cast<std::size_t>(obstacle)];
 }
 
