--- a/standin/soak/HttpListener.cpp
+++ b/standin/soak/HttpListener.cpp
@@ -21,6 +21,18 @@
     constexpr std::size_t s_maxBodyBytes = 4 << 20;
     constexpr std::string_view s_expectHeader = "Plantainhold-Expect-Instance";
 
+    std::string percentDecoded(std::string_view value)
+    {
+        constexpr int s_hexadecimal = 16;
+        std::string decoded;
+        while (!value.empty()) {
+            bool isEncoded = value.front() == '%' && value.size() > 2;
+            decoded += isEncoded ? static_cast<char>(std::stoi(std::string(value.substr(1, 2)), nullptr, s_hexadecimal)) : value.front();
+            value.remove_prefix(isEncoded ? 3 : 1);
+        }
+        return decoded;
+    }
+
     ListenerRequest requestOf(http::request<http::string_body>& message)
     {
         ListenerRequest request;
@@ -33,7 +45,7 @@
             std::string_view field = target.substr(0, mark);
             std::size_t equals = field.find('=');
             if (equals != std::string_view::npos)
-                request.query[std::string(field.substr(0, equals))] = field.substr(equals + 1);
+                request.query[std::string(field.substr(0, equals))] = percentDecoded(field.substr(equals + 1));
         }
         request.body = std::move(message.body());
         request.expectedInstance = message[s_expectHeader];
