Run a job whose id was used before

Cause: for 10 s after the records of a job were dropped, a submission with its id was passed over, as a read from before the deletion may still return it, and nobody came back to it. Such ids are noted now, and the records are looked at once the time is over: only a job that is there by then is new.

Test: red on the code before (nothing is kept, and it is never started).

--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -238,6 +238,8 @@
         spawnLoop(
             m_executor, [self = shared_from_this()]() { return self->adviceLoop(); }, m_dependencies.events, "advice");
     }
+    for (const std::string& it : m_scheduler->takeSubmittedAgain())
+        onSubmissionRead(it);
     m_commitSignal.cancel();
     m_advanceTimer.expires_after(std::max<Duration>(next - now, s_minRoundInterval));
     m_advanceTimer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -215,10 +215,7 @@
     reportStalledTasks(now);
     if (m_placeAgainAt != TimePoint::max())
         wakeAt(std::max(m_placeAgainAt, now + s_placementInterval));
-    while (!m_forgetAt.empty() && m_forgetAt.begin()->first <= now) {
-        m_finishedAt.erase(m_forgetAt.begin()->second);
-        m_forgetAt.erase(m_forgetAt.begin());
-    }
+    forgetDroppedJobs(now);
     while (!m_finished.empty() && m_finished.begin()->first <= now) {
         m_dropped.push_back(std::move(m_finished.begin()->second));
         m_finished.erase(m_finished.begin());
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -112,6 +112,9 @@
     void jobsDropped(std::span<const std::string> ids, TimePoint now);
     // To be called if records of such jobs could not be deleted: they are dropped again after a while.
     void dropLater(std::span<const std::string> ids, TimePoint now);
+    // Returns the ids of jobs that submit() passed over because jobs with these ids had been dropped shortly
+    // before. Those that are in the records by now are to be submitted once more.
+    std::vector<std::string> takeSubmittedAgain();
     // Returns the advice requests since the last call. Each must be followed by adviceReceived().
     std::vector<AdviceRequest> adviceRequests();
     // False if no task of the step waits any more, so that the call need not be made.
@@ -137,6 +140,7 @@
     static constexpr unsigned s_tokenBits = 24;
 
     void applySettings(ActiveJob& job);
+    void forgetDroppedJobs(TimePoint now);
     void restore(ActiveJob& job, const JobProgress& progress, TimePoint now);
     void restoreTask(ActiveJob& job, const TaskProgress& progress, TimePoint now);
     ActiveExecutor& executorFor(const std::string& id, std::int64_t startedUnixMs);
@@ -278,6 +282,9 @@
     // When jobs ended, until some time after their records were deleted; and when that time is over.
     std::unordered_map<std::string, TimePoint> m_finishedAt;
     std::multimap<TimePoint, std::string> m_forgetAt;
+    // Ids submitted during that time, and those of them whose time is over.
+    std::unordered_set<std::string> m_submittedAgain;
+    std::vector<std::string> m_readAgain;
     std::unordered_map<std::string, std::unique_ptr<ActiveExecutor>> m_executors;
     std::vector<ActiveExecutor*> m_executorList;
     std::unordered_set<ActiveStep*> m_ready;
--- a/plantainhold/jobs/JobStorage.cpp
+++ b/plantainhold/jobs/JobStorage.cpp
@@ -33,8 +33,12 @@
     }
     if (!stored.spec)
         return;
-    if (m_finishedAt.contains(std::string(id)))
+    if (m_finishedAt.contains(std::string(id))) {
+        // Either a read from before the deletion, or a new job with the same id. The records tell which once
+        // no such read can be under way any more.
+        m_submittedAgain.insert(std::string(id));
         return;
+    }
     auto job = std::make_unique<ActiveJob>();
     job->id = id;
     job->spec = stored.spec;
@@ -212,6 +216,22 @@
         m_forgetAt.emplace(now + s_dropMemory, it);
 }
 
+std::vector<std::string> JobScheduler::takeSubmittedAgain()
+{
+    return std::exchange(m_readAgain, {});
+}
+
+void JobScheduler::forgetDroppedJobs(TimePoint now)
+{
+    while (!m_forgetAt.empty() && m_forgetAt.begin()->first <= now) {
+        std::string id = std::move(m_forgetAt.begin()->second);
+        m_forgetAt.erase(m_forgetAt.begin());
+        m_finishedAt.erase(id);
+        if (m_submittedAgain.erase(id))
+            m_readAgain.push_back(std::move(id));
+    }
+}
+
 void JobScheduler::dropLater(std::span<const std::string> ids, TimePoint now)
 {
     for (const std::string& it : ids)
--- a/plantainhold/testing/jobs/SchedulerFixture.h
+++ b/plantainhold/testing/jobs/SchedulerFixture.h
@@ -142,6 +142,13 @@
     // Adds a job as another owner stored it.
     void takeOver(const std::string& id, const StoredJob& job) { m_scheduler.submit(id, job, m_now); }
 
+    // Deletes the records of a finished job.
+    void drop(const std::string& id)
+    {
+        m_table.applySubmission(JobTable::submissionKey(id), {});
+        m_scheduler.jobsDropped(std::vector<std::string> { id }, m_now);
+    }
+
     // Answers the starts with responses that do not show which incarnation handled them.
     void answer(const std::vector<ExecutorCommand>& commands, CommandResult outcome)
     {
--- a/plantainhold/testing/jobs/StalledPlacementTest.cpp
+++ b/plantainhold/testing/jobs/StalledPlacementTest.cpp
@@ -120,4 +120,23 @@
     CHECK(isStarted);
 }
 
+// LOST: an id handed in again within 10 s after the records of a job with this id were dropped was passed over for
+// good. Until the time is over, a read from before the deletion can't be told from it.
+TEST_CASE("a job whose id was used before is read again once the former job is forgotten")
+{
+    SchedulerFixture fixture;
+    fixture.addExecutor("x", 8'000);
+    fixture.submit("j", 0, { SchedulerFixture::step(1, 1'000) });
+    fixture.scheduler().cancel("j", fixture.now());
+    fixture.advance(Milliseconds(121'000));
+    fixture.drop("j");
+    fixture.submit("j", 0, { SchedulerFixture::step(1, 1'000) });
+    fixture.advance(Milliseconds(9'000));
+    CHECK(fixture.scheduler().takeSubmittedAgain().empty());
+    fixture.advance(Milliseconds(2'000));
+    CHECK(fixture.scheduler().takeSubmittedAgain() == std::vector<std::string> { "j" });
+    fixture.submit("j", 0, { SchedulerFixture::step(1, 1'000) });
+    CHECK(startsWithin(fixture, s_bound) == 1);
+}
+
 } // namespace plantainhold
