Give every waiting step its turn in the rounds of placement

Cause: each round looked at the first 400 steps only, in order of urgency. Steps that wait for something other than room in general used the round up, every time. What makes a round long are searches through all executors, not steps whose like was rejected already; so a round counts searches: 200 in order of urgency, then up to 400 for the steps that have waited longest for a turn. If it does not reach all, the next one follows after 100 ms; so every one of n steps gets its turn within about n / 100 rounds.

Test: 2,000 such steps; red if the round ends after the steps in order.

--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -135,6 +135,8 @@
     std::vector<ActiveTask> tasks;
     std::uint32_t doneTasks = 0;
     std::uint32_t placedTasks = 0;
+    // When a round of placement looked at the step last.
+    TimePoint consideredAt {};
     // For a queue that needs advice.
     StepAdvice advice;
     // Until this time it is not decided whether one of the tasks crashes its executors.
--- a/plantainhold/jobs/JobEvictions.cpp
+++ b/plantainhold/jobs/JobEvictions.cpp
@@ -68,6 +68,7 @@
     }
     if (m_round.isRejected(task, PlacementRound::Means::Preemption))
         return false;
+    m_round.countSearch();
     ActiveStep& step = *task.step;
     Resources wanted = step.spec->reserved();
     std::int32_t after = preemptsAfter(step);
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -46,8 +46,12 @@
     constexpr double s_bestEffortLoadWeight = 100;
     // Interval at which an executor without runs is sought for a suspect.
     constexpr Milliseconds s_seclusionRetry { 50 };
-    // Maximum number of steps considered in one round.
-    constexpr std::size_t s_stepsScanned = 400;
+    // Searches through all executors in one round, and those of them that go to the steps in order of urgency:
+    // steps that find no executor must not keep others from their turn for ever.
+    constexpr std::size_t s_searchesPerRound = 400;
+    constexpr std::size_t s_searchesInOrder = 200;
+    // Delay before the next round if this one did not reach all steps.
+    constexpr Milliseconds s_nextTurns { 100 };
 
     // Fraction of the CPU capacity that would be in demand if the best-effort task joined.
     // Latency-critical tasks leave much of their reservation unused.
@@ -102,27 +106,34 @@
     m_needsPlacement = false;
     m_placeAgainAt = TimePoint::max();
     m_round.begin();
-    std::size_t scanned = 0;
     // What no executor can run takes no turn from others.
     std::vector<ActiveStep*> steps;
     std::copy_if(m_ready.begin(), m_ready.end(), std::back_inserter(steps), [this](const ActiveStep* it) { return canRunSomewhere(*it, m_executorList); });
     m_load.update(m_executorList, steps, now);
     m_prioritizer.sort(steps, now);
-    for (ActiveStep* it : steps) {
-        ActiveStep& step = *it;
-        if (++scanned > s_stepsScanned)
-            break;
-        const StepSpec& spec = *step.spec;
-        auto waiting = std::find_if(step.tasks.begin(), step.tasks.end(), [](const ActiveTask& task) { return task.isWaiting(); });
-        TimePoint starved = waiting == step.tasks.end() ? TimePoint::max() : starvedSince(*waiting);
-        if (now < starved)
-            m_placeAgainAt = std::min(m_placeAgainAt, starved);
-        bool needsAdvice = step.job().settings.needsAdvice;
-        if (!needsAdvice || step.advice.hasTicket(now))
-            spec.isGang ? placeGang(step, now) : placeStep(step, now);
-        if (needsAdvice && step.waitingTasks())
-            requestAdvice(step, now);
-    }
+    auto next = steps.begin();
+    for (; next != steps.end() && m_round.searches() < s_searchesInOrder; ++next)
+        consider(**next, now);
+    // What the steps before them leave of the round goes to those that have waited longest for a turn.
+    std::stable_sort(next, steps.end(), [](const ActiveStep* a, const ActiveStep* b) { return a->consideredAt < b->consideredAt; });
+    for (; next != steps.end() && m_round.searches() < s_searchesPerRound; ++next)
+        consider(**next, now);
+    if (next != steps.end())
+        m_placeAgainAt = std::min(m_placeAgainAt, now + s_nextTurns);
+}
+
+void JobScheduler::consider(ActiveStep& step, TimePoint now)
+{
+    step.consideredAt = now;
+    auto waiting = std::find_if(step.tasks.begin(), step.tasks.end(), [](const ActiveTask& task) { return task.isWaiting(); });
+    TimePoint starved = waiting == step.tasks.end() ? TimePoint::max() : starvedSince(*waiting);
+    if (now < starved)
+        m_placeAgainAt = std::min(m_placeAgainAt, starved);
+    bool needsAdvice = step.job().settings.needsAdvice;
+    if (!needsAdvice || step.advice.hasTicket(now))
+        step.spec->isGang ? placeGang(step, now) : placeStep(step, now);
+    if (needsAdvice && step.waitingTasks())
+        requestAdvice(step, now);
 }
 
 void JobScheduler::placeStep(ActiveStep& step, TimePoint now)
@@ -272,8 +283,10 @@
     bool isPlain = !task.nominated && !task.avoided && !needs.isStarved && !isReturning && !task.crashes.isSuspect();
     PlacementCandidates own;
     PlacementCandidates& candidates = isPlain ? m_candidates : own;
-    if (!candidates.isBuilt())
+    if (!candidates.isBuilt()) {
+        m_round.countSearch();
         candidates.build(m_executorList.size(), evaluate);
+    }
     std::optional<PlacementCandidates::Choice> choice = candidates.best(evaluate);
     if (!choice)
         return nullptr;
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -213,6 +213,8 @@
     void recordFailure(ActiveExecutor& executor, TimePoint now);
 
     void place(TimePoint now);
+    // Places what can be placed of the step, and asks for advice about the rest.
+    void consider(ActiveStep& step, TimePoint now);
     void requestAdvice(ActiveStep& step, TimePoint now);
     // Returns the executors that the step's next request names, best first; empty if no other executor could help.
     std::vector<const ActiveExecutor*> executorsToAskAbout(const ActiveStep& step, TimePoint now) const;
@@ -241,6 +243,8 @@
     ActiveExecutor* chooseExecutor(const ActiveTask& task, TimePoint now, double& cost);
     bool preemptFor(ActiveTask& task, TimePoint now);
     void clearNomination(ActiveTask& task);
+    // Releases capacity that was held for a task for too long, whether or not the task is considered meanwhile.
+    void expireNominations(TimePoint now);
     void drainExecutors(TimePoint now);
     void moveSlowedRuns(TimePoint now);
     // Returns when the task is placed despite heavy pressure, or despite the demand of short tasks; max() if never.
--- a/plantainhold/jobs/PlacementRound.h
+++ b/plantainhold/jobs/PlacementRound.h
@@ -5,6 +5,7 @@
 
 #include "plantainhold/ports/Resources.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <vector>
@@ -25,7 +26,14 @@
 
     // Starts a new round and clears all rejections. No method of this class is thread-safe. Tasks
     // must outlive the round.
-    void begin() { m_rejections.clear(); }
+    void begin()
+    {
+        m_rejections.clear();
+        m_searches = 0;
+    }
+    // Counts a search through all executors, which is what makes a round long.
+    void countSearch() { ++m_searches; }
+    std::size_t searches() const { return m_searches; }
     // Records that the task could not be placed. Precondition: no capacity is held for it on any executor.
     void reject(const ActiveTask& task, Means means);
     bool isRejected(const ActiveTask& task, Means means) const;
@@ -54,6 +62,7 @@
     static Resources wantedBy(const ActiveStep& step);
 
     std::vector<Rejection> m_rejections;
+    std::size_t m_searches = 0;
 };
 
 } // namespace plantainhold
--- a/plantainhold/testing/jobs/StalledPlacementTest.cpp
+++ b/plantainhold/testing/jobs/StalledPlacementTest.cpp
@@ -139,4 +139,31 @@
     CHECK(startsWithin(fixture, s_bound) == 1);
 }
 
+// LOST: each round looked at the first 400 steps only, so that as many steps of an urgent queue, which waited for
+// the one executor with their label, kept all others from nine empty executors.
+TEST_CASE("steps that wait for a full executor keep no others from their turn")
+{
+    SchedulerFixture fixture;
+    fixture.addExecutor("labelled", 8'000);
+    for (int i = 0; i < 9; ++i)
+        fixture.addExecutor("x" + std::to_string(i), 8'000);
+    ExecutorEntry entry = fixture.scheduler().executor("labelled")->entry;
+    entry.labels.emplace_back("b");
+    fixture.scheduler().executorListed(entry, fixture.now());
+    StepSpec step = SchedulerFixture::step(1, 8'000);
+    step.requiredLabel = "b";
+    SECTION("by a label") { }
+    SECTION("by a label and a limit on one executor") { step.maxPerExecutor = 1; }
+    for (int i = 0; i < 2'000; ++i)
+        fixture.submit("urgent" + std::to_string(i), 0, { step });
+    fixture.accept(fixture.advance());
+    fixture.submit("j", 2, { SchedulerFixture::step(2, 1'000) });
+    std::size_t started = 0;
+    for (Milliseconds passed { 0 }; passed < s_bound; passed += Milliseconds(100)) {
+        for (const ExecutorCommand& it : fixture.advance(Milliseconds(100)))
+            started += it.kind == CommandKind::Start && it.task.job == "j";
+    }
+    CHECK(started == 2);
+}
+
 } // namespace plantainhold
