Place tasks for which room is held though another finds none

Cause: within a step, one task that found no room and nothing to preempt ended the turn of all tasks that had run before, those for which room was held among them. So the room stayed held by tasks that were never looked at.

The test is red without the change.

--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -139,11 +139,12 @@
 void JobScheduler::placeStep(ActiveStep& step, TimePoint now)
 {
     m_candidates.clear();
-    // Whether a task that never ran, or one that did, found no executor. Others like it will not either.
+    // Whether a task that never ran, or one that did, found no executor. Others like it will not either, unless
+    // capacity is held for them.
     std::array<bool, 2> isRejected {};
     for (ActiveTask& task : step.tasks) {
         bool hasRun = task.lastRun > 0;
-        if (!task.isWaiting() || isRejected[hasRun])
+        if (!task.isWaiting() || (isRejected[hasRun] && !task.nominated))
             continue;
         if (task.notBefore > now) {
             wakeAt(task.notBefore);
--- a/plantainhold/testing/jobs/StalledPlacementTest.cpp
+++ b/plantainhold/testing/jobs/StalledPlacementTest.cpp
@@ -4,6 +4,7 @@
 #include "plantainhold/testing/jobs/SchedulerFixture.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 
 namespace plantainhold {
 
@@ -166,4 +167,77 @@
     CHECK(started == 2);
 }
 
+namespace {
+
+    // Two executors run a short task each; a lasting job returns whose first task is not lost yet. Its two other
+    // tasks have the short ones preempted.
+    class NominationWorld {
+    public:
+        static constexpr std::uint32_t s_lostTask = 0;
+
+        NominationWorld()
+        {
+            for (const char* it : { "w", "x" })
+                fixture.addExecutor(it, 8'000);
+            StepSpec spread = SchedulerFixture::step(2, 2'000);
+            spread.maxPerExecutor = 1;
+            fixture.submit("short", 2, { spread });
+            std::vector<ExecutorCommand> commands = fixture.advance();
+            REQUIRE(starts(commands) == 2);
+            for (const ExecutorCommand& it : commands)
+                m_runs[it.executor] = it.task;
+            fixture.accept(commands);
+            pass(Milliseconds(3'500));
+            JobProgress progress { JobState::Running, true, {} };
+            progress.tasks.push_back({ 0, 0, s_lostTask, 1, 0, false, "lost", 1, {}, {} });
+            progress.tasks.push_back({ 0, 0, 1, 1, 0, false, {}, 0, {}, {} });
+            progress.tasks.push_back({ 0, 0, 2, 1, 0, false, {}, 0, {}, {} });
+            fixture.restore("j", { longRunning(3, 7'000) }, progress);
+        }
+
+        // Advances the time while both executors report; returns the number of starts.
+        std::size_t pass(Milliseconds time)
+        {
+            std::size_t n = 0;
+            for (Milliseconds passed { 0 }; passed < time; passed += Milliseconds(100)) {
+                std::vector<ExecutorCommand> commands = fixture.advance(Milliseconds(100));
+                stopped += stops(commands);
+                n += starts(commands);
+                fixture.accept(commands);
+                for (const auto& [executor, task] : m_runs)
+                    fixture.report(executor, { { task, 1, {}, 50, 0 } }, {});
+            }
+            return n;
+        }
+
+        // The preempted runs end.
+        void stopRuns()
+        {
+            for (const auto& [executor, task] : m_runs)
+                fixture.report(executor, {}, { { 1, task, 1, EndKind::Stopped, {} } });
+            m_runs.clear();
+        }
+
+        SchedulerFixture fixture;
+        std::size_t stopped = 0;
+
+    private:
+        std::map<std::string, TaskName> m_runs;
+    };
+
+} // namespace
+
+// LOST (review/3): a task without room ended the turn of its step for all tasks that had run before, those for
+// which the room was held among them, and both waited for ever.
+TEST_CASE("a task is started where room is held for it though another of its step finds none")
+{
+    NominationWorld world;
+    world.pass(Milliseconds(500));
+    REQUIRE(world.stopped == 2);
+    // The lease of the lost executor ends meanwhile.
+    world.pass(Milliseconds(1'000));
+    world.stopRuns();
+    CHECK(world.pass(Milliseconds(300)) == 2);
+}
+
 } // namespace plantainhold
