Leave out executors without anything to do in each round

Executors count their runs that stop, and know whether one is slowed down; an upper bound of what could be preempted is kept; shared executors are counted once a round.

--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -48,6 +48,8 @@
     // Reserved resources that may be preempted, by the priority of the queue.
     static constexpr std::size_t s_priorities = 8;
     std::array<Resources, s_priorities> preemptible;
+    // Their sum, an upper bound of what any task could preempt.
+    Resources preemptibleTotal;
     // Capacity held for tasks that wait for preempted runs here to stop.
     Resources nominated;
     std::vector<ActiveRun*> runs;
@@ -66,6 +68,9 @@
     std::uint32_t bestEffortRuns = 0;
     // Number of runs of tasks that may crash the executor. Nothing else is placed beside them.
     std::uint32_t suspectRuns = 0;
+    // Number of runs whose stop is wanted, and whether a best-effort run is slowed down heavily.
+    std::uint32_t stoppingRuns = 0;
+    bool hasSlowedRuns = false;
     // Millicores requested by best-effort tasks, and reserved by latency-critical tasks.
     std::int64_t bestEffortMillicores = 0;
     std::int64_t latencyCriticalMillicores = 0;
--- a/plantainhold/jobs/JobEvictions.cpp
+++ b/plantainhold/jobs/JobEvictions.cpp
@@ -76,6 +76,9 @@
         // Skips executors with enough free capacity, where the task is kept away by something else;
         // and those where preempting everything eligible would not be enough.
         Resources freeCapacity = it->freeCapacity();
+        Resources bound = freeCapacity;
+        if (!wanted.fitsIn(bound += it->preemptibleTotal))
+            continue;
         if (wanted.fitsIn(freeCapacity) || !wanted.fitsIn(freeCapacity + it->preemptibleAfter(after)) || !isEligible(*it, step, now))
             continue;
         std::vector<ActiveRun*> victims;
@@ -145,6 +148,7 @@
         endRun(*run.task, now);
         return;
     }
+    run.executor->stoppingRuns += !run.isStopRequested;
     run.isStopRequested = true;
     run.isStopSent = true;
     run.stopSentAt = now;
@@ -155,6 +159,8 @@
 void JobScheduler::drainExecutors(TimePoint now)
 {
     for (ActiveExecutor* executor : m_executorList) {
+        if (!executor->stoppingRuns && !executor->entry.isDraining)
+            continue;
         std::vector<ActiveRun*> runs = executor->runs;
         for (ActiveRun* run : runs) {
             if (run->phase == RunPhase::Recording)
@@ -180,6 +186,7 @@
 void JobScheduler::sendPaces(ActiveExecutor& executor, TimePoint now)
 {
     m_pacer.updatePaces(executor, now);
+    executor.hasSlowedRuns = false;
     for (ActiveRun* run : executor.runs) {
         if (run->phase != RunPhase::Running || run->isStopRequested || !run->task->step->spec->isBestEffort())
             continue;
@@ -187,6 +194,7 @@
             run->slowedSince = TimePoint::max();
         else if (run->slowedSince == TimePoint::max())
             run->slowedSince = now;
+        executor.hasSlowedRuns |= run->slowedSince != TimePoint::max();
         if (run->sentPace == run->targetPace)
             continue;
         run->sentPace = run->targetPace;
@@ -199,6 +207,8 @@
 void JobScheduler::moveSlowedRuns(TimePoint now)
 {
     for (ActiveExecutor* executor : m_executorList) {
+        if (!executor->hasSlowedRuns)
+            continue;
         for (ActiveRun* run : executor->runs) {
             if (run->slowedSince == TimePoint::max() || now - run->slowedSince < s_slowedLimit || run->isStopRequested)
                 continue;
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -66,8 +66,7 @@
 {
     if (!executor.isShared())
         return m_limits.reportWait;
-    auto shared = std::count_if(m_executorList.begin(), m_executorList.end(), [](const ActiveExecutor* it) { return it->isShared(); });
-    Milliseconds fairShare { 1'000 * shared / m_limits.maxSharedReportsPerSecond };
+    Milliseconds fairShare { 1'000 * m_sharedExecutors / m_limits.maxSharedReportsPerSecond };
     return std::clamp(fairShare, m_limits.sharedReportWait, m_limits.reportWait);
 }
 
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -123,8 +123,10 @@
     const StepSpec& spec = *task.step->spec;
     executor.reserved += spec.reserved();
     run.priority = task.step->job().settings.priority;
-    if (!spec.isLongRunning && !spec.isGang)
+    if (!spec.isLongRunning && !spec.isGang) {
         executor.preemptible[ActiveExecutor::priorityIndex(run.priority)] += spec.reserved();
+        executor.preemptibleTotal += spec.reserved();
+    }
     executor.runs.push_back(&run);
     executor.latencyCriticalRuns += spec.isLatencyCritical();
     executor.bestEffortRuns += spec.isBestEffort();
@@ -140,13 +142,16 @@
     ActiveExecutor& executor = *run.executor;
     const StepSpec& spec = *task.step->spec;
     executor.reserved -= spec.reserved();
-    if (!spec.isLongRunning && !spec.isGang)
+    if (!spec.isLongRunning && !spec.isGang) {
         executor.preemptible[ActiveExecutor::priorityIndex(run.priority)] -= spec.reserved();
+        executor.preemptibleTotal -= spec.reserved();
+    }
     executor.latencyCriticalRuns -= spec.isLatencyCritical();
     executor.bestEffortRuns -= spec.isBestEffort();
     executor.bestEffortMillicores -= spec.isBestEffort() ? spec.resources.millicores : 0;
     executor.latencyCriticalMillicores -= spec.isLatencyCritical() ? spec.resources.millicores : 0;
     executor.suspectRuns -= run.isSuspect;
+    executor.stoppingRuns -= run.isStopRequested;
     std::erase(executor.runs, &run);
     executor.areDeficitsStale = true;
     if (!run.checkpoint.empty())
@@ -196,6 +201,7 @@
 {
     m_wakeAt = now + s_idleWake;
     m_runEvents.flushIfDue(now);
+    m_sharedExecutors = std::count_if(m_executorList.begin(), m_executorList.end(), [](const ActiveExecutor* it) { return it->isShared(); });
     applyDueTimes(now, nowUnixMs);
     expireLeases(now);
     judgeSuspects(now);
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -274,6 +274,8 @@
     RunEventLog m_runEvents;
     WaitingTaskMonitor m_waitingTaskMonitor;
     const std::uint64_t m_generation;
+    // Number of executors on which tasks of both kinds run, as of the last round.
+    std::ptrdiff_t m_sharedExecutors = 0;
     // The highest fencing token given to any executor.
     std::uint64_t m_lastToken;
     const TimePoint m_claimedAt;
