Try rejected tasks on executors that have changed only

Rejections now hold beyond their round for executors that have not changed since: no report, start or end of a run, released room, or entry. What passes with time alone (avoidance, the load of a whole service) is found by complete rounds, one each 200 ms, which begin without memory; so no task waits longer for such a change. A long-running task that never ran is looked at in every round.

Beside this: an image is looked up once a search instead of once an executor, and the messages of a progress record are allocated together.

--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -63,6 +63,8 @@
         std::uint64_t listedIn = 0;
     };
     std::vector<StrayRun> strayRuns;
+    // The round of placement in which, or after which, something changed here that may let a task run here.
+    std::uint64_t changedInRound = 0;
     // Numbers of runs of latency-critical tasks, and of best-effort tasks, which may disturb them.
     std::uint32_t latencyCriticalRuns = 0;
     std::uint32_t bestEffortRuns = 0;
--- a/plantainhold/jobs/BestEffortPacer.cpp
+++ b/plantainhold/jobs/BestEffortPacer.cpp
@@ -195,17 +195,20 @@
     }
 }
 
-BestEffortPacer::Pressure BestEffortPacer::pressureOn(ActiveExecutor& executor, const StepSpec& spec)
+BestEffortPacer::Load BestEffortPacer::loadOf(const StepSpec& spec)
+{
+    return { m_table.idOf(spec.image), coresOf(spec) };
+}
+
+BestEffortPacer::Pressure BestEffortPacer::pressureOn(ActiveExecutor& executor, const Load& load)
 {
     if (executor.areDeficitsStale)
         refreshDeficits(executor);
     Pressure pressure;
     if (executor.headroomDeficits.empty())
         return pressure;
-    InterferenceTable::ImageId image = m_table.idOf(spec.image);
-    double cores = coresOf(spec);
     for (const ActiveExecutor::HeadroomDeficit& it : executor.headroomDeficits) {
-        double taken = effectOf(m_table, it.image, image) * cores;
+        double taken = effectOf(m_table, it.image, load.image) * load.cores;
         pressure.largest = std::max(pressure.largest, taken);
         pressure.excess = std::max(pressure.excess, std::min(it.deficit + taken, taken));
     }
--- a/plantainhold/jobs/BestEffortPacer.h
+++ b/plantainhold/jobs/BestEffortPacer.h
@@ -36,7 +36,13 @@
         // The part of it that exceeds what an image can spare now; 0 if all can bear the task at full pace.
         double excess = 0;
     };
-    Pressure pressureOn(ActiveExecutor& executor, const StepSpec& spec);
+    // What a best-effort task puts on its neighbours, looked up once for many executors.
+    struct Load {
+        InterferenceTable::ImageId image = 0;
+        double cores = 0;
+    };
+    Load loadOf(const StepSpec& spec);
+    Pressure pressureOn(ActiveExecutor& executor, const Load& load);
     std::vector<LearnedEffect> learned() const { return m_table.learned(); }
     void restore(std::span<const LearnedEffect> effects) { m_table.restore(effects); }
     // Returns the pressure of a task on latency-critical tasks, averaged over the images seen so
--- a/plantainhold/jobs/JobCodec.cpp
+++ b/plantainhold/jobs/JobCodec.cpp
@@ -5,6 +5,7 @@
 #include "plantainhold/proto/jobs.pb.h"
 
 #include <cmath>
+#include <google/protobuf/arena.h>
 
 namespace plantainhold {
 
@@ -156,13 +157,15 @@
 
 std::string encodeProgress(const JobProgress& progress)
 {
-    wire::TaskTableRecord table;
+    // One message a task: with an arena they are allocated together.
+    google::protobuf::Arena arena;
+    auto& table = *google::protobuf::Arena::CreateMessage<wire::TaskTableRecord>(&arena);
     for (const TaskProgress& it : progress.tasks)
         encodeTask(it, *table.add_tasks());
     wire::ProgressRecord record;
     record.set_state(static_cast<std::uint32_t>(progress.state));
     record.set_begun(progress.hasStarted);
-    record.set_tasks(table.SerializeAsString());
+    table.SerializeToString(record.mutable_tasks());
     if (progress.settings)
         encodeSettings(*progress.settings, *record.mutable_settings());
     return record.SerializeAsString();
--- a/plantainhold/jobs/JobEvictions.cpp
+++ b/plantainhold/jobs/JobEvictions.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <utility>
 
 namespace plantainhold {
@@ -63,7 +64,8 @@
         m_needsPlacement = true;
         return false;
     }
-    if (m_round.isRejected(task, PlacementRound::Means::Preemption))
+    std::optional<std::uint64_t> rejectedIn = m_round.rejectedIn(task, PlacementRound::Means::Preemption);
+    if (rejectedIn == m_round.number())
         return false;
     m_round.countSearch();
     ActiveStep& step = *task.step;
@@ -75,6 +77,8 @@
     for (ActiveExecutor* it : m_executorList) {
         // Skips executors with enough free capacity, where the task is kept away by something else;
         // and those where preempting everything eligible would not be enough.
+        if (it->changedInRound < rejectedIn.value_or(0))
+            continue;
         Resources freeCapacity = it->freeCapacity();
         Resources bound = freeCapacity;
         if (!wanted.fitsIn(bound += it->preemptibleTotal))
@@ -121,6 +125,7 @@
     if (!task.nominated)
         return;
     task.nominated->nominated -= task.step->spec->reserved();
+    noteChange(*task.nominated);
     task.nominated = nullptr;
     m_nominatedTasks.erase(&task);
 }
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -50,6 +50,9 @@
     // steps that find no executor must not keep others from their turn for ever.
     constexpr std::size_t s_searchesPerRound = 400;
     constexpr std::size_t s_searchesInOrder = 200;
+    // Interval between rounds that look at all executors for all tasks. In between, a task whose like was
+    // rejected before is only tried on executors that have changed.
+    constexpr Milliseconds s_completeInterval { 200 };
     // Delay before the next round if this one did not reach all steps.
     constexpr Milliseconds s_nextTurns { 100 };
 
@@ -105,7 +108,10 @@
 {
     m_needsPlacement = false;
     m_placeAgainAt = TimePoint::max();
-    m_round.begin();
+    bool isComplete = now >= m_placedAllAt + s_completeInterval;
+    if (isComplete)
+        m_placedAllAt = now;
+    m_round.begin(isComplete ? PlacementRound::Extent::Complete : PlacementRound::Extent::Changes);
     // What no executor can run takes no turn from others.
     std::vector<ActiveStep*> steps;
     std::copy_if(m_ready.begin(), m_ready.end(), std::back_inserter(steps), [this](const ActiveStep* it) { return canRunSomewhere(*it, m_executorList); });
@@ -211,7 +217,12 @@
 PlacementNeeds JobScheduler::needsOf(const ActiveTask& task, TimePoint now)
 {
     const StepSpec& spec = *task.step->spec;
-    return { spec.reserved(), spec.isBestEffort() ? m_pacer.meanPressure(spec) : 0, now >= starvedSince(task) };
+    PlacementNeeds needs { spec.reserved(), 0, std::nullopt, now >= starvedSince(task) };
+    if (spec.isBestEffort()) {
+        needs.pressure = m_pacer.meanPressure(spec);
+        needs.load = m_pacer.loadOf(spec);
+    }
+    return needs;
 }
 
 Resources JobScheduler::freeCapacityFor(const ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs)
@@ -243,17 +254,16 @@
     return isLeftToShortTasks ? PlacementObstacle::RoomForShortTasks : PlacementObstacle::None;
 }
 
-BestEffortPacer::Pressure JobScheduler::pressureOn(ActiveExecutor& executor, const ActiveTask& task)
+BestEffortPacer::Pressure JobScheduler::pressureOn(ActiveExecutor& executor, const PlacementNeeds& needs)
 {
-    const StepSpec& spec = *task.step->spec;
-    return spec.isBestEffort() ? m_pacer.pressureOn(executor, spec) : BestEffortPacer::Pressure();
+    return needs.load ? m_pacer.pressureOn(executor, *needs.load) : BestEffortPacer::Pressure();
 }
 
 std::optional<double> JobScheduler::placementCost(ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs, TimePoint now)
 {
     if (obstacleOn(executor, task, needs, now) != PlacementObstacle::None)
         return std::nullopt;
-    BestEffortPacer::Pressure pressure = pressureOn(executor, task);
+    BestEffortPacer::Pressure pressure = pressureOn(executor, needs);
     if (pressure.excess > 0 && !isStarvedOn(executor, needs))
         return std::nullopt;
     bool isNominated = task.nominated == &executor;
@@ -268,7 +278,7 @@
         PlacementObstacle obstacle = obstacleOn(executor, task, needs, now);
         if (obstacle != PlacementObstacle::None)
             return obstacle;
-        bool isPressured = pressureOn(executor, task).excess > 0 && !isStarvedOn(executor, needs);
+        bool isPressured = pressureOn(executor, needs).excess > 0 && !isStarvedOn(executor, needs);
         return isPressured ? PlacementObstacle::Pressure : PlacementObstacle::None;
     };
     m_waitingTaskMonitor.check(m_ready, m_executorList, explain, m_needsPlacement, now);
@@ -276,10 +286,15 @@
 
 // Tasks without special conditions share the candidates of their step; for others, a search of
 // their own is made.
-ActiveExecutor* JobScheduler::chooseExecutor(const ActiveTask& task, TimePoint now, double& cost)
+ActiveExecutor* JobScheduler::chooseExecutor(const ActiveTask& task, std::uint64_t changedSince, TimePoint now)
 {
     PlacementNeeds needs = needsOf(task, now);
-    auto evaluate = [&](std::size_t i) { return placementCost(*m_executorList[i], task, needs, now); };
+    auto evaluate = [&](std::size_t i) -> std::optional<double> {
+        ActiveExecutor& executor = *m_executorList[i];
+        if (executor.changedInRound < changedSince)
+            return std::nullopt;
+        return placementCost(executor, task, needs, now);
+    };
     bool isReturning = task.step->spec->isLongRunning && task.lastRun;
     bool isPlain = !task.nominated && !task.avoided && !needs.isStarved && !isReturning && !task.crashes.isSuspect();
     PlacementCandidates own;
@@ -289,10 +304,7 @@
         candidates.build(m_executorList.size(), evaluate);
     }
     std::optional<PlacementCandidates::Choice> choice = candidates.best(evaluate);
-    if (!choice)
-        return nullptr;
-    cost = choice->cost;
-    return m_executorList[choice->index];
+    return choice ? m_executorList[choice->index] : nullptr;
 }
 
 bool JobScheduler::placeTask(ActiveTask& task, TimePoint now)
@@ -300,10 +312,12 @@
     ActiveStep& step = *task.step;
     bool isStarved = now >= starvedSince(task);
     bool isSuspect = task.crashes.isSuspect();
-    if (!task.nominated && !isStarved && !isSuspect && m_round.isRejected(task, PlacementRound::Means::FreeCapacity))
+    std::optional<std::uint64_t> rejectedIn;
+    if (!task.nominated && !isStarved && !isSuspect)
+        rejectedIn = m_round.rejectedIn(task, PlacementRound::Means::FreeCapacity);
+    if (rejectedIn == m_round.number())
         return false;
-    double cost = 0;
-    ActiveExecutor* best = chooseExecutor(task, now, cost);
+    ActiveExecutor* best = chooseExecutor(task, rejectedIn.value_or(0), now);
     if (!best) {
         if (!task.nominated && !isSuspect)
             m_round.reject(task, PlacementRound::Means::FreeCapacity);
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -37,6 +37,7 @@
     executor.listedUnixMs = entry.startedUnixMs;
     executor.rack = rackOf(entry);
     executor.isListed = true;
+    noteChange(executor);
     m_executorsVersion += hasChanged;
     m_needsPlacement = m_needsPlacement || hasChanged;
 }
@@ -136,6 +137,7 @@
         handleRestart(executor, report.startedUnixMs, RestartSource::Report, now);
     noteReporting(executor, report.startedUnixMs, now);
     executor.heardAt = now;
+    noteChange(executor);
     bool acceptedNoWork = executor.failedCalls || !executor.isConfirmed();
     executor.failedCalls = 0;
     executor.hasClock = true;
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -134,6 +134,7 @@
     executor.latencyCriticalMillicores += spec.isLatencyCritical() ? spec.resources.millicores : 0;
     ++task.step->placedTasks;
     executor.areDeficitsStale = true;
+    noteChange(executor);
 }
 
 void JobScheduler::endRun(ActiveTask& task, TimePoint now)
@@ -154,6 +155,7 @@
     executor.stoppingRuns -= run.isStopRequested;
     std::erase(executor.runs, &run);
     executor.areDeficitsStale = true;
+    noteChange(executor);
     if (!run.checkpoint.empty())
         task.checkpoint = run.checkpoint;
     --task.step->placedTasks;
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -235,13 +235,16 @@
     // Returns what keeps the task from the executor, apart from the pressure that it would cause.
     PlacementObstacle obstacleOn(const ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs, TimePoint now) const;
     // Returns the pressure on latency-critical tasks; none for a task that does not slow them down.
-    BestEffortPacer::Pressure pressureOn(ActiveExecutor& executor, const ActiveTask& task);
+    BestEffortPacer::Pressure pressureOn(ActiveExecutor& executor, const PlacementNeeds& needs);
     void reportStalledTasks(TimePoint now);
     // Returns std::nullopt if the task cannot run there now. The lowest cost is best.
     std::optional<double> placementCost(ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs, TimePoint now);
     // Returns nullptr if no executor can run the task now.
-    ActiveExecutor* chooseExecutor(const ActiveTask& task, TimePoint now, double& cost);
+    // Only executors that changed in the given round or later are considered.
+    ActiveExecutor* chooseExecutor(const ActiveTask& task, std::uint64_t changedSince, TimePoint now);
     bool preemptFor(ActiveTask& task, TimePoint now);
+    // Notes that something changed which may let a task run on the executor.
+    void noteChange(ActiveExecutor& executor) { executor.changedInRound = m_round.number(); }
     void clearNomination(ActiveTask& task);
     // Releases capacity that was held for a task for too long, whether or not the task is considered meanwhile.
     void expireNominations(TimePoint now);
@@ -323,6 +326,8 @@
     TimePoint m_wakeAt {};
     bool m_needsPlacement = true;
     TimePoint m_placedAt {};
+    // When the last round was that looked at all executors for all tasks.
+    TimePoint m_placedAllAt {};
     // When a waiting task may be placed under relaxed conditions; max() if never.
     TimePoint m_placeAgainAt = TimePoint::max();
     TimePoint m_learnedStoredAt {};
--- a/plantainhold/jobs/JobStorage.cpp
+++ b/plantainhold/jobs/JobStorage.cpp
@@ -129,6 +129,7 @@
         executor.entry.startedUnixMs = startedUnixMs;
         executor.token = m_generation;
         executor.leaseExpiresAt = formerLeaseExpiry(id);
+        noteChange(executor);
         m_executorList.push_back(&executor);
         ++m_executorsVersion;
     }
--- a/plantainhold/jobs/PlacementRound.cpp
+++ b/plantainhold/jobs/PlacementRound.cpp
@@ -3,9 +3,18 @@
 #include "plantainhold/jobs/ActiveJob.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace plantainhold {
 
+void PlacementRound::begin(Extent extent)
+{
+    if (extent == Extent::Complete)
+        m_rejections.clear();
+    ++m_number;
+    m_searches = 0;
+}
+
 bool PlacementRound::isComparable(const ActiveStep& step)
 {
     const StepSpec& spec = *step.spec;
@@ -17,7 +26,7 @@
     const StepSpec& spec = *task.step->spec;
     const QueueSettings& settings = task.step->job().settings;
     bool isReturning = spec.isLongRunning && task.lastRun > 0;
-    return { settings.service, spec.isBestEffort() ? std::string_view(spec.image) : std::string_view(), means, settings.priority, spec.isLongRunning, isReturning };
+    return { settings.service, spec.isBestEffort() ? spec.image : std::string(), means, settings.priority, spec.isLongRunning, isReturning };
 }
 
 Resources PlacementRound::wantedBy(const ActiveStep& step)
@@ -33,16 +42,23 @@
     Terms terms = termsOf(task, means);
     Resources wanted = wantedBy(*task.step);
     std::erase_if(m_rejections, [&](const Rejection& it) { return it.terms == terms && wanted.fitsIn(it.wanted); });
-    m_rejections.push_back({ terms, wanted });
+    m_rejections.push_back({ std::move(terms), wanted, m_number });
 }
 
-bool PlacementRound::isRejected(const ActiveTask& task, Means means) const
+std::optional<std::uint64_t> PlacementRound::rejectedIn(const ActiveTask& task, Means means) const
 {
     if (m_rejections.empty() || !isComparable(*task.step))
-        return false;
+        return std::nullopt;
     Terms terms = termsOf(task, means);
     Resources wanted = wantedBy(*task.step);
-    return std::any_of(m_rejections.begin(), m_rejections.end(), [&](const Rejection& it) { return it.terms == terms && it.wanted.fitsIn(wanted); });
+    std::optional<std::uint64_t> newest;
+    for (const Rejection& it : m_rejections) {
+        if (it.terms == terms && it.wanted.fitsIn(wanted))
+            newest = std::max(newest.value_or(0), it.round);
+    }
+    // Whether a long-running task may run for the first time depends on the load of its whole service.
+    bool dependsOnAll = terms.isLongRunning && !terms.isReturning && newest != m_number;
+    return dependsOnAll ? std::nullopt : newest;
 }
 
 } // namespace plantainhold
--- a/plantainhold/testing/jobs/BestEffortPacerTest.cpp
+++ b/plantainhold/testing/jobs/BestEffortPacerTest.cpp
@@ -197,8 +197,8 @@
     heavy.usesLeftoverCpu = true;
     StepSpec lightSpec = heavy;
     lightSpec.image = "light";
-    CHECK(executor.pacer().pressureOn(executor.state(), heavy).excess > 0.3);
-    CHECK(executor.pacer().pressureOn(executor.state(), lightSpec).excess < 0.05);
+    CHECK(executor.pacer().pressureOn(executor.state(), executor.pacer().loadOf(heavy)).excess > 0.3);
+    CHECK(executor.pacer().pressureOn(executor.state(), executor.pacer().loadOf(lightSpec)).excess < 0.05);
 }
 
 TEST_CASE("a target missed for an unknown cause stops all best-effort tasks within the limit")
