Index queues by host, prefix and name

Each request of a caller looked through all queues, and so did each job with each configuration; a configuration of the large deployment adds 1,312 routes at once, on instances with 0.069 of a core.

FleetConfig keeps the queues of a host by prefix, and the lengths of its prefixes.

--- a/plantainhold/jobs/Queue.h
+++ b/plantainhold/jobs/Queue.h
@@ -5,6 +5,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -59,9 +61,16 @@
     HttpLimits limits;
 
 private:
+    // The queues of one host: by path prefix, and the lengths that prefixes have, the longest first.
+    struct HostQueues {
+        std::unordered_map<std::string, std::size_t> byPrefix;
+        std::set<std::size_t, std::greater<>> lengths;
+    };
+
     std::uint64_t m_version = 0;
     std::vector<Queue> m_queues;
     std::unordered_map<std::string, std::size_t> m_indexByName;
+    std::unordered_map<std::string, HostQueues> m_hosts;
 };
 
 } // namespace plantainhold
