--- a/plantainhold/entry/OwnerDirectory.cpp
+++ b/plantainhold/entry/OwnerDirectory.cpp
@@ -11,6 +11,8 @@
 
 namespace {
     constexpr Milliseconds s_readTimeout { 1'000 };
+    // Counts of pending jobs are at most this old; each counting looks at all jobs.
+    constexpr Milliseconds s_pendingAge { 200 };
 } // namespace
 
 OwnerDirectory::OwnerDirectory(JobRecords& records, SubmissionWriter& writer, IsAuthoritative isAuthoritative)
@@ -28,7 +30,18 @@
         co_return co_await state(std::move(request));
     if (request.kind != JobRequestKind::PendingCount)
         co_return co_await store(std::move(request));
-    co_return JobReply { JobRequestOutcome::Ok, JobState::Queued, m_records.table().pendingJobs(request.queue) };
+    co_return JobReply { JobRequestOutcome::Ok, JobState::Queued, pendingJobs(request.queue) };
+}
+
+std::size_t OwnerDirectory::pendingJobs(const std::string& queue)
+{
+    TimePoint now = std::chrono::steady_clock::now();
+    if (now >= m_pendingAt + s_pendingAge) {
+        m_pendingAt = now;
+        m_pending = m_records.table().pendingJobs();
+    }
+    auto it = m_pending.find(queue);
+    return it == m_pending.end() ? 0 : it->second;
 }
 
 asio::awaitable<JobReply> OwnerDirectory::store(JobRequest request)
--- a/plantainhold/entry/OwnerDirectory.h
+++ b/plantainhold/entry/OwnerDirectory.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include "plantainhold/entry/JobDirectory.h"
+#include "plantainhold/jobs/JobTable.h"
+#include "plantainhold/ports/Clock.h"
 
 #include <functional>
 
@@ -26,10 +28,13 @@
 private:
     boost::asio::awaitable<JobReply> state(JobRequest request);
     boost::asio::awaitable<JobReply> store(JobRequest request);
+    std::size_t pendingJobs(const std::string& queue);
 
     JobRecords& m_records;
     SubmissionWriter& m_writer;
     IsAuthoritative m_isAuthoritative;
+    JobTable::PendingJobs m_pending;
+    TimePoint m_pendingAt {};
 };
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobTable.cpp
+++ b/plantainhold/jobs/JobTable.cpp
@@ -82,16 +82,14 @@
     return &it->second;
 }
 
-std::size_t JobTable::pendingJobs(std::string_view queue) const
+JobTable::PendingJobs JobTable::pendingJobs() const
 {
-    std::size_t n = 0;
+    PendingJobs pending;
     for (const auto& [id, job] : m_jobs) {
-        if (!job.spec || job.spec->queue != queue)
-            continue;
-        if (!job.hasStarted && !isFinal(job.shownState()))
-            ++n;
+        if (job.spec && !job.hasStarted && !isFinal(job.shownState()))
+            ++pending[job.spec->queue];
     }
-    return n;
+    return pending;
 }
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobTable.h
+++ b/plantainhold/jobs/JobTable.h
@@ -45,9 +45,10 @@
 
     // Returns nullptr if the job is unknown or was removed.
     const StoredJob* find(std::string_view id) const;
-    // Returns the number of accepted jobs of a queue that have neither started nor ended, including
-    // those whose set time has not come.
-    std::size_t pendingJobs(std::string_view queue) const;
+    // Numbers of accepted jobs that have neither started nor ended, including those whose set time has not come,
+    // by queue; queues without such jobs are left out.
+    using PendingJobs = std::unordered_map<std::string, std::size_t>;
+    PendingJobs pendingJobs() const;
     std::size_t size() const { return m_jobs.size(); }
     const std::unordered_map<std::string, StoredJob>& jobs() const { return m_jobs; }
     // Number of malformed records read so far.
--- a/plantainhold/testing/jobs/JobTableTest.cpp
+++ b/plantainhold/testing/jobs/JobTableTest.cpp
@@ -108,11 +108,10 @@
 {
     JobTable table;
     table.applySubmission(JobTable::submissionKey("j"), encodeSubmission(exampleSpec()));
-    CHECK(table.pendingJobs("plans") == 1);
-    CHECK(table.pendingJobs("other") == 0);
+    CHECK(table.pendingJobs() == JobTable::PendingJobs { { "plans", 1 } });
     table.applySubmission(JobTable::cancelKey("j"), "1");
     CHECK(table.find("j")->shownState() == JobState::Cancelled);
-    CHECK(table.pendingJobs("plans") == 0);
+    CHECK(table.pendingJobs().empty());
 }
 
 TEST_CASE("malformed records change nothing and are counted")
