Pause after rounds by their duration

Where the processor is slow or busy, the owner's rounds took up the time that reports and commands needed: a round began 5 ms after the one before began, however long that took. Now the next one begins after three times the duration of the last, 5 ms to 50 ms after its beginning, so that rounds take a third at most.

--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -8,6 +8,7 @@
 #include "plantainhold/util/Sleep.h"
 #include "plantainhold/util/Spawn.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -24,6 +25,10 @@
     constexpr Milliseconds s_commitInterval { 15 };
     // Events that arrive close together are handled in one round.
     constexpr Milliseconds s_minRoundInterval { 5 };
+    // On a slow or busy processor rounds take longer. A round is followed by the next one after this multiple of
+    // its own duration, so that reports and commands keep most of the processor.
+    constexpr int s_roundPause = 3;
+    constexpr Milliseconds s_maxRoundInterval { 50 };
     constexpr Milliseconds s_adviceTimeout { 3'000 };
     constexpr Milliseconds s_executorsWait { 2'000 };
     constexpr Milliseconds s_executorsInterval { 200 };
@@ -213,7 +218,7 @@
     if (m_isRoundScheduled || m_isStopped || !m_isRestored)
         return;
     m_isRoundScheduled = true;
-    m_roundTimer.expires_at(m_lastRoundAt + s_minRoundInterval);
+    m_roundTimer.expires_at(m_lastRoundAt + m_roundInterval);
     m_roundTimer.async_wait([self = shared_from_this()](const boost::system::error_code&) {
         self->m_isRoundScheduled = false;
         if (!self->m_isStopped)
@@ -242,6 +247,7 @@
         onSubmissionRead(it);
     m_commitSignal.cancel();
     m_advanceTimer.expires_after(std::max<Duration>(next - now, s_minRoundInterval));
+    m_roundInterval = std::clamp<Duration>(s_roundPause * (std::chrono::steady_clock::now() - m_lastRoundAt), s_minRoundInterval, s_maxRoundInterval);
     m_advanceTimer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
         if (!ec)
             self->scheduleRound();
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -114,6 +114,8 @@
     bool m_isReleased = false;
     bool m_isRoundScheduled = false;
     TimePoint m_lastRoundAt {};
+    // Time from the beginning of one round to the next one at least.
+    Duration m_roundInterval {};
     std::uint64_t m_rounds = 0;
     std::deque<AdviceRequest> m_adviceQueue;
     bool m_isAdviceLoopRunning = false;
