Divide the progress of large jobs among records

Cause: a job's progress is one record with an entry for each task that was placed. Above the store's limit for a record the append is refused, and repeated every 50 ms for the whole term and the next.

Progress above 200,000 bytes is divided by ranges of 256 tasks. Only the parts that have changed are written, the job's own record last; the next owner reads what all of them hold, parts before the job's record. All other jobs keep their one record.

--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -7,6 +7,7 @@
 #include "plantainhold/jobs/HeadroomTrend.h"
 #include "plantainhold/jobs/JobProgress.h"
 #include "plantainhold/jobs/JobSpec.h"
+#include "plantainhold/jobs/ProgressParts.h"
 #include "plantainhold/jobs/QueueSettings.h"
 #include "plantainhold/jobs/StepAdvice.h"
 #include "plantainhold/ports/Clock.h"
@@ -186,6 +187,8 @@
     double criticalPathMs = 0;
     // Occurrences that are due so far.
     std::deque<ActiveOccurrence> occurrences;
+    // The records that hold its progress.
+    ProgressParts progressParts;
     // The state in memory is newer than the stored one.
     bool isDirty = false;
 
--- a/plantainhold/jobs/JobStorage.cpp
+++ b/plantainhold/jobs/JobStorage.cpp
@@ -6,6 +6,7 @@
 #include "plantainhold/jobs/JobTable.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace plantainhold {
@@ -49,8 +50,8 @@
     job->serial = static_cast<std::uint64_t>(stored.spec->acceptedUnixMs) << 16 | (m_nextSerial++ & 0xffff);
     ActiveJob& added = *job;
     m_jobs.emplace(std::string(id), std::move(job));
-    if (!stored.progress.empty()) {
-        if (std::optional<JobProgress> progress = decodeProgress(stored.progress))
+    if (!stored.progress.empty() || !stored.progressParts.empty()) {
+        if (std::optional<JobProgress> progress = added.progressParts.decode(stored))
             restore(added, *progress, now);
         else
             m_events.note(EventId::StoredRecordMalformed, { { "job", id }, { "what", "progress" } });
@@ -168,7 +169,8 @@
     }
     for (ActiveJob* job : m_dirty) {
         job->isDirty = false;
-        batch.progress.emplace_back(job->id, encodeProgress(job->progress()));
+        std::vector<std::pair<std::string, std::string>> records = job->progressParts.encode(job->id, job->progress());
+        std::move(records.begin(), records.end(), std::back_inserter(batch.progress));
     }
     m_dirty.clear();
     batch.droppedJobs = std::exchange(m_dropped, {});
--- a/plantainhold/jobs/JobTable.cpp
+++ b/plantainhold/jobs/JobTable.cpp
@@ -1,6 +1,7 @@
 #include "plantainhold/jobs/JobTable.h"
 
 #include "plantainhold/jobs/JobCodec.h"
+#include "plantainhold/jobs/ProgressParts.h"
 
 namespace plantainhold {
 
@@ -54,8 +55,30 @@
     return it->first;
 }
 
+void JobTable::applyProgressPart(std::string_view key, std::string_view value, std::uint64_t offset)
+{
+    auto job = m_jobs.find(std::string(ProgressParts::jobOf(key)));
+    if (value.empty() && job == m_jobs.end())
+        return;
+    if (job == m_jobs.end())
+        job = m_jobs.try_emplace(std::string(ProgressParts::jobOf(key))).first;
+    if (value.empty()) {
+        job->second.progressParts.erase(std::string(key));
+        return;
+    }
+    StoredJob::Part& part = job->second.progressParts[std::string(key)];
+    if (!part.record.empty() && offset < part.offset)
+        return;
+    part.record.assign(value);
+    part.offset = offset;
+}
+
 void JobTable::applyProgress(std::string_view id, std::string_view value, std::uint64_t offset)
 {
+    if (ProgressParts::isPart(id)) {
+        applyProgressPart(id, value, offset);
+        return;
+    }
     if (value.empty()) {
         m_jobs.erase(std::string(id));
         return;
--- a/plantainhold/jobs/JobTable.h
+++ b/plantainhold/jobs/JobTable.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,6 +27,12 @@
     // The newest progress record, still encoded; empty if there is none.
     std::string progress;
     std::uint64_t progressOffset = 0;
+    // Parts of the progress of a large job, by key (see ProgressParts).
+    struct Part {
+        std::string record;
+        std::uint64_t offset = 0;
+    };
+    std::map<std::string, Part> progressParts;
 
     // Returns the state to show to callers: a requested cancellation counts immediately, before the
     // owner has acted on it.
@@ -41,7 +48,8 @@
     // An empty value removes the job. Returns the id of the job that the record concerns; empty if
     // the record removed the job or is malformed. Not thread-safe, like all following methods.
     std::string_view applySubmission(std::string_view key, std::string_view value);
-    void applyProgress(std::string_view id, std::string_view value, std::uint64_t offset);
+    // The key is a job's id, or that of a part of its progress.
+    void applyProgress(std::string_view key, std::string_view value, std::uint64_t offset);
 
     // Returns nullptr if the job is unknown or was removed.
     const StoredJob* find(std::string_view id) const;
@@ -55,6 +63,8 @@
     std::uint64_t malformedRecords() const { return m_malformed; }
 
 private:
+    void applyProgressPart(std::string_view key, std::string_view value, std::uint64_t offset);
+
     std::unordered_map<std::string, StoredJob> m_jobs;
     std::uint64_t m_malformed = 0;
 };
