Forget when room was held once it is used

After a task had got the room that was held for it, or its executor was gone, the time for which it had been held still kept room from being freed for the task again, for up to 3 s. That time belongs to the held room only; after it has expired unused, others have their turn first as before.

The order in which executors are asked about has names instead of numbers.

--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -124,8 +124,9 @@
     const ActiveExecutor* avoided = nullptr;
     // The executor where capacity is being freed for the task by preemption.
     ActiveExecutor* nominated = nullptr;
-    // When that capacity is released, or was released last.
+    // When that capacity is released; and from when on capacity may be freed for the task again.
     TimePoint nominatedUntil {};
+    TimePoint preemptsFrom {};
 
     bool isWaiting() const { return !isDone && !run; }
     TaskName name() const;
--- a/plantainhold/jobs/JobAdvice.cpp
+++ b/plantainhold/jobs/JobAdvice.cpp
@@ -5,6 +5,7 @@
 #include "plantainhold/jobs/JobScheduler.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <tuple>
 #include <utility>
 
@@ -12,26 +13,34 @@
 
 namespace {
 
-    // An executor to ask about. Lower values come first.
+    // Whom to ask about first. The policies of one queue's steps tend to agree.
+    enum class Preference : std::uint8_t {
+        // Approved before, so that it needs only a new ticket.
+        Expired,
+        // Approved for the last step of the queue that asked about it.
+        ApprovedForQueue,
+        Unknown,
+        RefusedToQueue
+    };
+
     struct AdviceCandidate {
         const ActiveExecutor* executor = nullptr;
-        // 0: approved before, so that it needs only a new ticket; 1: approved for the last step of the queue that
-        // asked; 2: not known; 3: refused to that step. Policies of one queue tend to agree.
-        unsigned preference = 0;
+        Preference preference = Preference::Unknown;
         bool lacksRoom = false;
         std::int64_t freeMillicores = 0;
 
+        // Lower values come first.
         auto order() const { return std::tuple(lacksRoom, preference, -freeMillicores); }
     };
 
-    unsigned preferenceOf(const ActiveExecutor& executor, StepAdvice::Opinion opinion, const std::string& queue)
+    Preference preferenceOf(const ActiveExecutor& executor, StepAdvice::Opinion opinion, const std::string& queue)
     {
         if (opinion == StepAdvice::Opinion::Expired)
-            return 0;
+            return Preference::Expired;
         auto it = executor.adviceByQueue.find(queue);
         if (it == executor.adviceByQueue.end())
-            return 2;
-        return it->second ? 1 : 3;
+            return Preference::Unknown;
+        return it->second ? Preference::ApprovedForQueue : Preference::RefusedToQueue;
     }
 
 } // namespace
--- a/plantainhold/jobs/JobEvictions.cpp
+++ b/plantainhold/jobs/JobEvictions.cpp
@@ -58,9 +58,9 @@
 {
     if (task.nominated)
         return true;
-    TimePoint preemptAfter = std::max(task.waitingSince, task.nominatedUntil) + s_preemptAfter;
-    if (now < preemptAfter) {
-        wakeAt(preemptAfter);
+    TimePoint preemptsFrom = std::max(task.waitingSince + s_preemptAfter, task.preemptsFrom);
+    if (now < preemptsFrom) {
+        wakeAt(preemptsFrom);
         m_needsPlacement = true;
         return false;
     }
@@ -127,6 +127,7 @@
     task.nominated->nominated -= task.step->spec->reserved();
     noteChange(*task.nominated);
     task.nominated = nullptr;
+    task.nominatedUntil = {};
     m_nominatedTasks.erase(&task);
 }
 
@@ -142,6 +143,8 @@
     for (ActiveTask* it : expired) {
         m_events.note(EventId::NominationExpired, { { "task", it->name().text() }, { "executor", it->nominated->entry.id }, { "millicores", it->step->spec->reserved().millicores } });
         clearNomination(*it);
+        // Others have their turn before room is freed for the task again.
+        it->preemptsFrom = now + s_preemptAfter;
         m_needsPlacement = true;
     }
 }
