Log who keeps executors from others, and whose leases a new owner waits for

New: ExecutorSecluded (664), ExecutorShared (665), LeaseAwaited (666), 'secluded' in PartitionState (655). TaskStalled (647) names long-running tasks first, then those that have waited longest. No decision is changed.

--- a/plantainhold/jobs/JobCrashes.cpp
+++ b/plantainhold/jobs/JobCrashes.cpp
@@ -128,14 +128,30 @@
     finish(job, JobState::Failed, now);
 }
 
-void JobScheduler::clearSuspect(ActiveTask& task)
+void JobScheduler::clearSuspect(ActiveTask& task, TimePoint now)
 {
     if (task.crashes == CrashCounts {})
         return;
     task.crashes = {};
     markDirty(task.step->job());
-    if (task.run && std::exchange(task.run->isSuspect, false))
-        --task.run->executor->suspectRuns;
+    if (task.run && task.run->isSuspect)
+        share(*task.run, "the task is no suspect any more", now);
+}
+
+void JobScheduler::seclude(ActiveRun& run, TimePoint now)
+{
+    ActiveExecutor& executor = *run.executor;
+    ++executor.suspectRuns;
+    std::ptrdiff_t secluded = std::count_if(m_executorList.begin(), m_executorList.end(), [](const ActiveExecutor* it) { return it->suspectRuns > 0; });
+    m_events.note(EventId::ExecutorSecluded, { { "executor", executor.entry.id }, { "task", run.task->name().text() }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(now - run.task->waitingSince).count() }, { "beside", executor.runs.size() }, { "secluded", secluded }, { "executors", m_executorList.size() } });
+}
+
+void JobScheduler::share(ActiveRun& run, std::string_view reason, TimePoint now)
+{
+    run.isSuspect = false;
+    ActiveExecutor& executor = *run.executor;
+    --executor.suspectRuns;
+    m_events.note(EventId::ExecutorShared, { { "executor", executor.entry.id }, { "task", run.task->name().text() }, { "secluded_ms", std::chrono::duration_cast<Milliseconds>(now - run.assignedAt).count() }, { "reason", reason } });
 }
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobEnds.cpp
+++ b/plantainhold/jobs/JobEnds.cpp
@@ -90,7 +90,7 @@
         task.run->checkpoint = end.checkpoint;
     bool wasStopWanted = task.run->isStopRequested;
     if (end.kind == EndKind::Done || end.kind == EndKind::Failed)
-        clearSuspect(task);
+        clearSuspect(task, now);
     if (end.kind == EndKind::Done && !isLongRunning)
         learnDuration(task, executor, now);
     if (end.kind == EndKind::Done && !isLongRunning) {
--- a/plantainhold/jobs/JobLeases.cpp
+++ b/plantainhold/jobs/JobLeases.cpp
@@ -72,6 +72,15 @@
     return m_claimedAt + extension + longestOnOurClock(m_limits.lease);
 }
 
+void JobScheduler::noteAwaitedLease(const ActiveExecutor& executor, TimePoint now)
+{
+    TimePoint unseen = executor.leaseExpiresAt;
+    for (const ActiveRun* it : executor.runs)
+        unseen = std::max(unseen, it->unseenLeaseExpiresAt);
+    auto left = [now](TimePoint when) { return std::chrono::duration_cast<Milliseconds>(when - now).count(); };
+    m_events.note(EventId::LeaseAwaited, { { "executor", executor.entry.id }, { "runs", executor.runs.size() }, { "lease_left_ms", left(executor.leaseExpiresAt) }, { "longest_left_ms", left(unseen) }, { "claimed_ms_ago", -left(m_claimedAt) }, { "former_generation", m_former.generation }, { "former_released", m_former.isReleased }, { "listed", executor.isListed } });
+}
+
 void JobScheduler::handleRestart(ActiveExecutor& executor, std::int64_t startedUnixMs, RestartSource source, TimePoint now)
 {
     m_events.note(EventId::ExecutorRestarted, { { "executor", executor.entry.id }, { "from", executor.entry.startedUnixMs }, { "to", startedUnixMs }, { "source", source == RestartSource::List ? "list" : "report" }, { "runs", executor.runs.size() }, { "failed_calls", executor.failedCalls } });
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -185,7 +185,8 @@
     // The executor has moved since the call was sent.
     if (result.address != executor.entry.address)
         return;
-    ++executor.failedCalls;
+    if (!executor.failedCalls++ && !executor.hasClock && !executor.runs.empty())
+        noteAwaitedLease(executor, now);
 }
 
 void JobScheduler::applyReportedRun(ActiveExecutor& executor, const ReportedRun& reportedRun, TimePoint now)
@@ -201,7 +202,7 @@
     run.incarnation = executor.entry.startedUnixMs;
     run.crash = CrashRelation::None;
     if (now >= run.begunAt() + CrashCounts::s_soundAfter)
-        clearSuspect(*task);
+        clearSuspect(*task, now);
     run.unseenLeaseExpiresAt = {};
     if (run.phase == RunPhase::Starting || run.phase == RunPhase::Unconfirmed) {
         run.phase = RunPhase::Running;
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -117,7 +117,8 @@
     run.assignedAt = now;
     // The members of a gang must be able to run beside each other.
     run.isSuspect = task.crashes.isSuspect() && !task.step->spec->isGang;
-    executor.suspectRuns += run.isSuspect;
+    if (run.isSuspect)
+        seclude(run, now);
     run.progressedAt = now;
     run.checkpoint = task.checkpoint;
     const StepSpec& spec = *task.step->spec;
@@ -151,7 +152,8 @@
     executor.bestEffortRuns -= spec.isBestEffort();
     executor.bestEffortMillicores -= spec.isBestEffort() ? spec.resources.millicores : 0;
     executor.latencyCriticalMillicores -= spec.isLatencyCritical() ? spec.resources.millicores : 0;
-    executor.suspectRuns -= run.isSuspect;
+    if (run.isSuspect)
+        share(run, "the run is over", now);
     executor.stoppingRuns -= run.isStopRequested;
     std::erase(executor.runs, &run);
     executor.areDeficitsStale = true;
@@ -267,7 +269,9 @@
     std::uint64_t bestEffortRuns = 0;
     std::uint64_t bestEffortMillicores = 0;
     double tail = 0;
+    std::size_t secluded = 0;
     for (const ActiveExecutor* it : m_executorList) {
+        secluded += it->suspectRuns > 0;
         capacity += it->entry.capacity;
         reserved += it->reserved;
         nominated += it->nominated;
@@ -285,7 +289,7 @@
     std::size_t waitingLongRunning = 0;
     for (const ActiveStep* it : m_ready)
         waitingLongRunning += it->spec->isLongRunning ? it->waitingTasks() : 0;
-    m_events.note(EventId::PartitionState, { { "executors", m_executorList.size() }, { "accepting", open }, { "jobs", m_jobs.size() }, { "runs", runs }, { "waiting", waitingTasks() }, { "waiting_lasting", waitingLongRunning }, { "capacity_millicores", capacity.millicores }, { "reserved_millicores", reserved.millicores }, { "filling_millicores", bestEffortMillicores }, { "nominated_millicores", nominated.millicores }, { "capacity_mib", capacity.memoryMib }, { "reserved_mib", reserved.memoryMib }, { "mean_pace", bestEffortRuns ? pace / bestEffortRuns : 100 }, { "worst_tail_ratio", tail } });
+    m_events.note(EventId::PartitionState, { { "executors", m_executorList.size() }, { "accepting", open }, { "secluded", secluded }, { "jobs", m_jobs.size() }, { "runs", runs }, { "waiting", waitingTasks() }, { "waiting_lasting", waitingLongRunning }, { "capacity_millicores", capacity.millicores }, { "reserved_millicores", reserved.millicores }, { "filling_millicores", bestEffortMillicores }, { "nominated_millicores", nominated.millicores }, { "capacity_mib", capacity.memoryMib }, { "reserved_mib", reserved.memoryMib }, { "mean_pace", bestEffortRuns ? pace / bestEffortRuns : 100 }, { "worst_tail_ratio", tail } });
 }
 
 std::size_t JobScheduler::waitingTasks() const
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -194,7 +194,10 @@
     void judgeSuspects(TimePoint now);
     void judgeLater(ActiveTask& task, CrashRelation relation, TimePoint now);
     void giveUp(ActiveTask& task, TimePoint now);
-    void clearSuspect(ActiveTask& task);
+    void clearSuspect(ActiveTask& task, TimePoint now);
+    // Keeps other tasks away from the executor of a suspect, and lets them in again.
+    void seclude(ActiveRun& run, TimePoint now);
+    void share(ActiveRun& run, std::string_view reason, TimePoint now);
     // True if the task is a suspect that still waits to run alone, and before others of its step.
     static bool awaitsSeclusion(const ActiveTask& task, TimePoint now);
     // True if a crash of the executor soon after the start could be told from that of other runs there, or if
@@ -257,6 +260,8 @@
     void fence(ActiveExecutor& executor);
     // Returns when leases of former owners have expired on an executor that this owner has not reached yet.
     TimePoint formerLeaseExpiry(std::string_view id) const;
+    // Notes for how long restored runs on an executor that does not respond count as running.
+    void noteAwaitedLease(const ActiveExecutor& executor, TimePoint now);
     // Returns how long the executor may wait for an end before it sends its next report.
     Milliseconds reportWait(const ActiveExecutor& executor) const;
     std::int64_t extendLease(ActiveExecutor& executor, TimePoint now);
--- a/plantainhold/jobs/JobStorage.cpp
+++ b/plantainhold/jobs/JobStorage.cpp
@@ -118,6 +118,9 @@
     task->run->incarnation = progress.executorStartedUnixMs;
     // The former owner may have changed its pace.
     task->run->sentPace = ActiveRun::s_unknownPace;
+    // No call to it will fail.
+    if (!executor.isListed && executor.runs.size() == 1)
+        noteAwaitedLease(executor, now);
 }
 
 ActiveExecutor& JobScheduler::executorFor(const std::string& id, std::int64_t startedUnixMs)
--- a/plantainhold/jobs/WaitingTaskMonitor.cpp
+++ b/plantainhold/jobs/WaitingTaskMonitor.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <chrono>
 #include <string>
+#include <tuple>
+#include <vector>
 
 namespace plantainhold {
 
@@ -17,6 +19,32 @@
         return std::chrono::duration_cast<Milliseconds>(now - when).count();
     }
 
+    TimePoint waitingSince(const ActiveStep& step)
+    {
+        TimePoint since = TimePoint::max();
+        for (const ActiveTask& it : step.tasks)
+            since = it.isWaiting() ? std::min(since, it.waitingSince) : since;
+        return since;
+    }
+
+    // Long-running tasks first, which may wait for the shortest time; then those that have waited longest.
+    std::vector<const ActiveStep*> byUrgency(const std::unordered_set<ActiveStep*>& steps)
+    {
+        struct Waiting {
+            bool isShort = false;
+            TimePoint since {};
+            const ActiveStep* step = nullptr;
+        };
+        std::vector<Waiting> waiting;
+        for (const ActiveStep* it : steps)
+            waiting.push_back({ !it->spec->isLongRunning, waitingSince(*it), it });
+        std::sort(waiting.begin(), waiting.end(), [](const Waiting& a, const Waiting& b) { return std::tie(a.isShort, a.since) < std::tie(b.isShort, b.since); });
+        std::vector<const ActiveStep*> sorted;
+        for (const Waiting& it : waiting)
+            sorted.push_back(it.step);
+        return sorted;
+    }
+
 } // namespace
 
 void WaitingTaskMonitor::check(const std::unordered_set<ActiveStep*>& readySteps, std::span<ActiveExecutor* const> executors, const Explain& explain, bool isRoundDue, TimePoint now)
@@ -25,7 +53,7 @@
         return;
     m_checkedAt = now;
     std::size_t lines = 0;
-    for (const ActiveStep* it : readySteps) {
+    for (const ActiveStep* it : byUrgency(readySteps)) {
         if (lines >= s_maxLines)
             return;
         lines += checkStep(*it, executors, explain, isRoundDue, now);
