--- a/plantainhold/testing/jobs/StalledPlacementTest.cpp
+++ b/plantainhold/testing/jobs/StalledPlacementTest.cpp
@@ -260,4 +260,39 @@
     CHECK(startsWithin(fixture, s_bound) == 1);
 }
 
+// LOST: with two best-effort tasks on each executor, a best-effort job with nothing running waited until one of them
+// had ended, however long that took, though no capacity was reserved.
+TEST_CASE("a best-effort job with nothing running starts beside the best-effort tasks of another job")
+{
+    SchedulerFixture fixture;
+    addExecutors(fixture, 8'000);
+    StepSpec filling = SchedulerFixture::step(20, 4'000);
+    filling.usesLeftoverCpu = true;
+    fixture.submit("first", 0, { filling });
+    fixture.accept(fixture.advance());
+    startsOfIdleFleet(fixture, Milliseconds(5'000));
+    filling.taskCount = 1;
+    fixture.submit("second", 0, { filling });
+    CHECK(startsOfIdleFleet(fixture, s_bound) == 1);
+}
+
+// A gang without room was placed member by member and taken back in each round; its progress was stored each time,
+// and the log told of runs that never were.
+TEST_CASE("a gang that finds no room is neither stored nor logged in each round")
+{
+    SchedulerFixture fixture;
+    fixture.addExecutor("x", 1'500);
+    StepSpec gang = SchedulerFixture::step(2, 1'000);
+    gang.isGang = true;
+    fixture.submit("j", 0, { gang });
+    std::size_t stored = 0;
+    for (int i = 1; i <= 50; ++i) {
+        TimePoint now = fixture.now() + i * Milliseconds(100);
+        fixture.scheduler().advance(now, 0);
+        stored += !fixture.scheduler().takeBatch(now).progress.empty();
+    }
+    CHECK(stored == 0);
+    CHECK(fixture.events().find(EventId::RunAssigned).empty());
+}
+
 } // namespace plantainhold
