Let others in beside a suspect once it has outlasted its start

Cause: a task that may crash its executor kept all others from it until its run had ended, or a report had shown 5 s of work: up to 6.5 s, above the 3 s that a job may wait. Evidence: deadly tasks crash their executor within CrashCounts::s_soonLimit (250 ms) of the start; what follows tells nothing that company would blur. So others are let in again once the executor was heard 400 ms after the start, 1.5 s after the assignment at most; such an executor reports every 200 ms. 'a job starts in time beside a suspect that works on the only executor' failed before (0 starts in 3 s).

--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -68,7 +68,7 @@
     // How the run relates to the crash of its executor, if that has crashed; the task counts it once the run
     // is lost.
     CrashRelation crash = CrashRelation::None;
-    // The task was a suspect when the run was placed, so it runs alone.
+    // The task was a suspect when the run was placed, and for now nothing else is placed beside it.
     bool isSuspect = false;
     // Until a report lists the run, an incarnation that the owner does not know of may have it, under a
     // lease that lasts up to this time.
--- a/plantainhold/jobs/JobCrashes.cpp
+++ b/plantainhold/jobs/JobCrashes.cpp
@@ -16,6 +16,9 @@
     constexpr Milliseconds s_seclusionWait { 4'000 };
     // Longer than CrashCounts::s_soonLimit, so that a crash can be told from that of a run which began before.
     constexpr Milliseconds s_quietTime { 400 };
+    // How long a suspect keeps others from its executor at most, if no report shows sooner that it has outlasted
+    // the moment after its start.
+    constexpr Milliseconds s_maxSeclusion { 1'500 };
 
     std::string_view nameOf(CrashRelation relation)
     {
@@ -146,11 +149,29 @@
     m_events.note(EventId::ExecutorSecluded, { { "executor", executor.entry.id }, { "task", run.task->name().text() }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(now - run.task->waitingSince).count() }, { "beside", executor.runs.size() }, { "secluded", secluded }, { "executors", m_executorList.size() } });
 }
 
+void JobScheduler::shareProven(ActiveExecutor& executor, TimePoint now)
+{
+    if (!executor.suspectRuns)
+        return;
+    for (ActiveRun* it : executor.runs) {
+        if (!it->isSuspect)
+            continue;
+        bool isAtWork = it->phase == RunPhase::Running && executor.heardAt >= it->begunAt() + s_quietTime;
+        TimePoint last = it->assignedAt + s_maxSeclusion;
+        if (isAtWork || now >= last)
+            share(*it, isAtWork ? "the run has outlasted its start" : "its time is over", now);
+        else
+            wakeAt(last);
+    }
+}
+
 void JobScheduler::share(ActiveRun& run, std::string_view reason, TimePoint now)
 {
     run.isSuspect = false;
     ActiveExecutor& executor = *run.executor;
     --executor.suspectRuns;
+    noteChange(executor);
+    m_needsPlacement = true;
     m_events.note(EventId::ExecutorShared, { { "executor", executor.entry.id }, { "task", run.task->name().text() }, { "secluded_ms", std::chrono::duration_cast<Milliseconds>(now - run.assignedAt).count() }, { "reason", reason } });
 }
 
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -65,6 +65,9 @@
 
 Milliseconds JobScheduler::reportWait(const ActiveExecutor& executor) const
 {
+    // The next report may let others in.
+    if (executor.suspectRuns)
+        return m_limits.sharedReportWait;
     if (!executor.isShared())
         return m_limits.reportWait;
     Milliseconds fairShare { 1'000 * m_sharedExecutors / m_limits.maxSharedReportsPerSecond };
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -209,6 +209,8 @@
     applyDueTimes(now, nowUnixMs);
     expireLeases(now);
     judgeSuspects(now);
+    for (ActiveExecutor* it : m_executorList)
+        shareProven(*it, now);
     completeJobs(now);
     expireNominations(now);
     drainExecutors(now);
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -198,6 +198,8 @@
     // Keeps other tasks away from the executor of a suspect, and lets them in again.
     void seclude(ActiveRun& run, TimePoint now);
     void share(ActiveRun& run, std::string_view reason, TimePoint now);
+    // Lets others in beside suspects that have outlasted the moment after their start, or have had their time.
+    void shareProven(ActiveExecutor& executor, TimePoint now);
     // True if the task is a suspect that still waits to run alone, and before others of its step.
     static bool awaitsSeclusion(const ActiveTask& task, TimePoint now);
     // True if a crash of the executor soon after the start could be told from that of other runs there, or if
