Bound how many executors suspects keep to themselves, and how long they wait for one

Cause: each suspect had an executor to itself, hundreds of them together the whole fleet; a suspect waited for up to 4 s for that, above the 3 s that a job may wait; one that had waited long enough was placed among others, and still kept everybody away from there, as did each restored run of a suspect. Now at most an eighth of a service's listed executors, and at least one, is kept for suspects. A suspect waits for 2 s; then it runs anywhere and keeps nobody away.

--- a/plantainhold/jobs/FleetLoad.cpp
+++ b/plantainhold/jobs/FleetLoad.cpp
@@ -23,6 +23,8 @@
     constexpr double s_taskShare = 0.7;
     // The remembered task size decays this many times more slowly than the demand.
     constexpr double s_taskMemory = 3;
+    // One executor in this many may be kept for a suspect, and at least one.
+    constexpr std::size_t s_executorsPerSeclusion = 8;
     // Long-running tasks leave this multiple of the demand of short tasks free.
     constexpr double s_demandMargin = 1.3;
 
@@ -33,12 +35,14 @@
     for (auto& [name, it] : m_services) {
         it.capacity = it.reserved = it.largest = it.shortTaskCapacity = 0;
         it.demand = 0;
+        it.executors = it.secluded = 0;
     }
     for (const ActiveExecutor* it : executors) {
         ServiceLoad& load = m_services[it->entry.service];
         load.capacity += it->entry.capacity.millicores;
         load.reserved += it->reserved.millicores;
         load.demand += static_cast<double>(it->reserved.millicores - it->latencyCriticalMillicores);
+        load.executors += it->isListed;
     }
     for (const ActiveStep* it : steps) {
         if (it->spec->isLongRunning || it->spec->isBestEffort())
@@ -96,6 +100,12 @@
     return load && static_cast<double>(load->reserved) < s_mostlyFreeShare * static_cast<double>(load->capacity);
 }
 
+bool FleetLoad::maySeclude(std::string_view service) const
+{
+    const ServiceLoad* load = find(service);
+    return load && load->secluded < std::max<std::size_t>(1, load->executors / s_executorsPerSeclusion);
+}
+
 bool FleetLoad::leavesRoomForShortTasks(const ActiveExecutor& executor, const Resources& wanted) const
 {
     const ServiceLoad* load = find(executor.entry.service);
@@ -109,12 +119,14 @@
 {
     ServiceLoad& load = m_services[executor.entry.service];
     load.shortTaskCapacity -= load.shortTaskCapacityOn(executor, {});
+    load.secluded -= executor.suspectRuns > 0;
 }
 
 void FleetLoad::add(const ActiveExecutor& executor)
 {
     ServiceLoad& load = m_services[executor.entry.service];
     load.shortTaskCapacity += load.shortTaskCapacityOn(executor, {});
+    load.secluded += executor.suspectRuns > 0;
 }
 
 } // namespace plantainhold
--- a/plantainhold/jobs/FleetLoad.h
+++ b/plantainhold/jobs/FleetLoad.h
@@ -6,6 +6,7 @@
 #include "plantainhold/ports/Clock.h"
 #include "plantainhold/ports/Resources.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -31,6 +32,9 @@
     // True if enough is left for short tasks of the executor's service when a long-running task reserves
     // these resources.
     bool leavesRoomForShortTasks(const ActiveExecutor& executor, const Resources& wanted) const;
+    // True if one more executor of the service may be kept for a suspect alone. What suspicion takes from the
+    // others must stay a small part, however many suspects there are.
+    bool maySeclude(std::string_view service) const;
     // Removes the executor from the sums before a placement changes it, and adds it again afterwards.
     void remove(const ActiveExecutor& executor);
     void add(const ActiveExecutor& executor);
@@ -41,6 +45,9 @@
         std::int64_t capacity = 0;
         std::int64_t reserved = 0;
         double demand = 0;
+        // Numbers of listed executors, and of those that suspects have to themselves.
+        std::size_t executors = 0;
+        std::size_t secluded = 0;
         // Millicores of the largest short task that waits.
         std::int64_t largest = 0;
         // Millicores that short tasks use or can use.
--- a/plantainhold/jobs/JobCrashes.cpp
+++ b/plantainhold/jobs/JobCrashes.cpp
@@ -11,9 +11,9 @@
 namespace {
 
     // How long a suspect waits for an executor of its own, and for one where nothing has begun for a while.
-    // After that it runs anywhere.
-    constexpr Milliseconds s_emptyWait { 1'000 };
-    constexpr Milliseconds s_seclusionWait { 4'000 };
+    // After that it runs anywhere and keeps nobody away: a job may wait no longer than 3 s beside room.
+    constexpr Milliseconds s_emptyWait { 500 };
+    constexpr Milliseconds s_seclusionWait { 2'000 };
     // Longer than CrashCounts::s_soonLimit, so that a crash can be told from that of a run which began before.
     constexpr Milliseconds s_quietTime { 400 };
     // How long a suspect keeps others from its executor at most, if no report shows sooner that it has outlasted
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -158,7 +158,7 @@
             continue;
         }
         bool isSecluded = awaitsSeclusion(task, now);
-        bool isHeldBack = isSecluded && (step.hasSuspectRun() || now < step.verdictAt);
+        bool isHeldBack = isSecluded && (step.hasSuspectRun() || now < step.verdictAt || !m_load.maySeclude(step.job().settings.service));
         if (!isHeldBack && placeTask(task, now))
             continue;
         if (isSecluded) {
@@ -311,15 +311,15 @@
 {
     ActiveStep& step = *task.step;
     bool isStarved = now >= starvedSince(task);
-    bool isSuspect = task.crashes.isSuspect();
+    bool isSecluded = awaitsSeclusion(task, now);
     std::optional<std::uint64_t> rejectedIn;
-    if (!task.nominated && !isStarved && !isSuspect)
+    if (!task.nominated && !isStarved && !isSecluded)
         rejectedIn = m_round.rejectedIn(task, PlacementRound::Means::FreeCapacity);
     if (rejectedIn == m_round.number())
         return false;
     ActiveExecutor* best = chooseExecutor(task, rejectedIn.value_or(0), now);
     if (!best) {
-        if (!task.nominated && !isSuspect)
+        if (!task.nominated && !isSecluded)
             m_round.reject(task, PlacementRound::Means::FreeCapacity);
         return false;
     }
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -115,8 +115,8 @@
     run.phase = phase;
     run.token = executor.token;
     run.assignedAt = now;
-    // The members of a gang must be able to run beside each other.
-    run.isSuspect = task.crashes.isSuspect() && !task.step->spec->isGang;
+    // What a former owner started has begun before.
+    run.isSuspect = phase == RunPhase::Recording && awaitsSeclusion(task, now);
     if (run.isSuspect)
         seclude(run, now);
     run.progressedAt = now;
