Suspect no task because of crashes that many executors share

Cause: each crash was weighed by itself. Where two executors or more crash within 2 s before and 1 s after, on which nothing had just begun, one cause explains all crashes of the moment: they still count towards the limit of five, but make no suspects. Crashes that are known later than that are taken back once the moment is over. Such crashes were also missed where a new owner had not heard the executor yet, and where an executor was forgotten.

--- a/plantainhold/jobs/CrashEvidence.cpp
+++ b/plantainhold/jobs/CrashEvidence.cpp
@@ -10,6 +10,16 @@
     soon += relation == CrashRelation::Soon || relation == CrashRelation::SoonAlone;
 }
 
+void CrashCounts::explain(CrashRelation relation)
+{
+    bool wasSoon = relation == CrashRelation::Soon || relation == CrashRelation::SoonAlone;
+    // The counts may have been cleared since the crash was added.
+    if (relation != CrashRelation::None && explained < all)
+        ++explained;
+    if (wasSoon && soon)
+        --soon;
+}
+
 bool CrashSeries::hasUnexplained(TimePoint now)
 {
     while (!m_unexplained.empty() && m_unexplained.front() < now - s_memory)
@@ -17,9 +27,9 @@
     return !m_unexplained.empty();
 }
 
-bool CrashSeries::hasUnexplainedNear(TimePoint when) const
+std::ptrdiff_t CrashSeries::unexplainedNear(TimePoint when) const
 {
-    return std::any_of(m_unexplained.begin(), m_unexplained.end(), [&](TimePoint it) { return it >= when - s_before && it <= when + s_after; });
+    return std::count_if(m_unexplained.begin(), m_unexplained.end(), [&](TimePoint it) { return it >= when - s_before && it <= when + s_after; });
 }
 
 } // namespace plantainhold
--- a/plantainhold/jobs/CrashEvidence.h
+++ b/plantainhold/jobs/CrashEvidence.h
@@ -2,11 +2,13 @@
 // starts it; but an executor carries many tasks, and all of them are on it when it crashes. So a crash
 // alone convicts nobody: it makes those tasks suspects that it followed closely, suspects run alone, and a
 // crash under a task that ran alone convicts it. An end, or some seconds of work, clears it. Where executors
-// crash for other reasons as well, a coincidence is likely, so more is asked.
+// crash for other reasons as well, a coincidence is likely, so more is asked. Where many crash at one moment, one
+// cause explains all, so that these crashes make no suspects.
 #pragma once
 
 #include "plantainhold/ports/Clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 
@@ -28,6 +30,8 @@
     std::uint32_t soon = 0;
     // Those of them that crashed soon after no other run had begun, and while no other executor crashed.
     std::uint32_t alone = 0;
+    // Those of them that crashed together with others, so that one cause explains all. None of them counts as soon.
+    std::uint32_t explained = 0;
 
     // Begun this long before the crash, or less, a run counts as a possible cause.
     static constexpr Milliseconds s_soonLimit { 250 };
@@ -42,8 +46,10 @@
     static constexpr std::uint32_t s_limitSoonAmongOthers = 3;
 
     void add(CrashRelation relation);
+    // A crash that was added before turned out to be explained by others of the same moment.
+    void explain(CrashRelation relation);
     // True if the task should run alone.
-    bool isSuspect() const { return soon > 0 || all >= s_limitSoon; }
+    bool isSuspect() const { return soon > 0 || all - explained >= s_limitSoon; }
     // True if the task should not be started again. `areOthersCrashing` tells whether executors crash for
     // other reasons as well.
     bool isConvicted(bool areOthersCrashing) const
@@ -69,11 +75,18 @@
     // Notes a crash of an executor on which no run had begun shortly before.
     void addUnexplained(TimePoint when) { m_unexplained.push_back(when); }
     // Returns whether such a crash was noticed near the time. Precondition: it is over by s_after.
-    bool hasUnexplainedNear(TimePoint when) const;
+    bool hasUnexplainedNear(TimePoint when) const { return unexplainedNear(when) > 0; }
+    // Returns whether several executors crashed near the time that nothing else explains. Then what took them
+    // explains the other crashes of the moment as well. The answer may still change until s_after has passed.
+    bool hasCommonCauseNear(TimePoint when) const { return unexplainedNear(when) >= s_manyCrashes; }
     // Returns whether such a crash was noticed within s_memory. Forgets earlier ones.
     bool hasUnexplained(TimePoint now);
 
 private:
+    static constexpr std::ptrdiff_t s_manyCrashes = 2;
+
+    std::ptrdiff_t unexplainedNear(TimePoint when) const;
+
     std::deque<TimePoint> m_unexplained;
 };
 
--- a/plantainhold/jobs/JobCodec.cpp
+++ b/plantainhold/jobs/JobCodec.cpp
@@ -4,6 +4,7 @@
 #include "plantainhold/jobs/OwnerTerm.h"
 #include "plantainhold/proto/jobs.pb.h"
 
+#include <algorithm>
 #include <cmath>
 #include <google/protobuf/arena.h>
 
@@ -88,6 +89,7 @@
         record.set_crashes(task.crashes.all);
         record.set_soon_crashes(task.crashes.soon);
         record.set_alone_crashes(task.crashes.alone);
+        record.set_explained_crashes(task.crashes.explained);
     }
 
     TaskProgress decodeTask(const wire::TaskProgressRecord& record)
@@ -102,7 +104,7 @@
         task.executor = record.executor();
         task.executorStartedUnixMs = record.executor_born_unix_ms();
         task.checkpoint = record.checkpoint();
-        task.crashes = { record.crashes(), record.soon_crashes(), record.alone_crashes() };
+        task.crashes = { record.crashes(), record.soon_crashes(), record.alone_crashes(), std::min(record.crashes(), record.explained_crashes()) };
         return task;
     }
 
--- a/plantainhold/jobs/JobCrashes.cpp
+++ b/plantainhold/jobs/JobCrashes.cpp
@@ -48,8 +48,11 @@
     if (executor.entry.isDraining)
         return;
     std::vector<ActiveRun*> soon;
+    bool isExplained = false;
+    bool isCrash = executor.reportedUnixMs != 0;
     for (ActiveRun* it : executor.runs) {
         bool isConcerned = (it->wasSentHere() || it->phase >= RunPhase::Unconfirmed) && it->incarnation != survivor && it->crash == CrashRelation::None;
+        isCrash = isCrash || isConcerned;
         if (!isConcerned || executor.heardAt >= it->begunAt() + CrashCounts::s_soundAfter)
             continue;
         bool isSoon = it->wasSentHere() && it->sentAt + CrashCounts::s_soonLimit >= executor.heardAt;
@@ -58,20 +61,25 @@
         // neither when.
         if (isSoon || hasBegun || !it->wasSentHere())
             it->crash = CrashRelation::Later;
+        // A start that nobody confirmed may have begun and be the cause.
+        isExplained = isExplained || isSoon;
         if (isSoon && hasBegun)
             soon.push_back(it);
     }
     for (ActiveRun* it : soon)
         it->crash = soon.size() == 1 ? CrashRelation::SoonAlone : CrashRelation::Soon;
-    if (soon.empty() && executor.reportedUnixMs)
+    if (isCrash && !isExplained)
         m_crashSeries.addUnexplained(now);
 }
 
 void JobScheduler::countCrash(ActiveTask& task, const ExpiredRun& run, TimePoint now)
 {
     task.crashes.add(run.crash);
-    m_events.note(EventId::TaskCrashedExecutor, { { "task", task.name().text() }, { "run", run.number }, { "executor", run.executor }, { "incarnation", run.incarnation }, { "relation", nameOf(run.crash) }, { "crashes", task.crashes.all }, { "soon", task.crashes.soon }, { "alone", task.crashes.alone } });
-    judgeLater(task, run.crash, now);
+    bool isExplained = m_crashSeries.hasCommonCauseNear(now);
+    if (isExplained)
+        task.crashes.explain(run.crash);
+    m_events.note(EventId::TaskCrashedExecutor, { { "task", task.name().text() }, { "run", run.number }, { "executor", run.executor }, { "incarnation", run.incarnation }, { "relation", nameOf(run.crash) }, { "crashes", task.crashes.all }, { "soon", task.crashes.soon }, { "alone", task.crashes.alone }, { "explained", task.crashes.explained } });
+    judgeLater(task, isExplained ? CrashRelation::None : run.crash, now);
     markDirty(task.step->job());
 }
 
@@ -113,6 +121,8 @@
         ActiveTask* task = found == m_jobs.end() ? nullptr : found->second->find(suspicion.task);
         if (!task || task->isDone || isFinal(found->second->state))
             continue;
+        if (suspicion.relation != CrashRelation::None && m_crashSeries.hasCommonCauseNear(suspicion.when))
+            explain(*task, suspicion.relation, now);
         bool isAlone = suspicion.relation == CrashRelation::SoonAlone && !m_crashSeries.hasUnexplainedNear(suspicion.when);
         task->crashes.alone += isAlone;
         if (task->crashes.isConvicted(m_crashSeries.hasUnexplained(now)))
@@ -124,6 +134,17 @@
         wakeAt(m_suspicions.front().when + CrashSeries::s_after);
 }
 
+void JobScheduler::explain(ActiveTask& task, CrashRelation relation, TimePoint now)
+{
+    // An end or some seconds of work may have cleared the task since.
+    if (task.crashes == CrashCounts {})
+        return;
+    task.crashes.explain(relation);
+    if (task.run && task.run->isSuspect && !task.crashes.isSuspect())
+        share(*task.run, "other executors crashed at the same moment", now);
+    markDirty(task.step->job());
+}
+
 void JobScheduler::giveUp(ActiveTask& task, TimePoint now)
 {
     ActiveJob& job = task.step->job();
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -193,6 +193,8 @@
     // Decides about suspects once other crashes of the same moment are known.
     void judgeSuspects(TimePoint now);
     void judgeLater(ActiveTask& task, CrashRelation relation, TimePoint now);
+    // Takes a crash back as a reason for suspicion, since it was one of several with a common cause.
+    void explain(ActiveTask& task, CrashRelation relation, TimePoint now);
     void giveUp(ActiveTask& task, TimePoint now);
     void clearSuspect(ActiveTask& task, TimePoint now);
     // Keeps other tasks away from the executor of a suspect, and lets them in again.
--- a/plantainhold/testing/jobs/CrashEvidenceTest.cpp
+++ b/plantainhold/testing/jobs/CrashEvidenceTest.cpp
@@ -27,6 +27,31 @@
     CHECK(countsAfter({ CrashRelation::Later, CrashRelation::Later }).isSuspect());
 }
 
+// LOST: after racks were lost, each task that had run there was a suspect, and together they kept the fleet.
+TEST_CASE("crashes that others of the same moment explain make no suspect")
+{
+    using enum CrashRelation;
+    CrashCounts counts = countsAfter({ Soon, Later });
+    CHECK(counts.isSuspect());
+    counts.explain(Soon);
+    counts.explain(Later);
+    CHECK_FALSE(counts.isSuspect());
+    CHECK(counts.all == 2);
+    counts.explain(Soon);
+    CHECK(counts.explained == 2);
+    CHECK(counts.soon == 0);
+}
+
+TEST_CASE("two executors that crash near a moment for no other reason have a common cause, one has none")
+{
+    CrashSeries series;
+    series.addUnexplained(s_start);
+    CHECK_FALSE(series.hasCommonCauseNear(s_start));
+    series.addUnexplained(s_start + Milliseconds(500));
+    CHECK(series.hasCommonCauseNear(s_start));
+    CHECK_FALSE(series.hasCommonCauseNear(s_start + Milliseconds(2'100)));
+}
+
 TEST_CASE("two crashes convict only if one of them came while the task ran alone")
 {
     CrashCounts counts = countsAfter({ CrashRelation::Soon, CrashRelation::SoonAlone });
