Store that a run has been at work for seconds, so that the next owner does not suspect it

Callers: as before. A long-running task that began at -4.9 s was accused of a crash at 24.6 s, because its owner had changed at 27.4 s, before the crash was known. Cause: a new owner takes restored runs as begun at its takeover, so for 5 s after each takeover every run was a possible cause of a crash. Now the progress record of a task says once that its run has been at work for that long. This costs one record for each job with runs of 5 s or more. 'a run that was at work for seconds under the former owner is not suspected by the next one' failed before.

--- a/plantainhold/jobs/ActiveJob.cpp
+++ b/plantainhold/jobs/ActiveJob.cpp
@@ -104,8 +104,9 @@
                     continue;
                 bool isDone = task.isDone || task.wasDoneByEarlierRun;
                 TaskProgress& it = progress.tasks.emplace_back();
-                it = { occurrence.number, step.number, task.index, task.lastRun, task.failures, isDone, {}, 0, isDone ? std::string() : task.checkpoint, task.crashes };
+                it = { occurrence.number, step.number, task.index, task.lastRun, task.failures, isDone, {}, 0, isDone ? std::string() : task.checkpoint, task.crashes, false };
                 if (task.run) {
+                    it.isRunProven = task.run->isProven;
                     it.executor = task.run->executor->entry.id;
                     it.executorStartedUnixMs = task.run->incarnation ? task.run->incarnation : task.run->executor->entry.startedUnixMs;
                 }
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -70,6 +70,8 @@
     CrashRelation crash = CrashRelation::None;
     // The task was a suspect when the run was placed, and for now nothing else is placed beside it.
     bool isSuspect = false;
+    // The run has been at work for CrashCounts::s_soundAfter, under this owner or a former one.
+    bool isProven = false;
     // Until a report lists the run, an incarnation that the owner does not know of may have it, under a
     // lease that lasts up to this time.
     TimePoint unseenLeaseExpiresAt {};
--- a/plantainhold/jobs/JobCodec.cpp
+++ b/plantainhold/jobs/JobCodec.cpp
@@ -90,6 +90,7 @@
         record.set_soon_crashes(task.crashes.soon);
         record.set_alone_crashes(task.crashes.alone);
         record.set_explained_crashes(task.crashes.explained);
+        record.set_run_proven(task.isRunProven);
     }
 
     TaskProgress decodeTask(const wire::TaskProgressRecord& record)
@@ -105,6 +106,7 @@
         task.executorStartedUnixMs = record.executor_born_unix_ms();
         task.checkpoint = record.checkpoint();
         task.crashes = { record.crashes(), record.soon_crashes(), record.alone_crashes(), std::min(record.crashes(), record.explained_crashes()) };
+        task.isRunProven = record.run_proven();
         return task;
     }
 
--- a/plantainhold/jobs/JobCrashes.cpp
+++ b/plantainhold/jobs/JobCrashes.cpp
@@ -53,7 +53,7 @@
     for (ActiveRun* it : executor.runs) {
         bool isConcerned = (it->wasSentHere() || it->phase >= RunPhase::Unconfirmed) && it->incarnation != survivor && it->crash == CrashRelation::None;
         isCrash = isCrash || isConcerned;
-        if (!isConcerned || executor.heardAt >= it->begunAt() + CrashCounts::s_soundAfter)
+        if (!isConcerned || it->isProven || executor.heardAt >= it->begunAt() + CrashCounts::s_soundAfter)
             continue;
         bool isSoon = it->wasSentHere() && it->sentAt + CrashCounts::s_soonLimit >= executor.heardAt;
         bool hasBegun = it->phase == RunPhase::Running;
@@ -97,7 +97,7 @@
 
 void JobScheduler::keepExpired(ActiveExecutor& executor, const ActiveRun& run)
 {
-    bool isSound = executor.heardAt >= run.begunAt() + CrashCounts::s_soundAfter;
+    bool isSound = run.isProven || executor.heardAt >= run.begunAt() + CrashCounts::s_soundAfter;
     if (!isSound && !executor.entry.isDraining && run.crash == CrashRelation::None)
         executor.expiredRuns.push_back({ run.task->name(), run.number, executor.entry.id, run.incarnation, CrashRelation::Later });
 }
@@ -152,6 +152,16 @@
     finish(job, JobState::Failed, now);
 }
 
+void JobScheduler::proveRun(ActiveRun& run, TimePoint now)
+{
+    clearSuspect(*run.task, now);
+    if (run.isProven)
+        return;
+    run.isProven = true;
+    // The next owner cannot know otherwise how long the run has been at work.
+    markDirty(run.task->step->job());
+}
+
 void JobScheduler::clearSuspect(ActiveTask& task, TimePoint now)
 {
     if (task.crashes == CrashCounts {})
--- a/plantainhold/jobs/JobProgress.h
+++ b/plantainhold/jobs/JobProgress.h
@@ -43,6 +43,8 @@
     std::int64_t executorStartedUnixMs = 0;
     std::string checkpoint;
     CrashCounts crashes;
+    // The run has been at work for CrashCounts::s_soundAfter, so that it is no cause of a crash.
+    bool isRunProven = false;
 };
 
 struct JobProgress {
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -205,7 +205,7 @@
     run.incarnation = executor.entry.startedUnixMs;
     run.crash = CrashRelation::None;
     if (now >= run.begunAt() + CrashCounts::s_soundAfter)
-        clearSuspect(*task, now);
+        proveRun(run, now);
     run.unseenLeaseExpiresAt = {};
     if (run.phase == RunPhase::Starting || run.phase == RunPhase::Unconfirmed) {
         run.phase = RunPhase::Running;
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -196,6 +196,8 @@
     // Takes a crash back as a reason for suspicion, since it was one of several with a common cause.
     void explain(ActiveTask& task, CrashRelation relation, TimePoint now);
     void giveUp(ActiveTask& task, TimePoint now);
+    // The run has been at work for so long that it is no cause of a crash.
+    void proveRun(ActiveRun& run, TimePoint now);
     void clearSuspect(ActiveTask& task, TimePoint now);
     // Keeps other tasks away from the executor of a suspect, and lets them in again.
     void seclude(ActiveRun& run, TimePoint now);
--- a/plantainhold/jobs/JobStorage.cpp
+++ b/plantainhold/jobs/JobStorage.cpp
@@ -116,6 +116,7 @@
     addRun(*task, executor, RunPhase::Unconfirmed, now);
     task->run->number = progress.run;
     task->run->incarnation = progress.executorStartedUnixMs;
+    task->run->isProven = progress.isRunProven;
     // The former owner may have changed its pace.
     task->run->sentPace = ActiveRun::s_unknownPace;
     // No call to it will fail.
