Hand over a start without a response as the lease of its own run only

Cause: a start without a response may have been accepted by an incarnation that the owner doesn't know, under the longest lease. The last record of a term had one lease for each executor, the longest of both, so that all runs of that executor waited for it at the next owner, and again at the one after it. Now the record names such runs, each with its own lease and the address to which its start was sent, so that the next owner can also tell from another executor at that address that the run is gone. The lease of the executor is what was extended there. 'a start without a response keeps only its own task waiting after a takeover' failed before (all runs waited).

--- a/plantainhold/jobs/JobCodec.cpp
+++ b/plantainhold/jobs/JobCodec.cpp
@@ -210,6 +210,13 @@
         unresponsive.set_born_unix_ms(it.startedUnixMs);
         unresponsive.set_lease_left_ms(it.leaseRemainingMs);
     }
+    for (const UnseenRun& it : term.unseenRuns) {
+        wire::UnseenRunRecord& unseen = *record.add_unseen();
+        unseen.set_task(it.task);
+        unseen.set_run(it.run);
+        unseen.set_address(it.address);
+        unseen.set_lease_left_ms(it.leaseRemainingMs);
+    }
     return record.SerializeAsString();
 }
 
@@ -218,9 +225,11 @@
     wire::OwnerRecord record;
     if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return std::nullopt;
-    OwnerTerm term { record.generation(), record.released(), {} };
+    OwnerTerm term { record.generation(), record.released(), {}, {} };
     for (const auto& it : record.silent())
         term.unresponsive.push_back({ it.id(), it.born_unix_ms(), it.lease_left_ms() });
+    for (const auto& it : record.unseen())
+        term.unseenRuns.push_back({ it.task(), it.run(), it.address(), it.lease_left_ms() });
     return term;
 }
 
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -266,6 +266,8 @@
     void fence(ActiveExecutor& executor);
     // Returns when leases of former owners have expired on an executor that this owner has not reached yet.
     TimePoint formerLeaseExpiry(std::string_view id) const;
+    // Sets the lease that an incarnation unknown to a former owner may have granted to a restored run.
+    void restoreUnseenLease(ActiveRun& run);
     // Notes for how long restored runs on an executor that does not respond count as running.
     void noteAwaitedLease(const ActiveExecutor& executor, TimePoint now);
     // Returns how long the executor may wait for an end before it sends its next report.
--- a/plantainhold/jobs/JobStorage.cpp
+++ b/plantainhold/jobs/JobStorage.cpp
@@ -117,6 +117,7 @@
     task->run->number = progress.run;
     task->run->incarnation = progress.executorStartedUnixMs;
     task->run->isProven = progress.isRunProven;
+    restoreUnseenLease(*task->run);
     // The former owner may have changed its pace.
     task->run->sentPace = ActiveRun::s_unknownPace;
     // No call to it will fail.
@@ -144,20 +145,36 @@
 OwnerTerm JobScheduler::release(TimePoint now)
 {
     m_runEvents.flush();
-    OwnerTerm term { m_generation >> s_tokenBits, true, {} };
+    OwnerTerm term { m_generation >> s_tokenBits, true, {}, {} };
+    auto left = [now](TimePoint when) { return std::max<std::int64_t>(0, std::chrono::ceil<Milliseconds>(when - now).count()); };
     for (const ActiveExecutor* it : m_executorList) {
         bool isUnresponsive = it->failedCalls > 0 || !it->hasClock;
-        TimePoint unseen {};
-        for (const ActiveRun* run : it->runs)
-            unseen = std::max(unseen, run->unseenLeaseExpiresAt);
-        if ((!isUnresponsive && now >= unseen) || it->runs.empty())
-            continue;
-        auto left = std::chrono::ceil<Milliseconds>(std::max(it->leaseExpiresAt, unseen) - now);
-        term.unresponsive.push_back({ it->entry.id, it->entry.startedUnixMs, std::max<std::int64_t>(0, left.count()) });
+        // After a restart that was seen late.
+        bool isLeaseLong = it->leaseExpiresAt > now + longestOnOurClock(m_limits.lease);
+        if ((isUnresponsive || isLeaseLong) && !it->runs.empty())
+            term.unresponsive.push_back({ it->entry.id, it->entry.startedUnixMs, left(it->leaseExpiresAt) });
+        for (const ActiveRun* run : it->runs) {
+            if (now < run->unseenLeaseExpiresAt)
+                term.unseenRuns.push_back({ run->task->name().text(), run->number, run->sentTo, left(run->unseenLeaseExpiresAt) });
+        }
     }
     return term;
 }
 
+void JobScheduler::restoreUnseenLease(ActiveRun& run)
+{
+    // The record of an owner that did not release is from the beginning of its term.
+    if (!m_former.isReleased)
+        return;
+    const std::string task = run.task->name().text();
+    auto isSame = [&](const UnseenRun& it) { return it.task == task && it.run == run.number; };
+    auto found = std::find_if(m_former.unseenRuns.begin(), m_former.unseenRuns.end(), isSame);
+    if (found == m_former.unseenRuns.end())
+        return;
+    run.unseenLeaseExpiresAt = m_claimedAt + Milliseconds(found->leaseRemainingMs);
+    run.sentTo = found->address;
+}
+
 void JobScheduler::restoreLearned(const LearnedState& state)
 {
     m_pacer.restore(state.effects);
--- a/plantainhold/jobs/OwnerTerm.h
+++ b/plantainhold/jobs/OwnerTerm.h
@@ -9,7 +9,7 @@
 
 namespace plantainhold {
 
-// An executor that did not respond when the term ended.
+// An executor that did not respond when the term ended, or whose lease is longer than the usual one.
 struct UnresponsiveExecutor {
     std::string id;
     std::int64_t startedUnixMs = 0;
@@ -17,11 +17,24 @@
     std::int64_t leaseRemainingMs = 0;
 };
 
+// A run that no report had listed when the term ended. An incarnation of its executor that the owner did not know
+// may hold it, under a lease that is longer than the usual one. That is no lease of other runs there.
+struct UnseenRun {
+    // ID.OCCURRENCE.STEP.INDEX
+    std::string task;
+    std::uint32_t run = 0;
+    // Address to which the start was sent; empty if its result was not known.
+    std::string address;
+    // How long the run may still execute, counted from the release.
+    std::int64_t leaseRemainingMs = 0;
+};
+
 struct OwnerTerm {
     std::uint64_t generation = 0;
     // The owner stopped before it wrote this record: it sent no command and extended no lease afterwards.
     bool isReleased = false;
     std::vector<UnresponsiveExecutor> unresponsive;
+    std::vector<UnseenRun> unseenRuns;
 };
 
 // Both functions are thread-safe. decodeOwnerTerm() returns std::nullopt for a malformed record.
