--- a/plantainhold/jobs/PlacementNeeds.h
+++ b/plantainhold/jobs/PlacementNeeds.h
@@ -4,6 +4,7 @@
 #include "plantainhold/jobs/BestEffortPacer.h"
 #include "plantainhold/ports/Resources.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace plantainhold {
@@ -16,6 +17,8 @@
     std::optional<BestEffortPacer::Load> load;
     // The job has waited so long that the task is placed under relaxed conditions.
     bool isStarved = false;
+    // Best-effort runs beside which a starved task may be placed.
+    std::uint32_t maxNeighbours = 0;
 };
 
 } // namespace plantainhold
