Record the runs of a gang only once all its members have an executor

Seen: a gang without room was placed member by member and taken back in each round. Its progress was stored in each commit (50 of 50 in the test), the log told of runs that never were, each round asked for the next one at once, and the time for which its tasks had waited began anew, so that nothing reported them as stalled. Now members are assigned first and recorded together; a gang that does not fit leaves no trace. 'a gang that finds no room is neither stored nor logged in each round' failed before.

--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -195,16 +195,20 @@
         it.checkpoint = checkpoint;
     }
     for (ActiveTask& it : step.tasks) {
-        if (it.notBefore <= now && placeTask(it, now))
+        if (it.notBefore <= now && assignExecutor(it, now))
             continue;
-        for (ActiveTask& placed : step.tasks) {
-            if (!placed.run)
+        for (ActiveTask& assigned : step.tasks) {
+            if (!assigned.run)
                 continue;
-            std::erase_if(m_starts, [&](const CommitBatch::Start& start) { return start.task == placed.name(); });
-            endRun(placed, now);
+            const ActiveExecutor& executor = *assigned.run->executor;
+            m_load.remove(executor);
+            removeRun(assigned);
+            m_load.add(executor);
         }
         return;
     }
+    for (ActiveTask& it : step.tasks)
+        recordRun(it, now);
 }
 
 TimePoint JobScheduler::starvedSince(const ActiveTask& task) const
@@ -320,7 +324,14 @@
 
 bool JobScheduler::placeTask(ActiveTask& task, TimePoint now)
 {
-    ActiveStep& step = *task.step;
+    if (!assignExecutor(task, now))
+        return false;
+    recordRun(task, now);
+    return true;
+}
+
+bool JobScheduler::assignExecutor(ActiveTask& task, TimePoint now)
+{
     bool isStarved = now >= starvedSince(task);
     bool isSecluded = awaitsSeclusion(task, now);
     std::optional<std::uint64_t> rejectedIn;
@@ -338,19 +349,24 @@
     if (task.nominated)
         m_candidates.clear();
     clearNomination(task);
-    ActiveJob& job = step.job();
     m_load.remove(*best);
     addRun(task, *best, RunPhase::Recording, now);
     m_load.add(*best);
+    return true;
+}
+
+void JobScheduler::recordRun(ActiveTask& task, TimePoint now)
+{
+    ActiveStep& step = *task.step;
+    ActiveJob& job = step.job();
     task.run->number = ++task.lastRun;
     job.wasPlaced = true;
     job.state = JobState::Running;
     markDirty(job);
     m_starts.push_back({ task.name(), task.lastRun });
     ++m_counters.runsAssigned;
-    m_runEvents.assigned(task.name(), task.lastRun, best->entry.id, std::chrono::duration_cast<Milliseconds>(now - task.waitingSince));
+    m_runEvents.assigned(task.name(), task.lastRun, task.run->executor->entry.id, std::chrono::duration_cast<Milliseconds>(now - task.waitingSince));
     refreshReady(step);
-    return true;
 }
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -139,6 +139,22 @@
 }
 
 void JobScheduler::endRun(ActiveTask& task, TimePoint now)
+{
+    ActiveRun& run = *task.run;
+    if (run.isSuspect)
+        share(run, "the run is over", now);
+    if (!run.checkpoint.empty())
+        task.checkpoint = run.checkpoint;
+    removeRun(task);
+    task.waitingSince = now;
+    if (task.wasDoneByEarlierRun && !task.isDone)
+        acceptEarlierCompletion(task);
+    markDirty(task.step->job());
+    refreshReady(*task.step);
+    m_needsPlacement = true;
+}
+
+void JobScheduler::removeRun(ActiveTask& task)
 {
     ActiveRun& run = *task.run;
     ActiveExecutor& executor = *run.executor;
@@ -152,22 +168,13 @@
     executor.bestEffortRuns -= spec.isBestEffort();
     executor.bestEffortMillicores -= spec.isBestEffort() ? spec.resources.millicores : 0;
     executor.latencyCriticalMillicores -= spec.isLatencyCritical() ? spec.resources.millicores : 0;
-    if (run.isSuspect)
-        share(run, "the run is over", now);
+    executor.suspectRuns -= run.isSuspect;
     executor.stoppingRuns -= run.isStopRequested;
     std::erase(executor.runs, &run);
     executor.areDeficitsStale = true;
     noteChange(executor);
-    if (!run.checkpoint.empty())
-        task.checkpoint = run.checkpoint;
     --task.step->placedTasks;
     task.run.reset();
-    task.waitingSince = now;
-    if (task.wasDoneByEarlierRun && !task.isDone)
-        acceptEarlierCompletion(task);
-    markDirty(task.step->job());
-    refreshReady(*task.step);
-    m_needsPlacement = true;
 }
 
 void JobScheduler::refreshReady(ActiveStep& step)
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -149,6 +149,8 @@
     void addRun(ActiveTask& task, ActiveExecutor& executor, RunPhase phase, TimePoint now);
     // Removes the task's run; the task waits again unless it is done.
     void endRun(ActiveTask& task, TimePoint now);
+    // Removes the run and what it reserves, and nothing else.
+    void removeRun(ActiveTask& task);
     void refreshReady(ActiveStep& step);
     void refreshOccurrence(ActiveOccurrence& occurrence);
     void markDirty(ActiveJob& job);
@@ -235,7 +237,13 @@
     static std::int32_t preemptsAfter(const ActiveStep& step);
     void placeStep(ActiveStep& step, TimePoint now);
     void placeGang(ActiveStep& step, TimePoint now);
+    // Chooses an executor, assigns it to the task and records the run. Returns whether there was one.
     bool placeTask(ActiveTask& task, TimePoint now);
+    // Reserves the task's resources on the best executor, under a run that nobody else learns of until
+    // recordRun(); removeRun() undoes it. Returns false if no executor can run the task now.
+    bool assignExecutor(ActiveTask& task, TimePoint now);
+    // Numbers the run that was assigned, and has it stored and then started.
+    void recordRun(ActiveTask& task, TimePoint now);
     PlacementNeeds needsOf(const ActiveTask& task, TimePoint now);
     // Includes the capacity that is held for the task there.
     static Resources freeCapacityFor(const ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs);
