Remain the owner while stopping until another instance can take over

Cause: an owner that is asked to stop released the partition at once, also when every other instance was stopping or starting. Nobody owned it until the first one had started again, and the leases of 4.5 s expired. The time between a release and the next claim also counts twice for executors that do not respond, since nothing proves to the next owner that it has passed. Now an owner that stops goes on, renews its membership and schedules, until another instance is on standby, or until just enough of the grace period is left to store its last record. Tests of both cases: 'an owner that leaves remains one until another instance is on standby', which the code before cannot pass, as it had no such wait, and 'an owner that leaves gives up the partition in time ...'.

--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -30,6 +30,8 @@
     // How long a load balancer takes to notice that this instance is not ready any more.
     constexpr Milliseconds s_readinessDelay { 2'500 };
     constexpr Milliseconds s_stopReserve { 700 };
+    // Time to store the last record of a term and to leave the owners' group.
+    constexpr Milliseconds s_handOverTime { 500 };
     constexpr Milliseconds s_stopPollInterval { 50 };
     constexpr Milliseconds s_minOwnershipTimeToLive { 1'200 };
 
@@ -218,8 +220,9 @@
     TimePoint startedAt = std::chrono::steady_clock::now();
     m_log.note(EventId::ProcessStopping, { { "open_requests", m_callerServer->openRequests() }, { "owner", m_ownership.isOwner() } });
     m_callerServer->drain();
-    co_await m_ownership.leave("this instance is shutting down");
-    TimePoint deadline = startedAt + m_settings.stopGrace - s_stopReserve;
+    Milliseconds timeLeft = m_settings.stopGrace - s_stopReserve;
+    co_await m_ownership.leave("this instance is shutting down", std::max(Milliseconds(0), timeLeft - s_handOverTime));
+    TimePoint deadline = startedAt + timeLeft;
     while (std::chrono::steady_clock::now() < deadline) {
         bool isReadinessSeen = std::chrono::steady_clock::now() >= startedAt + s_readinessDelay;
         if (isReadinessSeen && !m_callerServer->openRequests())
--- a/plantainhold/entry/OwnershipManager.cpp
+++ b/plantainhold/entry/OwnershipManager.cpp
@@ -22,6 +22,8 @@
     constexpr Milliseconds s_callTimeout { 1'000 };
     constexpr Milliseconds s_retryDelay { 150 };
     constexpr Milliseconds s_releasePollInterval { 10 };
+    // Interval at which an owner that leaves looks for an instance on standby.
+    constexpr Milliseconds s_successorInterval { 100 };
     // A single check may find an instance that is just shutting down.
     constexpr std::uint32_t s_checksToHandOver = 2;
     constexpr double s_milliCoresPerCore = 1'000;
@@ -88,6 +90,11 @@
     });
 }
 
+bool OwnershipManager::isAnotherStandingBy(const HoldersResult& standby) const
+{
+    return std::any_of(standby.holders.begin(), standby.holders.end(), [this](const PartitionHolder& it) { return it.member != m_options.member; });
+}
+
 asio::awaitable<bool> OwnershipManager::renewStandby()
 {
     JoinResult standby = co_await m_store.join(asStandby(), s_callTimeout);
@@ -258,8 +265,19 @@
     loseOwnership("a newer owner has written to the store");
 }
 
-asio::awaitable<void> OwnershipManager::leave(std::string_view reason)
+asio::awaitable<void> OwnershipManager::waitForSuccessor(Milliseconds patience)
+{
+    for (TimePoint last = BootClock::now() + patience; isOwner() && BootClock::now() < last;) {
+        HoldersResult standby = co_await m_store.holders(s_standbyGroup, s_callTimeout);
+        if (standby.status == StoreStatus::Ok && isAnotherStandingBy(standby))
+            co_return;
+        co_await sleepFor(m_executor, s_successorInterval);
+    }
+}
+
+asio::awaitable<void> OwnershipManager::leave(std::string_view reason, Milliseconds patience)
 {
+    co_await waitForSuccessor(patience);
     m_isLeaving = true;
     co_await handOver(reason);
     co_await leaveStandby();
--- a/plantainhold/testing/entry/OwnershipManagerTest.cpp
+++ b/plantainhold/testing/entry/OwnershipManagerTest.cpp
@@ -62,9 +62,9 @@
             return added;
         }
 
-        void stop(Instance& instance)
+        void stop(Instance& instance, Milliseconds patience = Milliseconds(0))
         {
-            asio::co_spawn(m_context, instance.ownership->leave("a test"), asio::detached);
+            asio::co_spawn(m_context, instance.ownership->leave("a test", patience), asio::detached);
         }
 
         void runFor(Milliseconds time)
@@ -182,6 +182,37 @@
     CHECK(second.ownership->isOwner());
 }
 
+// LOST: all instances were stopped within seconds of each other. The owner released the partition at once, and
+// nobody owned it until the first one had started again, so that leases expired all over the fleet.
+TEST_CASE("an owner that leaves remains one until another instance is on standby")
+{
+    Fleet fleet;
+    auto& first = fleet.start("a", s_large);
+    fleet.runFor(Milliseconds(150));
+    REQUIRE(first.ownership->isOwner());
+    fleet.stop(first, Milliseconds(10'000));
+    fleet.runFor(2 * s_timeToLive);
+    CHECK(first.ownership->isOwner());
+    auto& second = fleet.start("b", s_large);
+    fleet.runFor(Milliseconds(500));
+    CHECK_FALSE(first.ownership->isOwner());
+    CHECK(first.terms == 1);
+    CHECK(second.ownership->isOwner());
+}
+
+// The process is killed when its time is over: the last record of the term must be stored before.
+TEST_CASE("an owner that leaves gives up the partition in time though no other instance is on standby")
+{
+    Fleet fleet;
+    auto& instance = fleet.start("a", s_large);
+    fleet.runFor(Milliseconds(150));
+    REQUIRE(instance.ownership->isOwner());
+    fleet.stop(instance, Milliseconds(200));
+    fleet.runFor(Milliseconds(500));
+    CHECK_FALSE(instance.ownership->isOwner());
+    CHECK(instance.isReleased);
+}
+
 // Guards against an owner that stands still, and then sends commands that it decided on
 // before another instance owned the partition.
 TEST_CASE("a term ends with its membership although the partition is free again")
