Part the records of a shard stream from the decisions of its owner

The records, with their ids and what they mean for a task, now stand in TaskRecords, which needs no controller; ShardReplica's record for the next shard joins them. appendMove(), which only filled its record, is gone.

Records, ids and their order are the same.

--- a/plantainhold/scheduling/ShardController.cpp
+++ b/plantainhold/scheduling/ShardController.cpp
@@ -4,7 +4,7 @@
 
 #include "plantainhold/proto/task.pb.h"
 #include "plantainhold/scheduling/EvictionChoice.h"
-#include "plantainhold/scheduling/TaskMessages.h"
+#include "plantainhold/scheduling/TaskRecords.h"
 
 #include <algorithm>
 #include <array>
@@ -19,55 +19,6 @@
     // Limits the work of one decision in a shard that has just lost its workers.
     constexpr std::size_t s_movesPerDecision = 256;
 
-    task::EndReason reasonOf(AttemptState state)
-    {
-        switch (state) {
-        case AttemptState::Completed:
-            return task::END_REASON_COMPLETED;
-        case AttemptState::Failed:
-            return task::END_REASON_FAILED;
-        case AttemptState::Stopped:
-            return task::END_REASON_EVICTED;
-        default:
-            return task::END_REASON_LAPSED;
-        }
-    }
-
-    AttemptState stateOf(const task::TaskRecord& record)
-    {
-        switch (record.ended().reason()) {
-        case task::END_REASON_COMPLETED:
-            return AttemptState::Completed;
-        case task::END_REASON_FAILED:
-            return AttemptState::Failed;
-        case task::END_REASON_EVICTED:
-            return AttemptState::Stopped;
-        default:
-            return AttemptState::Lapsed;
-        }
-    }
-
-    // Returns the id of the task that a record concerns, or an empty string if it concerns none.
-    std::string subjectOf(const task::TaskRecord& record)
-    {
-        switch (record.kind_case()) {
-        case task::TaskRecord::kSubmitted:
-            return record.submitted().spec().id();
-        case task::TaskRecord::kAssigned:
-            return record.assigned().task();
-        case task::TaskRecord::kCheckpointed:
-            return record.checkpointed().task();
-        case task::TaskRecord::kEnded:
-            return record.ended().task();
-        case task::TaskRecord::kCancel:
-            return record.cancel().task();
-        case task::TaskRecord::kMovedOn:
-            return record.moved_on().task();
-        default:
-            return {};
-        }
-    }
-
     EventId eventOf(TaskPhase phase)
     {
         switch (phase) {
@@ -131,7 +82,7 @@
         ownershipMayHaveChanged(epochBefore, wasOwner, now);
     }
     if (!subject.empty() && m_isActive)
-        taskChanged(subject, phaseBefore, attemptBefore, stateOf(record), now);
+        taskChanged(subject, phaseBefore, attemptBefore, endStateOf(record), now);
 }
 
 void ShardController::ownershipMayHaveChanged(std::uint64_t epochBefore, bool wasOwner, TimePoint now)
@@ -245,18 +196,7 @@
     std::optional<LeaseProposal> proposal = m_leaseManager.propose(m_reducer.lease(), fullContext, now);
     if (!proposal)
         return;
-    task::TaskRecord record;
-    record.set_id(proposal->recordId);
-    record.set_epoch(proposal->epoch);
-    task::ShardLease* lease = record.mutable_lease();
-    lease->set_epoch(proposal->epoch);
-    lease->set_owner(m_leaseManager.incarnation());
-    lease->set_base_sequence(proposal->baseSequence);
-    lease->set_duration_ms(static_cast<std::uint32_t>(m_times.shardLease.count()));
-    lease->set_is_renewal(proposal->kind == LeaseProposalKind::Renewal);
-    lease->set_is_release(proposal->kind == LeaseProposalKind::Release);
-    lease->set_successor(proposal->successor);
-    lease->set_former_owners_gone(proposal->areFormerOwnersGone);
+    task::TaskRecord record = leaseRecord(*proposal, m_leaseManager.incarnation(), m_times.shardLease);
     records.push_back({ record.id(), record.SerializeAsString() });
 }
 
@@ -265,30 +205,15 @@
     for (const AttemptId& id : m_driver.endedAttempts()) {
         const AttemptEndProof& proof = *m_driver.attempts().at(id).proof;
         const TaskEntry* entry = m_reducer.find(id.task);
-        task::TaskRecord record;
-        record.set_id("end-" + id.task + "-" + std::to_string(id.attempt));
-        task::AttemptEnded* ended = record.mutable_ended();
-        ended->set_task(id.task);
-        ended->set_attempt(id.attempt);
-        ended->set_reason(reasonOf(proof.state));
-        ended->set_detail(proof.detail);
-        ended->set_checkpoint(proof.checkpoint);
-        ended->set_is_final(proof.state == AttemptState::Failed && entry->failures + 1 >= s_failureLimit);
-        append(record, now, records);
+        bool isFinal = proof.state == AttemptState::Failed && entry->failures + 1 >= s_failureLimit;
+        append(endRecord(id, proof, isFinal), now, records);
     }
 }
 
 void ShardController::appendCheckpoints(TimePoint now, std::vector<ShardRecord>& records)
 {
-    for (const AttemptId& id : m_driver.checkpointed()) {
-        std::uint32_t percent = m_driver.attempts().at(id).report.checkpoint;
-        task::TaskRecord record;
-        record.set_id("checkpoint-" + id.task + "-" + std::to_string(id.attempt) + "-" + std::to_string(percent));
-        record.mutable_checkpointed()->set_task(id.task);
-        record.mutable_checkpointed()->set_attempt(id.attempt);
-        record.mutable_checkpointed()->set_checkpoint(percent);
-        append(record, now, records);
-    }
+    for (const AttemptId& id : m_driver.checkpointed())
+        append(checkpointRecord(id, m_driver.attempts().at(id).report.checkpoint), now, records);
 }
 
 void ShardController::appendPlan(TimePoint now, std::vector<ShardRecord>& records)
@@ -322,18 +247,8 @@
     bool isPossible = entry && entry->phase == TaskPhase::Waiting && !m_tentative.contains(placement.task) && worker != m_driver.workers().end() && worker->second.isSchedulable();
     if (!isPossible)
         return m_policy->placementFailed(placement.task, now);
-    task::TaskRecord record;
-    record.set_id("assign-" + placement.task + "-" + std::to_string(entry->attempt + 1) + "-" + placement.worker);
-    task::Assigned* assigned = record.mutable_assigned();
-    assigned->set_task(placement.task);
-    assigned->set_attempt(entry->attempt + 1);
-    assigned->set_worker(placement.worker);
-    assigned->set_worker_incarnation(worker->second.incarnation());
-    fillResources(*assigned->mutable_reserved(), placement.reserved);
-    fillResources(*assigned->mutable_capacity(), worker->second.capacity());
-    assigned->set_from_checkpoint(entry->checkpoint);
     m_tentative[placement.task] = { placement.worker, placement.reserved, entry->attempt + 1, placement.reason, now };
-    append(record, now, records);
+    append(assignmentRecord(*entry, placement, worker->second), now, records);
 }
 
 void ShardController::appendRefusal(const PlacementPlan::Refusal& refusal, TimePoint now, std::vector<ShardRecord>& records)
@@ -342,14 +257,8 @@
     if (!entry || entry->phase != TaskPhase::Waiting)
         return;
     if (mayMove(*entry))
-        return appendMove(*entry, now, records);
-    task::TaskRecord record;
-    record.set_id("impossible-" + refusal.task);
-    record.mutable_ended()->set_task(refusal.task);
-    record.mutable_ended()->set_attempt(entry->attempt);
-    record.mutable_ended()->set_reason(task::END_REASON_IMPOSSIBLE);
-    record.mutable_ended()->set_detail(refusal.reason);
-    append(record, now, records);
+        return append(moveRecord(refusal.task), now, records);
+    append(refusalRecord(*entry, refusal.reason), now, records);
 }
 
 // A shard without workers forwards its waiting tasks. A shard with workers keeps
@@ -366,7 +275,7 @@
             continue;
         if (++moved > s_movesPerDecision)
             return;
-        appendMove(entry, now, records);
+        append(moveRecord(it.task), now, records);
     }
 }
 
@@ -376,23 +285,11 @@
     return isFresh && entry.hops + 1 < m_shardCount && m_strategies.uses(Strategy::MoveOn);
 }
 
-void ShardController::appendMove(const TaskEntry& entry, TimePoint now, std::vector<ShardRecord>& records)
-{
-    task::TaskRecord record;
-    record.set_id("move-" + entry.description.id);
-    record.mutable_moved_on()->set_task(entry.description.id);
-    append(record, now, records);
-}
-
 void ShardController::appendArrivals(TimePoint now, std::vector<ShardRecord>& records)
 {
     std::erase_if(m_arrivals, [this](const std::string& it) { return !m_reducer.departing().contains(it); });
-    for (const std::string& it : m_arrivals) {
-        task::TaskRecord record;
-        record.set_id("arrived-" + it);
-        record.mutable_arrived()->set_task(it);
-        append(record, now, records);
-    }
+    for (const std::string& it : m_arrivals)
+        append(arrivalRecord(it), now, records);
 }
 
 void ShardController::evict(const AttemptId& id, const std::string& reason)
@@ -437,7 +334,7 @@
     }
 }
 
-void ShardController::append(task::TaskRecord& record, TimePoint now, std::vector<ShardRecord>& records)
+void ShardController::append(task::TaskRecord record, TimePoint now, std::vector<ShardRecord>& records)
 {
     std::uint64_t epoch = m_reducer.lease().epoch;
     record.set_id(record.id() + "-" + std::to_string(epoch));
--- a/plantainhold/scheduling/ShardController.h
+++ b/plantainhold/scheduling/ShardController.h
@@ -96,7 +96,6 @@
     void appendPlacement(const PlacementPlan::TaskPlacement& placing, TimePoint now, std::vector<ShardRecord>& records);
     void appendRefusal(const PlacementPlan::Refusal& refusal, TimePoint now, std::vector<ShardRecord>& records);
     void appendMoves(TimePoint now, std::vector<ShardRecord>& records);
-    void appendMove(const TaskEntry& entry, TimePoint now, std::vector<ShardRecord>& records);
     void appendArrivals(TimePoint now, std::vector<ShardRecord>& records);
     bool mayMove(const TaskEntry& entry) const;
     void evict(const AttemptId& id, const std::string& reason);
@@ -105,7 +104,7 @@
     // Adds notes if the worker has become unresponsive or orphans were found on it.
     void noteWorker(const std::string& worker, const WorkerCondition& before);
     void dropOldPlacements(TimePoint now);
-    void append(task::TaskRecord& record, TimePoint now, std::vector<ShardRecord>& records);
+    void append(task::TaskRecord record, TimePoint now, std::vector<ShardRecord>& records);
 
     SchedulingTimes m_times;
     StrategySet m_strategies;
--- a/plantainhold/scheduling/ShardReplica.cpp
+++ b/plantainhold/scheduling/ShardReplica.cpp
@@ -9,8 +9,8 @@
 #include "plantainhold/proto/task.pb.h"
 #include "plantainhold/scheduling/CommandPool.h"
 #include "plantainhold/scheduling/PlannerPlacement.h"
-#include "plantainhold/scheduling/TaskMessages.h"
 #include "plantainhold/scheduling/TaskMetrics.h"
+#include "plantainhold/scheduling/TaskRecords.h"
 #include "plantainhold/util/Hash.h"
 #include "plantainhold/util/RcuCell.h"
 #include "plantainhold/util/UniqueId.h"
@@ -45,15 +45,6 @@
         return times;
     }
 
-    std::string forwardedRecord(const TaskEntry& entry)
-    {
-        task::TaskRecord record;
-        record.set_id("passed-on-" + entry.description.id);
-        fillSpec(*record.mutable_submitted()->mutable_spec(), entry.description);
-        record.mutable_submitted()->set_hops(entry.hops + 1);
-        return record.SerializeAsString();
-    }
-
     WorkerCommandResult fromOutcome(CommandOutcome outcome)
     {
         WorkerCommandResult result;
@@ -380,7 +371,7 @@
             if (reducer.find(id) || reducer.isRememberedAsEnded(id))
                 arrived.push_back(id);
             else
-                missing.push_back(forwardedRecord(it));
+                missing.push_back(forwardedRecord(it).SerializeAsString());
         }
     });
     for (std::string& it : missing)
