Name the unknown worker and an attempt's key once in the worker stand-in

Six handlers wrote out the same NOT_FOUND status, five the same conversion of an AttemptId to a key. Nothing else changes.

--- a/standin/WorkerService.cpp
+++ b/standin/WorkerService.cpp
@@ -16,6 +16,11 @@
     constexpr std::chrono::milliseconds s_step { 5 };
     constexpr double s_percent = 100;
 
+    grpc::Status unknownWorker()
+    {
+        return { grpc::StatusCode::NOT_FOUND, "unknown worker" };
+    }
+
 } // namespace
 
 WorkerService::WorkerService(Journal& journal)
@@ -129,6 +134,11 @@
     return false;
 }
 
+WorkerService::AttemptKey WorkerService::keyOf(const platform::AttemptId& id)
+{
+    return { id.task(), id.attempt() };
+}
+
 WorkerService::Worker* WorkerService::find(const std::string& id)
 {
     auto it = m_workers.find(id);
@@ -155,7 +165,7 @@
     std::lock_guard lock(m_mutex);
     Worker* worker = find(request->worker());
     if (!worker)
-        return { grpc::StatusCode::NOT_FOUND, "unknown worker" };
+        return unknownWorker();
     isFenced(*worker, request->fencing_token());
     *reply->mutable_capacity() = worker->capacity;
     reply->set_rack(worker->rack);
@@ -170,12 +180,12 @@
     std::lock_guard lock(m_mutex);
     Worker* worker = find(request->worker());
     if (!worker)
-        return { grpc::StatusCode::NOT_FOUND, "unknown worker" };
+        return unknownWorker();
     if (isFenced(*worker, request->fencing_token())) {
         reply->set_refusal("stale fencing token");
         return grpc::Status::OK;
     }
-    AttemptKey key { request->id().task(), request->id().attempt() };
+    AttemptKey key = keyOf(request->id());
     auto [it, isNew] = worker->attempts.try_emplace(key);
     Attempt& attempt = it->second;
     if (!isNew) {
@@ -206,13 +216,13 @@
     std::lock_guard lock(m_mutex);
     Worker* worker = find(request->worker());
     if (!worker)
-        return { grpc::StatusCode::NOT_FOUND, "unknown worker" };
+        return unknownWorker();
     bool isRefused = isFenced(*worker, request->fencing_token());
     Clock::time_point now = Clock::now();
     step(request->worker(), *worker, now);
     reply->set_incarnation(worker->incarnation);
     for (const platform::AttemptId& id : request->ids()) {
-        AttemptKey key { id.task(), id.attempt() };
+        AttemptKey key = keyOf(id);
         auto it = worker->attempts.find(key);
         bool isKnown = it != worker->attempts.end();
         if (isKnown && it->second.state == platform::ATTEMPT_RUNNING && !isRefused)
@@ -225,8 +235,7 @@
 WorkerService::Attempt* WorkerService::runningAttempt(const std::string& id, Worker& worker, const platform::AttemptId& wanted, std::uint64_t token, platform::CommandReply& reply)
 {
     step(id, worker, Clock::now());
-    AttemptKey key { wanted.task(), wanted.attempt() };
-    auto it = worker.attempts.find(key);
+    auto it = worker.attempts.find(keyOf(wanted));
     bool isRunning = it != worker.attempts.end() && it->second.state == platform::ATTEMPT_RUNNING;
     if (isFenced(worker, token) || !isRunning) {
         reply.set_refusal("stale fencing token or no such attempt");
@@ -246,12 +255,12 @@
     std::lock_guard lock(m_mutex);
     Worker* worker = find(request->worker());
     if (!worker)
-        return { grpc::StatusCode::NOT_FOUND, "unknown worker" };
+        return unknownWorker();
     Attempt* attempt = runningAttempt(request->worker(), *worker, request->id(), request->fencing_token(), *reply);
     if (!attempt)
         return grpc::Status::OK;
     attempt->throttlePercent = std::clamp<std::uint32_t>(request->percent(), 1, 100);
-    confirm(*reply, { request->id().task(), request->id().attempt() }, *attempt);
+    confirm(*reply, keyOf(request->id()), *attempt);
     return grpc::Status::OK;
 }
 
@@ -260,13 +269,13 @@
     std::lock_guard lock(m_mutex);
     Worker* worker = find(request->worker());
     if (!worker)
-        return { grpc::StatusCode::NOT_FOUND, "unknown worker" };
+        return unknownWorker();
     Attempt* attempt = runningAttempt(request->worker(), *worker, request->id(), request->fencing_token(), *reply);
     if (!attempt)
         return grpc::Status::OK;
     if (attempt->workMs > 0)
         attempt->checkpoint = std::max(attempt->checkpoint, static_cast<std::uint32_t>(std::min(99.0, s_percent * attempt->doneMs / attempt->workMs)));
-    AttemptKey key { request->id().task(), request->id().attempt() };
+    AttemptKey key = keyOf(request->id());
     m_journal.write({ { "event", "checkpoint" }, { "worker", request->worker() }, { "task", key.first }, { "attempt", key.second }, { "checkpoint", attempt->checkpoint } });
     confirm(*reply, key, *attempt);
     return grpc::Status::OK;
@@ -277,13 +286,13 @@
     std::lock_guard lock(m_mutex);
     Worker* worker = find(request->worker());
     if (!worker)
-        return { grpc::StatusCode::NOT_FOUND, "unknown worker" };
+        return unknownWorker();
     if (isFenced(*worker, request->fencing_token())) {
         reply->set_refusal("stale fencing token");
         return grpc::Status::OK;
     }
     step(request->worker(), *worker, Clock::now());
-    AttemptKey key { request->id().task(), request->id().attempt() };
+    AttemptKey key = keyOf(request->id());
     // An attempt that never started is kept as stopped: the tombstone that refuses a late start.
     auto [it, isNew] = worker->attempts.try_emplace(key);
     if (isNew)
--- a/standin/WorkerService.h
+++ b/standin/WorkerService.h
@@ -66,6 +66,8 @@
     void finish(const std::string& worker, const AttemptKey& key, Attempt& attempt, platform::AttemptState state, const std::string& failure);
     bool isFenced(Worker& worker, std::uint64_t token) const;
     void fillReport(platform::AttemptReport& report, const AttemptKey& key, const Attempt* attempt) const;
+    static AttemptKey keyOf(const platform::AttemptId& id);
+    // Null if there is no such worker.
     Worker* find(const std::string& id);
     // The running attempt that a command is for; null, with the refusal set, when there is none.
     Attempt* runningAttempt(const std::string& id, Worker& worker, const platform::AttemptId& wanted, std::uint64_t token, platform::CommandReply& reply);
