Look up the rows of the proving tables with one function

Five tables of standin/proving had each its own search by name, two their own list of names; the 24 verbs stood twice by hand, in the table and in verbs(), so that a new one could be run but not parsed. NamedRows.h serves all of them, and the names of the verbs come from their table. Nothing else changes.

--- a/standin/proving/AwaitSteps.cpp
+++ b/standin/proving/AwaitSteps.cpp
@@ -4,6 +4,7 @@
 
 #include "standin/proving/DaemonClient.h"
 #include "standin/proving/JournalReader.h"
+#include "standin/proving/NamedRows.h"
 
 #include <algorithm>
 #include <array>
@@ -40,10 +41,10 @@
         Kind { "ended", &StepRunner::awaitEnded },
     };
     std::string name = words.take("what to await");
-    auto it = std::find_if(s_kinds.begin(), s_kinds.end(), [&](const Kind& kind) { return kind.name == name; });
-    if (it == s_kinds.end())
+    const Kind* kind = findRow(s_kinds, name);
+    if (!kind)
         words.fail("cannot await " + name);
-    (this->*it->wait)(words);
+    (this->*kind->wait)(words);
 }
 
 void StepRunner::awaitCondition(WordList& words, const std::string& what, const std::function<bool()>& holds)
--- a/standin/proving/ChaosSchedule.cpp
+++ b/standin/proving/ChaosSchedule.cpp
@@ -2,6 +2,8 @@
 
 #include "standin/proving/ChaosSchedule.h"
 
+#include "standin/proving/NamedRows.h"
+
 #include <algorithm>
 #include <array>
 #include <random>
@@ -176,21 +178,14 @@
         Fault { "executor_kill", executorKill, std::chrono::milliseconds(3000) },
     };
 
-    constexpr auto namesOf(const auto& faults)
-    {
-        std::array<std::string_view, s_faults.size()> names;
-        std::transform(faults.begin(), faults.end(), names.begin(), [](const Fault& it) { return it.name; });
-        return names;
-    }
-
     constexpr auto s_faultNames = namesOf(s_faults);
 
     const Fault& findFault(const std::string& name)
     {
-        auto it = std::find_if(s_faults.begin(), s_faults.end(), [&](const Fault& fault) { return fault.name == name; });
-        if (it == s_faults.end())
+        const Fault* fault = findRow(s_faults, name);
+        if (!fault)
             throw ScenarioError("unknown chaos fault " + name);
-        return *it;
+        return *fault;
     }
 
 } // namespace
--- a/standin/proving/Checks.cpp
+++ b/standin/proving/Checks.cpp
@@ -2,9 +2,9 @@
 
 #include "standin/proving/Checks.h"
 
+#include "standin/proving/NamedRows.h"
 #include "standin/proving/Scenario.h"
 
-#include <algorithm>
 #include <array>
 
 namespace plantainhold::standin {
@@ -28,13 +28,6 @@
         Check { "burn", judgeBurn },
     };
 
-    constexpr auto namesOf(const auto& checks)
-    {
-        std::array<std::string_view, s_checks.size()> names;
-        std::transform(checks.begin(), checks.end(), names.begin(), [](const Check& it) { return it.name; });
-        return names;
-    }
-
     constexpr auto s_checkNames = namesOf(s_checks);
 
 } // namespace
@@ -51,12 +44,12 @@
 
 std::vector<Finding> runCheck(const Step& check, const Evidence& evidence)
 {
-    auto it = std::find_if(s_checks.begin(), s_checks.end(), [&](const Check& known) { return known.name == check.verb; });
+    const Check* known = findRow(s_checks, check.verb);
     WordList words(check);
-    if (it == s_checks.end())
+    if (!known)
         words.fail("unknown check");
     std::vector<Finding> findings;
-    for (std::string& text : it->judge(evidence, words))
+    for (std::string& text : known->judge(evidence, words))
         findings.push_back({ check.verb, std::move(text) });
     words.requireEnd();
     return findings;
--- a/standin/proving/JournalReader.cpp
+++ b/standin/proving/JournalReader.cpp
@@ -2,7 +2,8 @@
 
 #include "standin/proving/JournalReader.h"
 
-#include <algorithm>
+#include "standin/proving/NamedRows.h"
+
 #include <array>
 #include <boost/json.hpp>
 #include <chrono>
@@ -16,37 +17,27 @@
 
 namespace {
 
-    struct WorkerKindName {
-        std::string_view name;
-        WorkerEventKind kind;
-    };
-
-    constexpr std::array s_workerKinds {
-        WorkerKindName { "worker", WorkerEventKind::Worker },
-        WorkerKindName { "start", WorkerEventKind::Start },
-        WorkerKindName { "end", WorkerEventKind::End },
-        WorkerKindName { "checkpoint", WorkerEventKind::Checkpoint },
-        WorkerKindName { "shrink", WorkerEventKind::Shrink },
-    };
-
-    struct ExecutorKindName {
+    template <typename Kind>
+    struct KindName {
         std::string_view name;
-        ExecutorEventKind kind;
-    };
-
-    constexpr std::array s_executorKinds {
-        ExecutorKindName { "run", ExecutorEventKind::Run },
-        ExecutorKindName { "ran", ExecutorEventKind::Ran },
-        ExecutorKindName { "refused", ExecutorEventKind::Refused },
-        ExecutorKindName { "slots_exceeded", ExecutorEventKind::SlotsExceeded },
-        ExecutorKindName { "connection_refused", ExecutorEventKind::ConnectionRefused },
+        Kind kind;
     };
 
-    template <typename Table>
-    auto findKind(const Table& table, std::string_view name)
-    {
-        return std::find_if(table.begin(), table.end(), [&](const auto& it) { return it.name == name; });
-    }
+    constexpr auto s_workerKinds = std::to_array<KindName<WorkerEventKind>>({
+        { "worker", WorkerEventKind::Worker },
+        { "start", WorkerEventKind::Start },
+        { "end", WorkerEventKind::End },
+        { "checkpoint", WorkerEventKind::Checkpoint },
+        { "shrink", WorkerEventKind::Shrink },
+    });
+
+    constexpr auto s_executorKinds = std::to_array<KindName<ExecutorEventKind>>({
+        { "run", ExecutorEventKind::Run },
+        { "ran", ExecutorEventKind::Ran },
+        { "refused", ExecutorEventKind::Refused },
+        { "slots_exceeded", ExecutorEventKind::SlotsExceeded },
+        { "connection_refused", ExecutorEventKind::ConnectionRefused },
+    });
 
     std::int64_t number(const json::object& line, std::string_view key, std::int64_t otherwise = 0)
     {
@@ -85,9 +76,9 @@
     void addLine(const json::object& line, Evidence& evidence)
     {
         std::string name = text(line, "event");
-        if (auto it = findKind(s_workerKinds, name); it != s_workerKinds.end())
+        if (const auto* it = findRow(s_workerKinds, name))
             addWorkerEvent(line, it->kind, evidence);
-        else if (auto other = findKind(s_executorKinds, name); other != s_executorKinds.end())
+        else if (const auto* other = findRow(s_executorKinds, name))
             addExecutorEvent(line, other->kind, evidence);
     }
 
--- a/standin/proving/StepRunner.cpp
+++ b/standin/proving/StepRunner.cpp
@@ -6,6 +6,7 @@
 #include "standin/proving/ChaosSchedule.h"
 #include "standin/proving/DaemonClient.h"
 #include "standin/proving/JournalReader.h"
+#include "standin/proving/NamedRows.h"
 
 #include <algorithm>
 #include <array>
@@ -20,8 +21,8 @@
 
 } // namespace
 
-const StepRunner::Verb* StepRunner::findVerb(std::string_view name)
-{
+// A class, so that the rows can name private methods.
+struct StepRunner::VerbTable {
     static constexpr std::array s_verbs {
         Verb { "start", &StepRunner::startStep },
         Verb { "publish", &StepRunner::publishStep },
@@ -48,14 +49,17 @@
         Verb { "join", &StepRunner::joinStep },
         Verb { "burn", &StepRunner::burnStep },
     };
-    auto it = std::find_if(s_verbs.begin(), s_verbs.end(), [&](const Verb& verb) { return verb.name == name; });
-    return it == s_verbs.end() ? nullptr : &*it;
+    static constexpr auto s_names = namesOf(s_verbs);
+};
+
+const StepRunner::Verb* StepRunner::findVerb(std::string_view name)
+{
+    return findRow(VerbTable::s_verbs, name);
 }
 
 std::span<const std::string_view> StepRunner::verbs()
 {
-    static constexpr std::array<std::string_view, 24> s_names { "start", "publish", "sleep", "kill", "pause", "resume", "terminate", "restart", "switch", "cut", "silence", "delay", "oneway", "reset", "lose_replies", "heal", "submit", "cancel", "call", "load", "await", "chaos", "join", "burn" };
-    return s_names;
+    return VerbTable::s_names;
 }
 
 StepRunner::StepRunner(const Scenario& scenario, const RunOptions& options, Fleet& fleet)
--- a/standin/proving/StepRunner.h
+++ b/standin/proving/StepRunner.h
@@ -45,6 +45,7 @@
         std::string_view name;
         void (StepRunner::*perform)(WordList&);
     };
+    struct VerbTable;
     struct Background {
         std::future<CallEntry> call;
         std::string expectation;
