Convert IP:port to an endpoint with one function

The two lines that split an address at its last colon stood eight times: in HttpTypes.h, HealthServer, four stand-ins, the load generator and a test. endpointOf() now stands beside isNumericAddress(), which checks the same form, and says which addresses it throws for. HttpUpstream's parseEndpoint(), whose name is that of another function of plantainhold/http, is called tryEndpointOf(). Nothing else changes. The load generator was built, not run.

--- a/bench/LoadGenerator.cpp
+++ b/bench/LoadGenerator.cpp
@@ -2,6 +2,8 @@
 
 #include "bench/LoadGenerator.h"
 
+#include "plantainhold/util/NumericAddress.h"
+
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -85,8 +87,7 @@
             if (idle.empty()) {
                 stream = std::make_unique<beast::tcp_stream>(m_io);
                 stream->expires_at(arrival + m_spec.deadline + s_patience);
-                auto colon = address.rfind(':');
-                tcp::endpoint endpoint(asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+                tcp::endpoint endpoint = endpointOf(address);
                 auto [ec] = co_await stream->async_connect(endpoint, s_token);
                 if (ec)
                     co_return false;
--- a/plantainhold/adapters/HealthServer.cpp
+++ b/plantainhold/adapters/HealthServer.cpp
@@ -3,6 +3,7 @@
 #include "plantainhold/adapters/HealthServer.h"
 
 #include "plantainhold/base/ResultError.h"
+#include "plantainhold/util/NumericAddress.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -87,8 +88,7 @@
 {
     m_impl->metrics = std::move(metrics);
     m_impl->isReady = std::move(isReady);
-    auto colon = address.rfind(':');
-    tcp::endpoint endpoint(asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+    tcp::endpoint endpoint = endpointOf(address);
     try {
         m_impl->acceptor.open(endpoint.protocol());
         m_impl->acceptor.set_option(asio::socket_base::reuse_address(true));
--- a/plantainhold/adapters/HttpFrontEnd.cpp
+++ b/plantainhold/adapters/HttpFrontEnd.cpp
@@ -6,6 +6,7 @@
 #include "plantainhold/base/LogEvent.h"
 #include "plantainhold/base/ResultError.h"
 #include "plantainhold/config/Settings.h"
+#include "plantainhold/util/NumericAddress.h"
 
 namespace plantainhold {
 
--- a/plantainhold/adapters/HttpTypes.h
+++ b/plantainhold/adapters/HttpTypes.h
@@ -7,7 +7,6 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <string>
 #include <utility>
 
 namespace plantainhold {
@@ -62,12 +61,4 @@
     std::int64_t m_bytes = 0;
 };
 
-// Precondition: the address is IP:port, as the checks of settings and instance list ensure.
-// Throws boost::system::system_error otherwise.
-inline Tcp::endpoint endpointOf(const std::string& address)
-{
-    auto colon = address.rfind(':');
-    return { asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))) };
-}
-
 } // namespace plantainhold
--- a/plantainhold/adapters/HttpUpstream.cpp
+++ b/plantainhold/adapters/HttpUpstream.cpp
@@ -6,6 +6,7 @@
 #include "plantainhold/base/Event.h"
 #include "plantainhold/base/LogEvent.h"
 #include "plantainhold/routing/RequestHead.h"
+#include "plantainhold/util/NumericAddress.h"
 
 #include <algorithm>
 #include <netinet/tcp.h>
@@ -56,7 +57,7 @@
     }
 
     // The list's addresses are not ours to trust.
-    std::optional<Tcp::endpoint> parseEndpoint(const std::string& address)
+    std::optional<Tcp::endpoint> tryEndpointOf(const std::string& address)
     {
         try {
             return endpointOf(address);
@@ -120,7 +121,7 @@
 
 asio::awaitable<HttpUpstream::Connection> HttpUpstream::connect(const UpstreamCall& call)
 {
-    std::optional<Tcp::endpoint> endpoint = parseEndpoint(call.address);
+    std::optional<Tcp::endpoint> endpoint = tryEndpointOf(call.address);
     if (!endpoint)
         co_return nullptr;
     auto stream = std::make_unique<HttpStream>(m_io);
--- a/plantainhold/testing/standin/FaultProxyTest.cpp
+++ b/plantainhold/testing/standin/FaultProxyTest.cpp
@@ -2,6 +2,7 @@
 // what arrives or on a reset, never on how fast.
 
 #include "standin/FaultProxy.h"
+#include "plantainhold/util/NumericAddress.h"
 #include "standin/proving/Subnet.h"
 
 #include <boost/asio.hpp>
@@ -15,12 +16,6 @@
 
 namespace {
 
-    tcp::endpoint endpointOf(const std::string& address)
-    {
-        auto colon = address.rfind(':');
-        return { asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))) };
-    }
-
     // Sends back what it receives, on every connection at once.
     class EchoServer {
     public:
--- a/plantainhold/util/NumericAddress.cpp
+++ b/plantainhold/util/NumericAddress.cpp
@@ -1,8 +1,6 @@
 #include "plantainhold/util/NumericAddress.h"
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
-#include <string>
 
 namespace plantainhold {
 
@@ -27,4 +25,10 @@
     return !ec;
 }
 
+boost::asio::ip::tcp::endpoint endpointOf(const std::string& address)
+{
+    auto colon = address.rfind(':');
+    return { boost::asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))) };
+}
+
 } // namespace plantainhold
--- a/plantainhold/util/NumericAddress.h
+++ b/plantainhold/util/NumericAddress.h
@@ -1,7 +1,9 @@
-// Validation of addresses, which are always numeric IP:port; host names are never
-// resolved.
+// Validates and converts addresses, which are always numeric IP:port; host names are
+// never resolved.
 #pragma once
 
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
 #include <string_view>
 
 namespace plantainhold {
@@ -10,4 +12,8 @@
 // and a port. Thread-safe.
 bool isNumericAddress(std::string_view text);
 
+// Precondition: the address is IP:port, as the checks of settings and instance list ensure;
+// an IPv6 address has no brackets. Throws a std::exception otherwise. Thread-safe.
+boost::asio::ip::tcp::endpoint endpointOf(const std::string& address);
+
 } // namespace plantainhold
--- a/standin/ExecutorService.cpp
+++ b/standin/ExecutorService.cpp
@@ -4,6 +4,7 @@
 
 #include "standin/ExecutorService.h"
 
+#include "plantainhold/util/NumericAddress.h"
 #include "standin/Journal.h"
 #include "standin/SwitchBoard.h"
 
@@ -188,8 +189,7 @@
 
 void ExecutorService::addExecutor(const std::string& id, const std::string& address)
 {
-    auto colon = address.rfind(':');
-    tcp::endpoint endpoint(asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+    tcp::endpoint endpoint = endpointOf(address);
     tcp::acceptor acceptor(m_impl->io, endpoint);
     m_impl->executors.push_back(std::unique_ptr<Executor>(new Executor { id, std::move(acceptor), {}, {}, {}, 0, 0 }));
     asio::co_spawn(m_impl->io, m_impl->acceptLoop(*m_impl->executors.back()), asio::detached);
--- a/standin/FaultProxy.cpp
+++ b/standin/FaultProxy.cpp
@@ -4,6 +4,8 @@
 
 #include "standin/FaultProxy.h"
 
+#include "plantainhold/util/NumericAddress.h"
+
 #include <boost/asio.hpp>
 #include <deque>
 #include <functional>
@@ -32,12 +34,6 @@
         LoseReplies,
     };
 
-    tcp::endpoint endpointOf(const std::string& address)
-    {
-        auto colon = address.rfind(':');
-        return { asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))) };
-    }
-
     struct Chunk {
         SteadyClock::time_point due;
         std::string bytes;
--- a/standin/proving/CallerPool.cpp
+++ b/standin/proving/CallerPool.cpp
@@ -2,6 +2,8 @@
 
 #include "standin/proving/CallerPool.h"
 
+#include "plantainhold/util/NumericAddress.h"
+
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -26,12 +28,6 @@
     constexpr std::uint64_t s_bodyLimitBytes = 256 << 20;
     constexpr auto s_token = asio::as_tuple(asio::use_awaitable);
 
-    tcp::endpoint endpointOf(const std::string& address)
-    {
-        auto colon = address.rfind(':');
-        return { asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))) };
-    }
-
     http::request<http::string_body> makeRequest(const CallSpec& spec, const CallEntry& entry)
     {
         http::request<http::string_body> request(http::verb::post, spec.target, 11);
--- a/standin/proving/Fleet.cpp
+++ b/standin/proving/Fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "standin/proving/Fleet.h"
 
+#include "plantainhold/util/NumericAddress.h"
 #include "standin/Journal.h"
 #include "standin/proving/DaemonClient.h"
 
@@ -25,11 +26,10 @@
     bool isListening(const std::string& address)
     {
         namespace asio = boost::asio;
-        auto colon = address.rfind(':');
         asio::io_context io;
         asio::ip::tcp::socket socket(io);
         boost::system::error_code ec;
-        socket.connect({ asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))) }, ec);
+        socket.connect(endpointOf(address), ec);
         return !ec;
     }
 
