Test what a new owner does without the memory of the former one

Nothing said which of an owner's knowledge a takeover keeps.

The scheduler's fixture keeps the submission of a job that was taken over, and the stored estimates, so that owners can follow each other more than once.

--- a/plantainhold/testing/jobs/SchedulerFixture.h
+++ b/plantainhold/testing/jobs/SchedulerFixture.h
@@ -97,7 +97,7 @@
         CommitBatch batch = m_scheduler.takeBatch(m_now);
         m_scheduler.committed(batch, m_now);
         for (const auto& [id, value] : batch.progress)
-            m_table.applyProgress(id, value, m_offset++);
+            store(id, value);
         return m_scheduler.takeCommands();
     }
 
@@ -139,8 +139,14 @@
         m_scheduler.submit(id, *m_table.find(id), m_now);
     }
 
-    // Adds a job as another owner stored it.
-    void takeOver(const std::string& id, const StoredJob& job) { m_scheduler.submit(id, job, m_now); }
+    // Adds a job as another owner stored it. Precondition: its progress is one record.
+    void takeOver(const std::string& id, const StoredJob& job)
+    {
+        m_table.applySubmission(JobTable::submissionKey(id), encodeSubmission(*job.spec));
+        if (!job.progress.empty())
+            m_table.applyProgress(id, job.progress, m_offset++);
+        m_scheduler.submit(id, job, m_now);
+    }
 
     // Deletes the records of a finished job.
     void drop(const std::string& id)
@@ -169,6 +175,9 @@
     // Returns the job as stored so far.
     const StoredJob& storedJob(const std::string& id) const { return *m_table.find(id); }
 
+    // Returns the estimates as stored last; none if they have not been stored.
+    const LearnedState& storedEstimates() const { return m_learned; }
+
     void reportAcknowledged(const std::string& id)
     {
         advance();
@@ -180,6 +189,14 @@
     TimePoint now() const { return m_now; }
 
 private:
+    void store(const std::string& key, const std::string& value)
+    {
+        if (key == JobScheduler::s_learnedKey)
+            m_learned = *decodeLearned(value);
+        else
+            m_table.applyProgress(key, value, m_offset++);
+    }
+
     std::int64_t clockOf(const std::string& id) const
     {
         const ActiveExecutor& executor = *m_scheduler.executor(id);
@@ -190,6 +207,7 @@
     KeptEvents m_events;
     TimePoint m_now;
     JobTable m_table;
+    LearnedState m_learned;
     std::shared_ptr<const FleetConfig> m_accepting;
     std::uint64_t m_offset = 0;
     JobScheduler m_scheduler;
