--- a/plantainhold/testing/jobs/TakeoverTest.cpp
+++ b/plantainhold/testing/jobs/TakeoverTest.cpp
@@ -110,10 +110,15 @@
             m_owner->list(id, executor.millicores, executor.incarnation);
         }
 
-        // The owner releases, and the next one claims after the gap.
-        void takeOver(const std::set<std::string>& cancelledJobs = {}, Milliseconds gap = Milliseconds(0))
+        enum class TermEnd : std::uint8_t { Released,
+            Killed };
+
+        // The owner's term ends, and the next one claims after the gap.
+        void takeOver(const std::set<std::string>& cancelledJobs = {}, Milliseconds gap = Milliseconds(0), TermEnd end = TermEnd::Released)
         {
-            OwnerTerm term = *decodeOwnerTerm(encodeOwnerTerm(m_owner->scheduler().release(m_owner->now())));
+            OwnerTerm term { SchedulerFixture::s_generation, false, {} };
+            if (end == TermEnd::Released)
+                term = *decodeOwnerTerm(encodeOwnerTerm(m_owner->scheduler().release(m_owner->now())));
             std::unique_ptr<SchedulerFixture> former = std::exchange(m_owner, std::make_unique<SchedulerFixture>(term, false, m_owner->now() + gap));
             m_owner->scheduler().restoreLearned(former->storedEstimates());
             for (const auto& [id, it] : m_executors) {
@@ -292,6 +297,22 @@
     CHECK(owners.wasLogged(EventId::RunLost, "task=j.0.0.0"));
 }
 
+// LOST: waits for one lease added up where owners were killed one after the other.
+TEST_CASE("after four owners that were killed, the last claim alone counts in the wait for a lost executor's lease")
+{
+    SucceedingOwners owners({ "x" });
+    owners.submit("j", 0, longRunning(1'000));
+    owners.run(Milliseconds(500));
+    owners.lose("x");
+    for (int i = 0; i < 4; ++i) {
+        owners.run(Milliseconds(1'000));
+        owners.takeOver({}, Milliseconds(1'500), SucceedingOwners::TermEnd::Killed);
+    }
+    SchedulerLimits limits;
+    owners.run(limits.lease + limits.formerOwnerGrace + Milliseconds(150));
+    CHECK(owners.wasLogged(EventId::RunLost, "task=j.0.0.0"));
+}
+
 // AVAIL: a new owner extends no lease before it knows the executor's clock, and counts on what is left of it.
 TEST_CASE("no lease expires through four takeovers with a second between release and claim")
 {
