Add random worlds in which groups of executors are lost, with the users' bounds on waiting

What was missing: no random world lost many executors at one moment, and waiting was checked from 12 s after the last fault on only.

SimulationOptions::hasStrictChecks adds two checks to the old ones, which stay as they are: a long-running task that has been away for 6 s waits for no 3 s beside room for two of its kind, also between faults and however full the executors are, if these 3 s and the 4 s before are calm; and no job is given up because executors crashed under it. The old worlds can't bear the first: RunHistory says why.

--- a/plantainhold/testing/jobs/JobSimulation.cpp
+++ b/plantainhold/testing/jobs/JobSimulation.cpp
@@ -9,6 +9,11 @@
 
     constexpr double s_ownerFaultRate = 0.0010;
     constexpr std::int64_t s_maxListLagMs = 4'000;
+    // Losses in a series, and the time between two of them.
+    constexpr std::int64_t s_maxGroupLosses = 4;
+    constexpr std::int64_t s_minGroupLossIntervalMs = 50;
+    constexpr std::int64_t s_maxGroupLossIntervalMs = 3'000;
+    constexpr std::int64_t s_maxOwnerLossDelayMs = 1'000;
     constexpr std::uint64_t s_firstVersion = 1;
     const std::string s_queue = "queue";
 
@@ -72,6 +77,9 @@
     double rate = m_context.faults().configChangeRate;
     if (rate > 0 && m_context.chance(rate))
         changeConfig();
+    double groupLossRate = m_context.faults().groupLossRate;
+    if (groupLossRate > 0 && m_context.chance(groupLossRate))
+        beginGroupLosses();
     if (!m_owners.empty())
         addOwnerFaults(*m_owners.back());
 }
@@ -84,14 +92,41 @@
         it->configure(m_config);
 }
 
+void JobSimulation::beginGroupLosses()
+{
+    std::int64_t losses = m_context.random(1, s_maxGroupLosses);
+    std::int64_t when = m_context.now();
+    for (std::int64_t i = 0; i < losses; ++i) {
+        m_context.schedule(when, [this]() { loseGroup(); });
+        when += m_context.random(s_minGroupLossIntervalMs, s_maxGroupLossIntervalMs);
+    }
+}
+
+void JobSimulation::loseGroup()
+{
+    m_fleet.loseGroup();
+    if (m_context.chance(m_context.faults().ownerLossFraction))
+        m_context.schedule(m_context.now() + m_context.random(0, s_maxOwnerLossDelayMs), [this]() { loseOwner(); });
+}
+
+void JobSimulation::loseOwner()
+{
+    m_context.disturb(m_context.now());
+    if (m_context.chance(0.5))
+        m_owners.back()->release();
+    else
+        m_owners.back()->die();
+}
+
 // The owner dies, pauses beyond its membership, loses its connection to the store, or releases.
 void JobSimulation::addOwnerFaults(SimulatedOwner& owner)
 {
-    if (m_context.chance(s_ownerFaultRate))
+    double rate = s_ownerFaultRate * m_context.faults().singleFaultFactor;
+    if (m_context.chance(rate))
         owner.die();
-    else if (m_context.chance(s_ownerFaultRate))
+    else if (m_context.chance(rate))
         owner.pause(m_context.random(500, 8'000));
-    else if (m_context.chance(s_ownerFaultRate))
+    else if (m_context.chance(rate))
         owner.loseMembership(m_context.random(0, 2'000));
     if (m_context.chance(m_context.faults().releaseRate))
         owner.release();
--- a/plantainhold/testing/jobs/JobSimulation.h
+++ b/plantainhold/testing/jobs/JobSimulation.h
@@ -39,6 +39,10 @@
     void step();
     void addFaults();
     void changeConfig();
+    // Schedules a few losses of many executors, which begin now.
+    void beginGroupLosses();
+    void loseGroup();
+    void loseOwner();
     void addOwnerFaults(SimulatedOwner& owner);
     void startOwner();
 
--- a/plantainhold/testing/jobs/RunHistory.cpp
+++ b/plantainhold/testing/jobs/RunHistory.cpp
@@ -16,6 +16,11 @@
     // How long a job, or a task that lasts, may wait beside room.
     constexpr std::int64_t s_maxWaitMs = 3'000;
     constexpr std::int64_t s_maxLastingWaitMs = 6'000;
+    // How long a long-running task may be away before its waiting counts, and how long it may wait then.
+    constexpr std::int64_t s_maxAwayMs = 6'000;
+    constexpr std::int64_t s_maxCalmWaitMs = 3'000;
+    // How long before that it must have been calm.
+    constexpr std::int64_t s_calmMs = 4'000;
     // Interval between two checks of waiting jobs.
     constexpr std::int64_t s_waitCheckMs = 500;
 
@@ -44,6 +49,7 @@
     std::string name = run.task.text();
     TaskHistory& history = m_tasks[name];
     m_context.trace().add("run starts", { { "task", name }, { "run", run.run }, { "slot", executor } });
+    m_calmlyWaitingSince.erase(name);
     m_waitingSince.erase(name);
     m_waitingSince.erase(run.task.job);
     checkStart(name, history, run);
@@ -86,6 +92,7 @@
     m_context.trace().add("run ends", { { "task", name }, { "run", run.run }, { "slot", executor }, { "kind", static_cast<int>(kind) } });
     TaskHistory& history = m_tasks[name];
     history.running.erase({ executor, run.run });
+    history.lastEndedAt = m_context.now();
     history.failures += kind == EndKind::Failed;
     if (kind != EndKind::Done)
         return;
@@ -108,8 +115,12 @@
 
 void RunHistory::crashed(std::size_t executor)
 {
-    for (auto& [name, history] : m_tasks)
-        history.crashes += std::erase_if(history.running, [&](const auto& it) { return it.first == executor; });
+    for (auto& [name, history] : m_tasks) {
+        std::size_t runs = std::erase_if(history.running, [&](const auto& it) { return it.first == executor; });
+        history.crashes += runs;
+        if (runs > 0)
+            history.lastEndedAt = m_context.now();
+    }
 }
 
 void RunHistory::exceeded(const std::string& executor)
@@ -147,6 +158,8 @@
     std::int64_t calmSince = std::max(m_context.disturbedUntil(), m_context.options().faultsMs) + s_recoveryMs;
     if (m_context.now() % s_waitCheckMs != 0)
         return;
+    if (m_context.options().hasStrictChecks)
+        checkCalmStretch(rooms, table);
     Resources capacity;
     Resources used;
     for (const Room& it : rooms) {
@@ -172,22 +185,55 @@
             bool waits = isWaitingBesideRoom(task, rooms);
             isRunning |= !m_tasks[task.text()].running.empty();
             isWaiting |= waits;
-            if (spec.steps[i].isLongRunning)
-                checkWaiting(task.text(), waits, s_maxLastingWaitMs);
+            if (spec.steps[i].isLongRunning && waitsTooLong(m_waitingSince, task.text(), waits, s_maxLastingWaitMs))
+                fail(task.text() + " could run and doesn't");
         }
     }
-    checkWaiting(job, isWaiting && !isRunning, s_maxWaitMs);
+    if (waitsTooLong(m_waitingSince, job, isWaiting && !isRunning, s_maxWaitMs))
+        fail(job + " could run and doesn't");
 }
 
-void RunHistory::checkWaiting(const std::string& name, bool isWaiting, std::int64_t limitMs)
+bool RunHistory::waitsTooLong(std::map<std::string, std::int64_t>& since, const std::string& name, bool isWaiting, std::int64_t limitMs) const
 {
     if (!isWaiting) {
-        m_waitingSince.erase(name);
-        return;
+        since.erase(name);
+        return false;
     }
-    std::int64_t since = m_waitingSince.emplace(name, m_context.now()).first->second;
-    if (m_context.now() == since + limitMs)
-        fail(name + " could run and doesn't");
+    return m_context.now() == since.emplace(name, m_context.now()).first->second + limitMs;
+}
+
+// Simulations with other faults than the loss of executors can't bear this check. An executor that is cut off
+// may have accepted a start whose response was lost, under the longest lease (SchedulerLimits::maxLease): its task
+// waits for longer than s_calmMs after it. And with a fault in most seconds they have no calm stretches.
+void RunHistory::checkCalmStretch(const std::vector<Room>& rooms, const JobTable& table)
+{
+    bool isCalm = m_context.now() >= m_context.disturbedUntil() + s_calmMs;
+    if (!isCalm)
+        m_calmlyWaitingSince.clear();
+    for (const auto& [id, spec] : m_jobs.specs()) {
+        checkGivenUp(id, table);
+        if (isCalm && spec.isLongRunning() && m_jobs.isWanted(id) && !m_givenUp.contains(id))
+            checkCalmlyWaitingJob(id, rooms);
+    }
+}
+
+void RunHistory::checkCalmlyWaitingJob(const std::string& job, const std::vector<Room>& rooms)
+{
+    const JobSpec& spec = m_jobs.specs().at(job);
+    for (std::uint32_t n = 0; n < spec.steps.front().taskCount; ++n) {
+        TaskName task { job, 0, 0, n };
+        std::optional<std::int64_t> lastEndedAt = m_tasks[task.text()].lastEndedAt;
+        bool isAwayTooLong = !lastEndedAt || m_context.now() >= *lastEndedAt + s_maxAwayMs;
+        if (waitsTooLong(m_calmlyWaitingSince, task.text(), isAwayTooLong && isWaitingBesideRoom(task, rooms), s_maxCalmWaitMs))
+            fail(task.text() + " waits beside room in a calm stretch, " + (lastEndedAt ? "away for " + std::to_string(m_context.now() - *lastEndedAt) + " ms" : "never started"));
+    }
+}
+
+void RunHistory::checkGivenUp(const std::string& job, const JobTable& table)
+{
+    const StoredJob* stored = table.find(job);
+    if (stored && stored->state == JobState::Failed && !hasFailed(job) && m_givenUp.insert(job).second)
+        fail(job + " is given up though none of its tasks failed so often");
 }
 
 bool RunHistory::isWaitingBesideRoom(const TaskName& task, const std::vector<Room>& rooms)
@@ -195,7 +241,7 @@
     const TaskHistory& history = m_tasks[task.text()];
     if (history.isDone || !history.running.empty() || !isTurnOf(task))
         return false;
-    const Resources& needed = m_jobs.specs().at(task.job).steps[task.step].resources;
+    const Resources needed = m_jobs.specs().at(task.job).steps[task.step].reserved();
     return std::any_of(rooms.begin(), rooms.end(), [&](const Room& it) { return m_jobs.isAllowed(task.job, it.slot) && (it.used + needed + needed).fitsIn(it.capacity); });
 }
 
--- a/plantainhold/testing/jobs/RunHistory.h
+++ b/plantainhold/testing/jobs/RunHistory.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -65,6 +66,8 @@
         std::size_t crashes = 0;
         std::uint32_t acknowledgedFailures = 0;
         std::uint32_t failures = 0;
+        // When its last run ended; unset while none has.
+        std::optional<std::int64_t> lastEndedAt;
         std::set<std::pair<std::size_t, std::uint32_t>> running;
         // The runs that have completed, each with the runs that started afterwards.
         std::map<std::uint32_t, std::set<std::uint32_t>> startedAfterDone;
@@ -73,8 +76,13 @@
     void checkStart(const std::string& name, const TaskHistory& history, const FakeExecutor::Running& run);
     void checkPrecedingSteps(const std::string& name, const TaskName& task);
     void checkWaitingJob(const std::string& job, const std::vector<Room>& rooms);
-    // Fails once `isWaiting` has been true in all calls for that long.
-    void checkWaiting(const std::string& name, bool isWaiting, std::int64_t limitMs);
+    // Returns true once `isWaiting` has been true in all calls for that long.
+    bool waitsTooLong(std::map<std::string, std::int64_t>& since, const std::string& name, bool isWaiting, std::int64_t limitMs) const;
+    // The waiting of long-running tasks as it is promised to users, at any time and however full the executors are.
+    void checkCalmStretch(const std::vector<Room>& rooms, const JobTable& table);
+    void checkCalmlyWaitingJob(const std::string& job, const std::vector<Room>& rooms);
+    // Checks that no job is shown as failed because executors crashed under it.
+    void checkGivenUp(const std::string& job, const JobTable& table);
     // True if the task's turn has come, it is neither done nor running, and an executor could hold it twice.
     bool isWaitingBesideRoom(const TaskName& task, const std::vector<Room>& rooms);
     bool isTurnOf(const TaskName& task);
@@ -89,7 +97,11 @@
     std::map<std::string, TaskHistory> m_tasks;
     // Since when a job, or a long-running task, waits beside room.
     std::map<std::string, std::int64_t> m_waitingSince;
+    // The same for long-running tasks whose last run ended long enough ago, in a calm stretch.
+    std::map<std::string, std::int64_t> m_calmlyWaitingSince;
     std::uint64_t m_starts = 0;
+    // Jobs that checkGivenUp() has found.
+    std::set<std::string> m_givenUp;
     std::vector<std::string> m_violations;
 };
 
--- a/plantainhold/testing/jobs/SimulatedFleet.cpp
+++ b/plantainhold/testing/jobs/SimulatedFleet.cpp
@@ -5,6 +5,7 @@
 #include "plantainhold/testing/jobs/SimulationContext.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace plantainhold {
@@ -21,6 +22,11 @@
     // How long entries may be late, wrong or missing.
     constexpr std::int64_t s_maxEntryFaultMs = 4'000;
     constexpr std::int64_t s_maxQuickRestartMs = 400;
+    // How long most executors of a lost group are down.
+    constexpr std::int64_t s_minGroupDownMs = 200;
+    constexpr std::int64_t s_maxGroupDownMs = 4'000;
+    // One in this many executors may never return.
+    constexpr std::size_t s_executorsPerGone = 4;
     constexpr std::int64_t s_maxCutOffMs = 9'000;
     constexpr std::int64_t s_minIsolationMs = 5'000;
     constexpr std::int64_t s_maxIsolationDelayMs = 1'500;
@@ -123,9 +129,9 @@
 void SimulatedFleet::addFaults()
 {
     const SimulationFaults& faults = m_context.faults();
-    if (m_context.chance(s_cutOffRate))
+    if (m_context.chance(s_cutOffRate * faults.singleFaultFactor))
         cutOff(randomSlot(), m_context.random(500, s_maxCutOffMs));
-    if (m_context.chance(s_crashRate))
+    if (m_context.chance(s_crashRate * faults.singleFaultFactor))
         crash(randomSlot(), m_context.random(200, 9'000));
     if (m_context.chance(faults.restartRate))
         crash(randomSlot(), m_context.random(0, s_maxQuickRestartMs));
@@ -139,6 +145,29 @@
         changeCapacity(randomSlot());
 }
 
+void SimulatedFleet::loseGroup()
+{
+    std::vector<std::size_t> slots(m_slots.size());
+    std::iota(slots.begin(), slots.end(), 0);
+    m_context.shuffle(slots);
+    auto executors = static_cast<std::int64_t>(slots.size());
+    slots.resize(static_cast<std::size_t>(m_context.random((executors + 2) / 3, executors)));
+    m_context.trace().add("group lost", { { "executors", slots.size() }, { "of", m_slots.size() } });
+    for (std::size_t slot : slots) {
+        bool isUp = m_slots[slot].executor->isUp();
+        crash(slot, m_context.random(s_minGroupDownMs, s_maxGroupDownMs));
+        if (isUp && (m_gone + 1) * s_executorsPerGone <= m_slots.size() && m_context.chance(m_context.faults().goneFraction))
+            remove(slot);
+    }
+}
+
+void SimulatedFleet::remove(std::size_t slot)
+{
+    m_context.trace().add("executor is gone", { { "executor", m_slots[slot].executor->incarnation().id }, { "slot", slot } });
+    m_slots[slot].downUntil = -1;
+    ++m_gone;
+}
+
 void SimulatedFleet::cutOff(std::size_t slot, std::int64_t ms)
 {
     m_context.trace().add("executor cut off", { { "executor", m_slots[slot].executor->incarnation().id }, { "slot", slot }, { "ms", ms } });
--- a/plantainhold/testing/jobs/SimulatedFleet.h
+++ b/plantainhold/testing/jobs/SimulatedFleet.h
@@ -40,6 +40,8 @@
     void advance();
     // Begins new faults at random.
     void addFaults();
+    // A third of the executors or more crash at this moment; most of them are soon up again.
+    void loseGroup();
 
     // Returns the executor that is up at the address; nullptr if there is none.
     FakeExecutor* at(std::string_view address);
@@ -63,6 +65,7 @@
     struct Slot {
         std::unique_ptr<FakeExecutor> executor;
         std::int64_t cutOffUntil = 0;
+        // When the next incarnation starts; -1: none is due.
         std::int64_t downUntil = -1;
         // The executor is cut off when its next run has started.
         bool isIsolatedAtStart = false;
@@ -72,6 +75,8 @@
     std::size_t randomSlot();
     void runStarted(std::size_t slot, const FakeExecutor::Running& run);
     void crash(std::size_t slot, std::int64_t downMs);
+    // The slot's executor, which has crashed, does not return.
+    void remove(std::size_t slot);
     void restart(std::size_t slot);
     FakeExecutor::Incarnation nextIncarnation(const FakeExecutor::Incarnation& former);
     // Returns what a restarting executor shows as its start time; it differs from all before.
@@ -102,6 +107,8 @@
     // Start times of all incarnations so far.
     std::set<std::int64_t> m_startTimes;
     std::size_t m_nextId = 0;
+    // Number of slots that stay empty.
+    std::size_t m_gone = 0;
 };
 
 } // namespace plantainhold
--- a/plantainhold/testing/jobs/SimulatedJobs.cpp
+++ b/plantainhold/testing/jobs/SimulatedJobs.cpp
@@ -10,6 +10,9 @@
 namespace {
 
     constexpr std::int64_t s_maxLastingDelayMs = 10'000;
+    constexpr std::int64_t s_maxBestEffortTasks = 20;
+    constexpr std::int64_t s_minBestEffortMillicores = 1'000;
+    constexpr std::int64_t s_maxBestEffortMillicores = 4'000;
     constexpr std::int64_t s_minLargeMillicores = 6'000;
     constexpr std::int64_t s_maxLargeMillicores = 10'000;
 
@@ -24,6 +27,8 @@
         addLasting(i);
     for (std::size_t i = 0; i < context.options().largeJobs; ++i)
         addLarge(i);
+    for (std::size_t i = 0; i < context.options().bestEffortJobs; ++i)
+        addBestEffort(i);
 }
 
 void SimulatedJobs::add(std::size_t number)
@@ -55,13 +60,13 @@
     JobSpec spec;
     spec.queue = "queue";
     StepSpec& step = spec.steps.emplace_back();
-    step.taskCount = static_cast<std::uint32_t>(m_context.random(1, 2));
+    step.taskCount = static_cast<std::uint32_t>(m_context.random(1, m_context.options().lastingTasks));
     step.resources = { m_context.random(500, 1'500), m_context.random(100, 1'500), 0 };
     step.isLongRunning = true;
     std::string id = "lasting" + std::to_string(number);
     m_specs[id] = spec;
-    std::int64_t faultsMs = m_context.options().faultsMs;
-    m_submitAt[id] = m_context.random(faultsMs, faultsMs + s_maxLastingDelayMs);
+    std::int64_t from = m_context.options().lastingFromMs.value_or(m_context.options().faultsMs);
+    m_submitAt[id] = m_context.random(from, from + s_maxLastingDelayMs);
 }
 
 void SimulatedJobs::addLarge(std::size_t number)
@@ -78,6 +83,20 @@
     m_large.insert(id);
 }
 
+void SimulatedJobs::addBestEffort(std::size_t number)
+{
+    JobSpec spec;
+    spec.queue = "queue";
+    StepSpec& step = spec.steps.emplace_back();
+    step.taskCount = static_cast<std::uint32_t>(m_context.random(1, s_maxBestEffortTasks));
+    step.resources = { m_context.random(s_minBestEffortMillicores, s_maxBestEffortMillicores), m_context.random(100, 1'000), 0 };
+    step.estimateMs = static_cast<std::uint32_t>(m_context.options().maxWorkMs / 2);
+    step.usesLeftoverCpu = true;
+    std::string id = "besteffort" + std::to_string(number);
+    m_specs[id] = spec;
+    m_submitAt[id] = m_context.random(0, m_context.options().faultsMs);
+}
+
 void SimulatedJobs::acceptUnder(const QueueSettings& settings)
 {
     for (auto& [id, spec] : m_specs)
--- a/plantainhold/testing/jobs/SimulatedJobs.h
+++ b/plantainhold/testing/jobs/SimulatedJobs.h
@@ -36,6 +36,7 @@
 private:
     void add(std::size_t number);
     void addLasting(std::size_t number);
+    void addBestEffort(std::size_t number);
     void addLarge(std::size_t number);
 
     SimulationContext& m_context;
--- a/plantainhold/testing/jobs/SimulatedOwner.cpp
+++ b/plantainhold/testing/jobs/SimulatedOwner.cpp
@@ -240,7 +240,7 @@
 {
     if (m_context.isFaulty() && m_context.chance(m_context.faults().slowStoreFraction))
         return m_context.random(s_minSlowStoreMs, s_maxSlowStoreMs);
-    return m_context.random(10, m_context.chance(0.02) ? 3'000 : 40);
+    return m_context.random(10, m_context.chance(m_context.options().slowWriteFraction) ? 3'000 : 40);
 }
 
 void SimulatedOwner::beginTerm()
@@ -458,7 +458,7 @@
         return CommandResult::Unknown;
     const StepSpec& step = m_world.jobs.specs().at(command.task.job).steps[command.task.step];
     std::int64_t workMs = m_context.random(50, m_context.options().maxWorkMs);
-    FakeExecutor::Running running { command.task, command.run, workMs, workMs, step.resources, m_context.chance(0.05), step.isLongRunning };
+    FakeExecutor::Running running { command.task, command.run, workMs, workMs, step.reserved(), m_context.chance(0.05), step.isLongRunning };
     return executor.start(running, call.parameters.deadlineMs, call.parameters.token);
 }
 
--- a/plantainhold/testing/jobs/SimulationOptions.h
+++ b/plantainhold/testing/jobs/SimulationOptions.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace plantainhold {
 
@@ -51,6 +52,15 @@
     double slowStoreFraction = 0;
     // Rate of owners that release their term.
     double releaseRate = 0;
+    // Factor of the rates at which single executors crash or are cut off, and owners die, stand still or lose
+    // their membership. These have rates of their own in each simulation.
+    double singleFaultFactor = 1;
+    // Rate of series of losses, within seconds. In each loss a third of the executors or more crash at one moment.
+    double groupLossRate = 0;
+    // Fraction of the executors lost in a group that never return. At least three quarters of all executors do.
+    double goneFraction = 0;
+    // Fraction of such losses beside which the owner releases its term or dies.
+    double ownerLossFraction = 0;
     // Rate of configurations that remove the queue of all jobs, or name it again.
     double configChangeRate = 0;
 
@@ -85,6 +95,12 @@
     std::size_t jobs = 14;
     // Further jobs with a long-running step that nobody cancels, submitted once no new faults begin.
     std::size_t lastingJobs = 0;
+    // When the first of these may be submitted; unset: at faultsMs.
+    std::optional<std::int64_t> lastingFromMs;
+    // Most tasks of one of these.
+    std::uint32_t lastingTasks = 2;
+    // Further jobs with one step that uses leftover processors.
+    std::size_t bestEffortJobs = 0;
     // Further jobs with tasks that are larger than the capacity of most or all executors.
     std::size_t largeJobs = 0;
     // Number of executors that the advice service allows each job to run on; 0: no advice is needed.
@@ -100,6 +116,11 @@
     std::int64_t maxLeaseMs = 6'000;
     // Fraction of commands whose response is lost; half of these are carried out late.
     double lostResponses = 0.05;
+    // Fraction of writes that take up to 3 s, whether there are faults or not.
+    double slowWriteFraction = 0.02;
+    // No long-running task waits longer than users are promised, also in calm stretches between faults, and no job
+    // is given up for the executors that crashed under it. Not for simulations with deadly tasks.
+    bool hasStrictChecks = false;
     SimulationFaults faults;
     // Collects JobSimulation::trace().
     bool isTraced = false;
