--- a/plantainhold/jobs/JobCodec.cpp
+++ b/plantainhold/jobs/JobCodec.cpp
@@ -4,6 +4,7 @@
 #include "plantainhold/jobs/OwnerTerm.h"
 #include "plantainhold/proto/jobs.pb.h"
 
+#include <algorithm>
 #include <cmath>
 #include <google/protobuf/arena.h>
 
@@ -88,6 +89,8 @@
         record.set_crashes(task.crashes.all);
         record.set_soon_crashes(task.crashes.soon);
         record.set_alone_crashes(task.crashes.alone);
+        record.set_explained_crashes(task.crashes.explained);
+        record.set_run_proven(task.isRunProven);
     }
 
     TaskProgress decodeTask(const wire::TaskProgressRecord& record)
@@ -102,7 +105,8 @@
         task.executor = record.executor();
         task.executorStartedUnixMs = record.executor_born_unix_ms();
         task.checkpoint = record.checkpoint();
-        task.crashes = { record.crashes(), record.soon_crashes(), record.alone_crashes() };
+        task.crashes = { record.crashes(), record.soon_crashes(), record.alone_crashes(), std::min(record.crashes(), record.explained_crashes()) };
+        task.isRunProven = record.run_proven();
         return task;
     }
 
@@ -206,6 +210,13 @@
         unresponsive.set_born_unix_ms(it.startedUnixMs);
         unresponsive.set_lease_left_ms(it.leaseRemainingMs);
     }
+    for (const UnseenRun& it : term.unseenRuns) {
+        wire::UnseenRunRecord& unseen = *record.add_unseen();
+        unseen.set_task(it.task);
+        unseen.set_run(it.run);
+        unseen.set_address(it.address);
+        unseen.set_lease_left_ms(it.leaseRemainingMs);
+    }
     return record.SerializeAsString();
 }
 
@@ -214,9 +225,11 @@
     wire::OwnerRecord record;
     if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return std::nullopt;
-    OwnerTerm term { record.generation(), record.released(), {} };
+    OwnerTerm term { record.generation(), record.released(), {}, {} };
     for (const auto& it : record.silent())
         term.unresponsive.push_back({ it.id(), it.born_unix_ms(), it.lease_left_ms() });
+    for (const auto& it : record.unseen())
+        term.unseenRuns.push_back({ it.task(), it.run(), it.address(), it.lease_left_ms() });
     return term;
 }
 
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -149,6 +149,8 @@
     void addRun(ActiveTask& task, ActiveExecutor& executor, RunPhase phase, TimePoint now);
     // Removes the task's run; the task waits again unless it is done.
     void endRun(ActiveTask& task, TimePoint now);
+    // Removes the run and what it reserves, and nothing else.
+    void removeRun(ActiveTask& task);
     void refreshReady(ActiveStep& step);
     void refreshOccurrence(ActiveOccurrence& occurrence);
     void markDirty(ActiveJob& job);
@@ -193,11 +195,17 @@
     // Decides about suspects once other crashes of the same moment are known.
     void judgeSuspects(TimePoint now);
     void judgeLater(ActiveTask& task, CrashRelation relation, TimePoint now);
+    // Takes a crash back as a reason for suspicion, since it was one of several with a common cause.
+    void explain(ActiveTask& task, CrashRelation relation, TimePoint now);
     void giveUp(ActiveTask& task, TimePoint now);
+    // The run has been at work for so long that it is no cause of a crash.
+    void proveRun(ActiveRun& run, TimePoint now);
     void clearSuspect(ActiveTask& task, TimePoint now);
     // Keeps other tasks away from the executor of a suspect, and lets them in again.
     void seclude(ActiveRun& run, TimePoint now);
     void share(ActiveRun& run, std::string_view reason, TimePoint now);
+    // Lets others in beside suspects that have outlasted the moment after their start, or have had their time.
+    void shareProven(ActiveExecutor& executor, TimePoint now);
     // True if the task is a suspect that still waits to run alone, and before others of its step.
     static bool awaitsSeclusion(const ActiveTask& task, TimePoint now);
     // True if a crash of the executor soon after the start could be told from that of other runs there, or if
@@ -229,7 +237,13 @@
     static std::int32_t preemptsAfter(const ActiveStep& step);
     void placeStep(ActiveStep& step, TimePoint now);
     void placeGang(ActiveStep& step, TimePoint now);
+    // Chooses an executor, assigns it to the task and records the run. Returns whether there was one.
     bool placeTask(ActiveTask& task, TimePoint now);
+    // Reserves the task's resources on the best executor, under a run that nobody else learns of until
+    // recordRun(); removeRun() undoes it. Returns false if no executor can run the task now.
+    bool assignExecutor(ActiveTask& task, TimePoint now);
+    // Numbers the run that was assigned, and has it stored and then started.
+    void recordRun(ActiveTask& task, TimePoint now);
     PlacementNeeds needsOf(const ActiveTask& task, TimePoint now);
     // Includes the capacity that is held for the task there.
     static Resources freeCapacityFor(const ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs);
@@ -260,6 +274,8 @@
     void fence(ActiveExecutor& executor);
     // Returns when leases of former owners have expired on an executor that this owner has not reached yet.
     TimePoint formerLeaseExpiry(std::string_view id) const;
+    // Sets the lease that an incarnation unknown to a former owner may have granted to a restored run.
+    void restoreUnseenLease(ActiveRun& run);
     // Notes for how long restored runs on an executor that does not respond count as running.
     void noteAwaitedLease(const ActiveExecutor& executor, TimePoint now);
     // Returns how long the executor may wait for an end before it sends its next report.
