Play long-running jobs in the soak and check work that waits beside room

The soak checked only whether jobs had ended 30 s after the last fault, so that a long-running task away for many seconds, or a job with nothing running beside empty executors, went unseen: the incident LOST. A share of the jobs now runs until it is cancelled, and RunLedgerWaits checks both rules of LOST with room counted in runs. Existing seeds of the tests draw the jobs that they drew before (share 0).

--- a/plantainhold/testing/soak/RunLedgerTest.cpp
+++ b/plantainhold/testing/soak/RunLedgerTest.cpp
@@ -52,6 +52,13 @@
             return rules;
         }
 
+        // Lets time pass with this room, as the fleet would: it checks many times a second.
+        void wait(Milliseconds time, const FleetRoom& room)
+        {
+            for (TimePoint until = now + time; now < until; pass(s_step))
+                ledger.checkWaiting(room, now);
+        }
+
     private:
         SoakLog m_log;
 
@@ -65,6 +72,25 @@
 
     using Rules = std::vector<Rule>;
 
+    constexpr std::uint32_t s_longRunningTasks = 2;
+    // Room for the task twice over, under half of it in use; just under that room; no more than half free.
+    constexpr FleetRoom s_emptyRoom { 16, 4 };
+    constexpr FleetRoom s_fullRoom { 16, 15 };
+    constexpr FleetRoom s_halfRoom { 16, 8 };
+
+    // A job of long-running tasks was accepted in calm time, and the first of its tasks runs.
+    struct LongRunningWorld : World {
+        LongRunningWorld()
+        {
+            ledger.longRunningJobSubmitted(s_job, order.payload, s_longRunningTasks);
+            ledger.setCalmSince(now);
+            one.start(order, now);
+        }
+
+        ExecutorState one = executor("e-1");
+        StartOrder order { s_task, 1, "500 long-running", 1 << 20, 5 };
+    };
+
 } // namespace
 
 TEST_CASE("two runs of one task on two executors that are up are reported")
@@ -332,6 +358,130 @@
     CHECK(world.broken().empty());
 }
 
+TEST_CASE("a job that has nothing running for 3 s after the traffic is reported if under half of the room is in use")
+{
+    FleetRoom room = GENERATE(s_emptyRoom, s_halfRoom, s_fullRoom);
+    World world;
+    world.wait(Milliseconds(60'000), room);
+    world.ledger.trafficEnded(world.now);
+    world.wait(s_finishCheck + s_waitLimit - s_step, room);
+    CHECK(world.broken().empty());
+    world.wait(3 * s_step, room);
+    CHECK(world.broken() == (room.running == s_emptyRoom.running ? Rules { Rule::Lost } : Rules {}));
+    world.wait(s_waitLimit, room);
+    CHECK(world.broken().size() <= 1);
+}
+
+TEST_CASE("a job with a run, one that is done and one that was cancelled do not wait")
+{
+    int how = GENERATE(0, 1, 2);
+    World world;
+    ExecutorState one = world.executor("e-1");
+    if (how == 2)
+        world.ledger.cancelRequested(s_job);
+    else
+        one.start(world.start(1, 5, one), world.now);
+    world.pass(Milliseconds(1'000) + s_step);
+    if (how == 1)
+        one.advance(world.now);
+    world.ledger.trafficEnded(world.now);
+    world.wait(s_finishCheck + 2 * s_waitLimit, s_emptyRoom);
+    CHECK(world.broken().empty());
+}
+
+TEST_CASE("a wait that a run interrupts is counted anew")
+{
+    World world;
+    world.ledger.trafficEnded(world.now);
+    world.wait(s_finishCheck + s_waitLimit - s_step, s_emptyRoom);
+    ExecutorState one = world.executor("e-1");
+    one.start(world.start(1, 5, one), world.now);
+    world.wait(s_step, s_emptyRoom);
+    one.crash();
+    world.wait(s_waitLimit - s_step, s_emptyRoom);
+    CHECK(world.broken().empty());
+    world.wait(3 * s_step, s_emptyRoom);
+    CHECK(world.broken() == Rules { Rule::Lost });
+}
+
+TEST_CASE("a long-running task runs until it is stopped")
+{
+    LongRunningWorld world;
+    world.order.deadlineMs = world.one.clockMs(world.now) + s_maxLease.count();
+    world.one.report({ 5, 0, world.order.deadlineMs }, world.now);
+    world.pass(s_maxLease - s_step);
+    world.one.advance(world.now);
+    CHECK(world.one.running().size() == 1);
+    world.one.stop({ s_task, 1, 5 }, world.now);
+    world.pass(s_stopTimeout);
+    world.one.report({ 5, 0, std::nullopt }, world.now);
+    CHECK(world.one.running().empty());
+}
+
+TEST_CASE("a long-running task that is away is reported 9 s after its last run, however full the executors are, but not without room")
+{
+    FleetRoom room = GENERATE(s_emptyRoom, s_halfRoom, s_fullRoom);
+    LongRunningWorld world;
+    world.order.task = "00000000000000aa.0.0.1";
+    world.one.start(world.order, world.now);
+    world.wait(Milliseconds(2'000), room);
+    world.one.stop({ s_task, 1, 5 }, world.now);
+    world.wait(s_stopTimeout, room);
+    world.one.advance(world.now);
+    world.wait(s_longRunningAway + s_waitLimit - s_step, room);
+    CHECK(world.broken().empty());
+    world.wait(4 * s_step, room);
+    CHECK(world.broken() == (room.running == s_fullRoom.running ? Rules {} : Rules { Rule::Lost }));
+}
+
+TEST_CASE("a long-running task that never ran is reported 9 s after its job was accepted, if under half of the room is in use")
+{
+    FleetRoom room = GENERATE(s_emptyRoom, s_halfRoom);
+    LongRunningWorld world;
+    world.wait(s_longRunningAway + s_waitLimit - s_step, room);
+    CHECK(world.broken().empty());
+    world.wait(4 * s_step, room);
+    CHECK(world.broken() == (room.running == s_emptyRoom.running ? Rules { Rule::Lost } : Rules {}));
+}
+
+TEST_CASE("a long-running task that is away is not reported before 4 s of calm and 3 s more")
+{
+    bool isFault = GENERATE(true, false);
+    LongRunningWorld world;
+    world.wait(Milliseconds(20), s_emptyRoom);
+    world.one.crash();
+    world.wait(s_longRunningAway, s_emptyRoom);
+    if (isFault)
+        world.ledger.setCalmSince(world.now);
+    else
+        world.ledger.fleetChanged(world.now);
+    world.wait(s_calmBefore + s_waitLimit - s_step, s_emptyRoom);
+    CHECK(world.broken().empty());
+    world.wait(4 * s_step, s_emptyRoom);
+    CHECK(world.broken() == Rules { Rule::Lost, Rule::Lost });
+}
+
+TEST_CASE("a long-running task of a cancelled job is not missed, and its job not at the end")
+{
+    LongRunningWorld world;
+    world.one.crash();
+    world.ledger.cancelRequested(s_job);
+    world.wait(s_longRunningAway + 2 * s_waitLimit, s_emptyRoom);
+    CHECK(world.broken().empty());
+    CHECK(world.ledger.openJobs() == 1);
+    world.ledger.jobShown(s_job, JobAnswer::Cancelled, true, world.now);
+    world.ledger.checkFinished();
+    CHECK(world.broken().empty());
+}
+
+TEST_CASE("a long-running job that nobody cancelled may be open at the end")
+{
+    LongRunningWorld world;
+    CHECK(world.ledger.openJobs() == 0);
+    world.ledger.checkFinished();
+    CHECK(world.broken().empty());
+}
+
 TEST_CASE("a deadly task crashes its executor a moment after its start, its neighbours do not")
 {
     bool isDeadly = GENERATE(true, false);
--- a/standin/SoakMain.cpp
+++ b/standin/SoakMain.cpp
@@ -1,5 +1,5 @@
 // standinSoak --bin FOLDER [--seed N] [--seconds S] [--instances I] [--executors E]
-//             [--jobs-per-second R] [--fault KIND]... [--fault-gap-ms MS] [--calm] [--unguarded] [--keep]
+//             [--jobs-per-second R] [--long-running SHARE] [--fault KIND]... [--fault-gap-ms MS] [--calm] [--unguarded] [--keep]
 //
 // Plays one soak of real entry instances against stand-ins of the platform. Exits with 1
 // if a rule was broken, and names the folder with the logs then.
@@ -20,6 +20,7 @@
 
 // Instances have an address each in one subnet.
 constexpr std::uint32_t s_maxInstances = 200;
+constexpr double s_longRunningShare = 0.05;
 
 struct CommandLine {
     soak::SoakOptions options;
@@ -36,6 +37,7 @@
     TCLAP::ValueArg<std::uint32_t> instances("", "instances", "entry instances, at most 200", false, defaults.instances, "I", line);
     TCLAP::ValueArg<std::uint32_t> executors("", "executors", "executors", false, defaults.executors, "E", line);
     TCLAP::ValueArg<double> jobs("", "jobs-per-second", "jobs submitted a second", false, defaults.jobsPerSecond, "R", line);
+    TCLAP::ValueArg<double> longRunning("", "long-running", "share of the jobs that run until they are cancelled", false, s_longRunningShare, "SHARE", line);
     TCLAP::MultiArg<std::string> kinds("", "fault", "a kind of fault; if given, no others occur", false, "KIND", line);
     TCLAP::ValueArg<std::int64_t> gap("", "fault-gap-ms", "mean time between faults", false, defaults.faults.meanGap.count(), "MS", line);
     TCLAP::SwitchArg calm("", "calm", "without faults", line);
@@ -48,6 +50,7 @@
     given.options.instances = std::min(instances.getValue(), s_maxInstances);
     given.options.executors = executors.getValue();
     given.options.jobsPerSecond = jobs.getValue();
+    given.options.longRunningShare = longRunning.getValue();
     given.options.hasFaults = !calm.getValue();
     given.options.enforcesCapacity = !unguarded.getValue();
     given.options.faults.meanGap = plantainhold::Milliseconds(gap.getValue());
--- a/standin/soak/ExecutorFleet.cpp
+++ b/standin/soak/ExecutorFleet.cpp
@@ -116,6 +116,7 @@
     it.nextEntryAt = now + m_dependencies.random.between(Milliseconds(0), s_maxRegistrationDelay);
     m_hosts[host]->occupant = it.state;
     m_hosts[host]->isPromised = false;
+    m_dependencies.ledger.fleetChanged(now);
     m_dependencies.log.line("executor " + it.id + " born " + std::to_string(bornUnixMs) + " at " + m_hosts[host]->address);
 }
 
@@ -123,7 +124,9 @@
 {
     Executor& it = m_executors[executor];
     m_dependencies.log.line("executor " + it.id + " crashes");
-    advanceAll(std::chrono::steady_clock::now());
+    TimePoint now = std::chrono::steady_clock::now();
+    advanceAll(now);
+    m_dependencies.ledger.fleetChanged(now);
     it.state->crash();
     it.state = nullptr;
     m_hosts[it.host]->occupant = nullptr;
@@ -258,10 +261,23 @@
         removeLeftovers(now);
         crashDeadlyHit(now);
         m_dependencies.ledger.checkCancelled(now);
+        m_dependencies.ledger.checkWaiting(room(), now);
         co_await sleepFor(m_executor, s_advanceInterval);
     }
 }
 
+FleetRoom ExecutorFleet::room() const
+{
+    FleetRoom room;
+    for (const Executor& it : m_executors) {
+        if (!it.state)
+            continue;
+        room.capacity += it.state->traits().maxRuns;
+        room.running += it.state->running().size();
+    }
+    return room;
+}
+
 void ExecutorFleet::advanceAll(TimePoint now)
 {
     for (Executor& it : m_executors) {
--- a/standin/soak/ExecutorFleet.h
+++ b/standin/soak/ExecutorFleet.h
@@ -80,6 +80,8 @@
     // under its id or under a new one at the address that it had.
     void crashDeadlyHit(TimePoint now);
     void rename(Executor& executor);
+    // The room of all executors that are up.
+    FleetRoom room() const;
     void crash(std::size_t executor);
     void start(std::size_t executor, std::size_t host);
     void writeEntry(Executor& executor);
--- a/standin/soak/ExecutorState.cpp
+++ b/standin/soak/ExecutorState.cpp
@@ -71,7 +71,8 @@
     if (isDeadly(order) && !m_crashAt)
         m_crashAt = now + s_crashDelay;
     Milliseconds work(std::strtoll(order.payload.c_str(), nullptr, 10));
-    m_running[order.task] = { id, order.number, now, now + work };
+    bool isLongRunning = order.payload.ends_with(s_longRunningMark);
+    m_running[order.task] = { id, order.number, now, work, isLongRunning ? TimePoint::max() : now + work };
     if (m_running.size() > knownRoom(now))
         m_ledger.startedOverCapacity(id, m_running.size(), knownRoom(now));
     return OrderResult::Accepted;
--- a/standin/soak/ExecutorState.h
+++ b/standin/soak/ExecutorState.h
@@ -38,6 +38,10 @@
 // follow, and that task crashes its executor.
 inline constexpr std::string_view s_deadlyMark = " deadly ";
 
+// Follows the time that the task takes to begin in the payload of a job whose tasks run until
+// they are stopped.
+inline constexpr std::string_view s_longRunningMark = " long-running";
+
 struct StopOrder {
     std::string task;
     std::uint32_t number = 0;
@@ -68,6 +72,8 @@
         RunLedger::RunId id = 0;
         std::uint32_t number = 0;
         TimePoint startedAt;
+        // The time that it works, or that it takes to begin if it is long-running.
+        Milliseconds work {};
         TimePoint endsAt;
         bool isStopping = false;
     };
--- a/standin/soak/ExecutorWire.cpp
+++ b/standin/soak/ExecutorWire.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/Json.h"
 
+#include <algorithm>
+
 namespace plantainhold::soak {
 
 namespace json = boost::json;
@@ -65,8 +67,8 @@
 {
     json::array running;
     for (const auto& [task, run] : state.running()) {
-        auto total = std::max(run.endsAt - run.startedAt, Duration(1));
-        std::int64_t percent = 100 * (now - run.startedAt) / total;
+        auto total = std::max(Duration(run.work), Duration(1));
+        std::int64_t percent = std::min<std::int64_t>(100, 100 * (now - run.startedAt) / total);
         running.emplace_back(json::array { json::string(task), run.number, "", percent, s_taskMilliCores });
     }
     json::array ended;
--- a/standin/soak/JobClients.cpp
+++ b/standin/soak/JobClients.cpp
@@ -29,6 +29,11 @@
     constexpr double s_cancelledShare = 0.1;
     constexpr double s_resubmittedShare = 0.05;
     constexpr double s_longShare = 0.1;
+    constexpr std::uint64_t s_maxLongRunningTasks = 4;
+    // How long a long-running task takes to begin, and how long its job stays.
+    constexpr Milliseconds s_beginTime { 500 };
+    constexpr Milliseconds s_minLifetime { 4'000 };
+    constexpr Milliseconds s_maxLifetime { 25'000 };
 
     struct AnswerName {
         std::string_view name;
@@ -68,6 +73,8 @@
     std::string id;
     std::string body;
     bool isToCancel = false;
+    // Only for a job that is to be cancelled later than with the first question for its state.
+    TimePoint cancelAt {};
     bool isToResubmit = false;
     bool isCancelled = false;
 };
@@ -89,12 +96,34 @@
     return json::serialize(json::object { { "version", 1 }, { "routes", json::array { std::move(queue) } }, { "services", json::array { std::move(service) } }, { "limits", json::object {} } });
 }
 
-std::shared_ptr<JobClients::Job> JobClients::drawJob()
+std::string JobClients::drawId()
 {
-    auto job = std::make_shared<Job>();
     char id[17];
     std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(m_random.below(UINT64_MAX)));
-    job->id = id;
+    return id;
+}
+
+std::shared_ptr<JobClients::Job> JobClients::drawLongRunningJob()
+{
+    auto job = std::make_shared<Job>();
+    job->id = drawId();
+    std::string payload = std::to_string(s_beginTime.count()) + std::string(s_longRunningMark);
+    std::uint64_t tasks = 1 + m_random.below(s_maxLongRunningTasks);
+    json::object step { { "count", tasks }, { "cpu", s_taskMilliCores }, { "mem_mb", 64 }, { "long_running", true } };
+    job->body = json::serialize(json::object { { "spec", payload }, { "phases", json::array { std::move(step) } } });
+    job->isToCancel = true;
+    job->cancelAt = std::chrono::steady_clock::now() + m_random.between(s_minLifetime, s_maxLifetime);
+    m_ledger.longRunningJobSubmitted(job->id, std::move(payload), static_cast<std::uint32_t>(tasks));
+    return job;
+}
+
+std::shared_ptr<JobClients::Job> JobClients::drawJob()
+{
+    // Without such jobs the others are drawn as ever.
+    if (m_longRunningShare > 0 && !m_isNextDeadly && m_random.chance(m_longRunningShare))
+        return drawLongRunningJob();
+    auto job = std::make_shared<Job>();
+    job->id = drawId();
     auto work = m_random.chance(s_longShare) ? m_random.between(Milliseconds(5'000), Milliseconds(8'000)) : m_random.between(Milliseconds(200), Milliseconds(3'000));
     std::string payload = std::to_string(work.count());
     std::uint64_t first = 1 + m_random.below(4);
@@ -144,13 +173,21 @@
         if (job->isToResubmit)
             co_await submitOnce(*job);
         job->isToResubmit = false;
-        if (job->isToCancel)
+        if (isCancelDue(*job)) {
+            job->isToCancel = false;
             co_await cancel(*job);
-        job->isToCancel = false;
+        }
         isFinal = co_await ask(*job);
     }
 }
 
+bool JobClients::isCancelDue(const Job& job) const
+{
+    if (job.cancelAt == TimePoint {})
+        return job.isToCancel;
+    return job.isToCancel && !m_isStopped && std::chrono::steady_clock::now() >= job.cancelAt;
+}
+
 asio::awaitable<unsigned> JobClients::submitOnce(Job& job)
 {
     m_ledger.submissionOpen(job.id);
--- a/standin/soak/JobClients.h
+++ b/standin/soak/JobClients.h
@@ -26,6 +26,8 @@
 
     // Submits jobs at random times until stop() is called.
     boost::asio::awaitable<void> submitJobs(double jobsPerSecond);
+    // This share of the jobs runs until it is cancelled, which happens only before stop().
+    void setLongRunningShare(double share) { m_longRunningShare = share; }
     // The next job submitted has a task that crashes each executor that starts it.
     void makeNextDeadly() { m_isNextDeadly = true; }
     void stop() { m_isStopped = true; }
@@ -40,10 +42,13 @@
     boost::asio::awaitable<bool> submit(Job& job);
     boost::asio::awaitable<unsigned> submitOnce(Job& job);
     boost::asio::awaitable<void> cancel(Job& job);
+    bool isCancelDue(const Job& job) const;
     // Returns whether the answer was final.
     boost::asio::awaitable<bool> ask(Job& job);
     boost::asio::awaitable<HttpClientResponse> call(std::size_t instance, HttpMethod method, const std::string& id, std::string body);
     std::shared_ptr<Job> drawJob();
+    std::shared_ptr<Job> drawLongRunningJob();
+    std::string drawId();
     std::size_t anyInstance() { return m_random.below(m_instances.size()); }
 
     boost::asio::any_io_executor m_executor;
@@ -53,6 +58,7 @@
     IsInTouch m_isInTouch;
     bool m_isStopped = false;
     bool m_isNextDeadly = false;
+    double m_longRunningShare = 0;
 };
 
 } // namespace plantainhold::soak
--- a/standin/soak/RunLedger.cpp
+++ b/standin/soak/RunLedger.cpp
@@ -154,6 +154,13 @@
     it.deadlyTask = std::move(deadlyTask);
 }
 
+void RunLedger::longRunningJobSubmitted(const std::string& job, std::string payload, std::uint32_t tasks)
+{
+    jobSubmitted(job, std::move(payload), tasks);
+    for (std::uint32_t i = 0; i < tasks; ++i)
+        m_jobs.at(job).longRunning.push_back({ job + ".0.0." + std::to_string(i) });
+}
+
 void RunLedger::submissionOpen(const std::string& job)
 {
     ++m_jobs.at(job).openSubmissions;
@@ -233,14 +240,14 @@
 void RunLedger::checkFinished()
 {
     for (const auto& [id, job] : m_jobs) {
-        if (job.acceptedAt && !job.isFinal && job.deadlyTask.empty())
+        if (job.isUnfinished())
             report(Rule::Lost, "accepted job " + id + " has not ended " + std::to_string(s_finishLimit.count()) + " ms after the last fault; " + std::to_string(job.doneTasks.size()) + " of " + std::to_string(job.tasks) + " tasks are done, " + std::to_string(job.running.size()) + " run");
     }
 }
 
 std::size_t RunLedger::openJobs() const
 {
-    return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [](const auto& it) { return it.second.acceptedAt && !it.second.isFinal && it.second.deadlyTask.empty(); }));
+    return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [](const auto& it) { return it.second.isUnfinished(); }));
 }
 
 std::size_t RunLedger::completedJobs() const
--- a/standin/soak/RunLedger.h
+++ b/standin/soak/RunLedger.h
@@ -65,6 +65,12 @@
     Unknown,
 };
 
+// The room of all executors that are up and what it holds, in runs.
+struct FleetRoom {
+    std::size_t capacity = 0;
+    std::size_t running = 0;
+};
+
 class RunLedger {
 public:
     using RunId = std::size_t;
@@ -88,6 +94,8 @@
     // What clients see. A job must be submitted before anything else is reported about it.
     // Its deadly task, if there is one, crashes each executor that starts it.
     void jobSubmitted(const std::string& job, std::string payload, std::uint32_t tasks, std::string deadlyTask = {});
+    // Its tasks run until the job is cancelled.
+    void longRunningJobSubmitted(const std::string& job, std::string payload, std::uint32_t tasks);
     void submissionOpen(const std::string& job);
     void submissionAccepted(const std::string& job, TimePoint now);
     void submissionRejected(const std::string& job);
@@ -99,8 +107,15 @@
 
     // Since when no fault is active; std::nullopt while one is.
     void setCalmSince(std::optional<TimePoint> since) { m_calmSince = since; }
+    // An executor has crashed or started, whether as a fault or because of a deadly task.
+    void fleetChanged(TimePoint now) { m_fleetChangedAt = now; }
+    // No fault is active and no job is submitted from now on.
+    void trafficEnded(TimePoint now) { m_trafficEndedAt = now; }
     // Checks that tasks of cancelled jobs have stopped. To be called several times a second.
     void checkCancelled(TimePoint now);
+    // Checks that no job and no long-running task waits while there is room for it. To be
+    // called several times a second.
+    void checkWaiting(const FleetRoom& room, TimePoint now);
     // Checks that every accepted job has ended. To be called at the end of the run.
     void checkFinished();
 
@@ -124,6 +139,21 @@
         std::optional<RunId> laterStart;
     };
 
+    // How long something has been without a run although there was room for it.
+    struct Wait {
+        std::optional<TimePoint> since;
+        bool isReported = false;
+
+        // Returns true once for a wait that has become as long as this.
+        bool exceeds(Milliseconds limit, bool isWaiting, TimePoint now);
+    };
+
+    struct LongRunningTask {
+        std::string name;
+        std::optional<TimePoint> lastRunAt;
+        Wait wait;
+    };
+
     struct Job {
         std::string payload;
         std::uint32_t tasks = 0;
@@ -141,7 +171,14 @@
         std::map<std::string, bool> doneTasks;
         // Executors that crashed while the task ran there, for the tasks with such crashes.
         std::map<std::string, unsigned> crashesOfTask;
-
+        Wait wait;
+        // Empty if the job's tasks end by themselves.
+        std::vector<LongRunningTask> longRunning;
+
+        // True if the job has to go on until it has ended by itself.
+        bool isOwed() const { return acceptedAt && !isFinal && !isCancelRequested && deadlyTask.empty(); }
+        // True if the job must have ended at the end of the run; a long-running one only if it was cancelled.
+        bool isUnfinished() const { return acceptedAt && !isFinal && deadlyTask.empty() && (longRunning.empty() || isCancelRequested); }
         // True if the job may be shown as failed.
         bool mayBeGivenUp() const;
     };
@@ -150,6 +187,10 @@
     void checkTwice(RunId run);
     void checkBudget(RunId run);
     void checkUnasked(RunId run, TimePoint now);
+    void checkWaitingJob(const std::string& id, Job& job, const FleetRoom& room, TimePoint now);
+    void checkWaitingTask(const Job& job, LongRunningTask& task, const FleetRoom& room, TimePoint now);
+    // True if neither a fault nor a change of the fleet has been active for this time.
+    bool isCalmFor(Milliseconds time, TimePoint now) const;
     void report(Rule rule, std::string text);
     std::string describe(RunId run) const;
 
@@ -159,6 +200,8 @@
     std::map<std::string, std::vector<RunId>, std::less<>> m_runsOfTask;
     std::map<std::string, Job, std::less<>> m_jobs;
     std::optional<TimePoint> m_calmSince;
+    TimePoint m_fleetChangedAt {};
+    std::optional<TimePoint> m_trafficEndedAt;
     std::vector<Violation> m_violations;
 };
 
--- a/standin/soak/SoakOptions.h
+++ b/standin/soak/SoakOptions.h
@@ -15,6 +15,8 @@
     std::uint32_t instances = 5;
     std::uint32_t executors = 30;
     double jobsPerSecond = 15;
+    // The share of the jobs that run until they are cancelled.
+    double longRunningShare = 0;
     // Without faults, every job must complete soon and no rule has an excuse.
     bool hasFaults = true;
     // Whether executors reject what does not fit.
@@ -34,6 +36,13 @@
 // Callers know a room that shrank after the stability time and one heartbeat.
 inline constexpr Milliseconds s_shrinkNotice { 4'800 };
 inline constexpr Milliseconds s_maxLease { 6'000 };
+// While there is room twice over, nothing may wait for it as long as this: a job from the
+// second time after the traffic on, a long-running task from the third time after its last run
+// on, if there was no fault in the fourth time before.
+inline constexpr Milliseconds s_waitLimit { 3'000 };
+inline constexpr Milliseconds s_finishCheck { 14'000 };
+inline constexpr Milliseconds s_longRunningAway { 6'000 };
+inline constexpr Milliseconds s_calmBefore { 4'000 };
 // After the last fault every accepted job must end within this time.
 inline constexpr Milliseconds s_finishLimit { 30'000 };
 
--- a/standin/soak/SoakRun.cpp
+++ b/standin/soak/SoakRun.cpp
@@ -12,6 +12,7 @@
 #include "standin/soak/SoakOptions.h"
 #include "standin/soak/StoreService.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -28,6 +29,7 @@
     // How long the instances have until traffic begins.
     constexpr Milliseconds s_warmUp { 3'000 };
     constexpr Milliseconds s_pollInterval { 50 };
+    constexpr Milliseconds s_endSlack { 500 };
     // The instances' tokens consist of a generation and a number of this many bits.
     constexpr unsigned s_tokenBits = 24;
 
@@ -68,6 +70,7 @@
         {
             co_await sleepFor(m_context.get_executor(), s_warmUp);
             m_ledger.setCalmSince(std::chrono::steady_clock::now());
+            m_clients.setLongRunningShare(m_options.longRunningShare);
             asio::co_spawn(m_context, m_clients.submitJobs(m_options.jobsPerSecond), asio::detached);
             std::vector<Fault> schedule;
             ScheduleOptions faults = m_options.faults;
@@ -80,10 +83,14 @@
             while (std::chrono::steady_clock::now() < end)
                 co_await sleepFor(m_context.get_executor(), s_pollInterval);
             m_clients.stop();
+            m_ledger.trafficEnded(std::chrono::steady_clock::now());
             m_log.line("calm end begins");
             TimePoint last = std::chrono::steady_clock::now() + s_finishLimit;
             // Cancelled jobs' runs are watched for at least the time that the rules allow them.
-            TimePoint first = std::chrono::steady_clock::now() + s_stability + s_cancelLimit + s_stopTimeout + Milliseconds(500);
+            Milliseconds watched = s_stability + s_cancelLimit + s_stopTimeout;
+            if (m_options.longRunningShare > 0)
+                watched = std::max(watched, s_calmBefore + s_waitLimit);
+            TimePoint first = std::chrono::steady_clock::now() + watched + s_endSlack;
             while (std::chrono::steady_clock::now() < first || (m_ledger.openJobs() && std::chrono::steady_clock::now() < last))
                 co_await sleepFor(m_context.get_executor(), s_pollInterval);
             m_ledger.checkFinished();
