Crash many executors at once and restart instances in turn in the soak

Two kinds are appended: lose-executors and roll-instances. Schedules that name their kinds are as before; those of all kinds change.

--- a/standin/soak/ExecutorFleet.cpp
+++ b/standin/soak/ExecutorFleet.cpp
@@ -36,6 +36,12 @@
     constexpr Milliseconds s_minCrashAway { 2'000 };
     constexpr Milliseconds s_maxCrashAway { 4'000 };
     constexpr double s_newIdChance = 0.5;
+    // The shortest time for which an executor is away that has crashed with others.
+    constexpr Milliseconds s_minLostAway { 300 };
+    constexpr double s_lostForGoodChance = 0.25;
+    // So that the others have room for what runs, at most this share never comes back.
+    constexpr double s_maxLostForGood = 0.25;
+    constexpr std::uint64_t s_groupStream = 4;
     // Nobody listens there.
     constexpr std::string_view s_emptyAddress = "127.0.0.1:9";
 
@@ -191,6 +197,38 @@
     m_leftovers.push_back({ std::move(id), std::chrono::steady_clock::now() + s_missedHeartbeats * s_heartbeat });
 }
 
+void ExecutorFleet::loseGroup(double share, Milliseconds maxAway, std::uint64_t seed)
+{
+    SoakRandom random(seed, s_groupStream);
+    std::vector<std::size_t> up;
+    for (std::size_t i = 0; i < m_executors.size(); ++i) {
+        if (m_executors[i].state)
+            up.push_back(i);
+    }
+    auto n = std::min(up.size(), static_cast<std::size_t>(share * static_cast<double>(m_executors.size())));
+    m_dependencies.log.line(std::to_string(n) + " of " + std::to_string(up.size()) + " executors crash at once");
+    for (std::size_t i = 0; i < n; ++i) {
+        std::swap(up[i], up[i + random.below(up.size() - i)]);
+        loseOne(up[i], maxAway, random);
+    }
+}
+
+void ExecutorFleet::loseOne(std::size_t executor, Milliseconds maxAway, SoakRandom& random)
+{
+    Executor& it = m_executors[executor];
+    bool isForGood = random.chance(s_lostForGoodChance) && static_cast<double>(m_lostForGood) < s_maxLostForGood * static_cast<double>(m_executors.size());
+    bool isRenamed = random.chance(s_newIdChance);
+    Milliseconds away = random.between(std::min(s_minLostAway, maxAway), maxAway);
+    if (isForGood) {
+        ++m_lostForGood;
+        crash(executor);
+        return;
+    }
+    restart(it.host, away);
+    if (isRenamed)
+        rename(it);
+}
+
 void ExecutorFleet::removeLeftovers(TimePoint now)
 {
     if (!m_isStoreReachable)
--- a/standin/soak/ExecutorFleet.h
+++ b/standin/soak/ExecutorFleet.h
@@ -54,6 +54,9 @@
     // Another writer puts odd entries: one under the id of the executor there, whose own
     // entry follows with the next heartbeat, and one under an id that no executor has.
     void writeOddEntries(std::size_t host);
+    // This share of the executors crashes at the same moment. Some are back within the longest
+    // time under their ids, some under new ones at their addresses, and some never.
+    void loseGroup(double share, Milliseconds maxAway, std::uint64_t seed);
     // The executor there has room for this many runs from now on, and registers it.
     void resize(std::size_t host, std::uint32_t maxRuns);
     // While a host is isolated its executor does not register.
@@ -80,6 +83,7 @@
     // under its id or under a new one at the address that it had.
     void crashDeadlyHit(TimePoint now);
     void rename(Executor& executor);
+    void loseOne(std::size_t executor, Milliseconds maxAway, SoakRandom& random);
     // The room of all executors that are up.
     FleetRoom room() const;
     void crash(std::size_t executor);
@@ -98,6 +102,7 @@
     std::vector<Leftover> m_leftovers;
     std::uint64_t m_oddIds = 0;
     std::uint64_t m_newIds = 0;
+    std::size_t m_lostForGood = 0;
     bool m_isStoreReachable = true;
 };
 
--- a/standin/soak/FaultInjector.cpp
+++ b/standin/soak/FaultInjector.cpp
@@ -39,6 +39,12 @@
     // An executor's room as it starts, and the largest to which it shrinks.
     constexpr std::uint32_t s_usualRoom = 8;
     constexpr std::uint32_t s_shrunkRoom = 4;
+    // How many of the executors crash at the same moment.
+    constexpr double s_minGroupShare = 0.25;
+    constexpr double s_maxGroupShare = 0.45;
+    // A rolling restart terminates at most this many instances, one in each gap.
+    constexpr std::size_t s_maxRolled = 10;
+    constexpr Milliseconds s_rollGap { 1'000 };
     // The executor writes its entry within this time after an odd one.
     constexpr Milliseconds s_oddEntryTime { 1'800 };
 
@@ -93,6 +99,8 @@
         &FaultInjector::writeOddEntries,
         &FaultInjector::resizeExecutor,
         &FaultInjector::submitDeadlyTask,
+        &FaultInjector::loseExecutors,
+        &FaultInjector::rollInstances,
     };
     ++m_activeFaults;
     m_dependencies.ledger.setCalmSince(std::nullopt);
@@ -158,6 +166,11 @@
     for (std::size_t i = 1; i < m_dependencies.instances.size(); ++i)
         asio::co_spawn(m_executor, restartInstance(i, SIGKILL, fault.duration), asio::detached);
     co_await restartInstance(0, SIGKILL, fault.duration);
+    co_await untilAllRun();
+}
+
+asio::awaitable<void> FaultInjector::untilAllRun()
+{
     while (std::find(m_isRestarting.begin(), m_isRestarting.end(), true) != m_isRestarting.end())
         co_await sleepFor(m_executor, s_pollInterval);
 }
@@ -337,4 +350,22 @@
     co_return;
 }
 
+asio::awaitable<void> FaultInjector::loseExecutors(Fault fault)
+{
+    double share = s_minGroupShare + fault.strength * (s_maxGroupShare - s_minGroupShare);
+    m_dependencies.executors.loseGroup(share, fault.duration, fault.target);
+    co_await sleepFor(m_executor, fault.duration);
+}
+
+asio::awaitable<void> FaultInjector::rollInstances(Fault fault)
+{
+    std::size_t n = m_dependencies.instances.size();
+    std::size_t first = instanceFor(fault);
+    for (std::size_t i = 0; i < std::min(n, s_maxRolled); ++i) {
+        asio::co_spawn(m_executor, restartInstance((first + i) % n, SIGTERM, fault.duration), asio::detached);
+        co_await sleepFor(m_executor, s_rollGap);
+    }
+    co_await untilAllRun();
+}
+
 } // namespace plantainhold::soak
--- a/standin/soak/FaultInjector.h
+++ b/standin/soak/FaultInjector.h
@@ -67,8 +67,11 @@
     boost::asio::awaitable<void> writeOddEntries(Fault fault);
     boost::asio::awaitable<void> resizeExecutor(Fault fault);
     boost::asio::awaitable<void> submitDeadlyTask(Fault fault);
+    boost::asio::awaitable<void> loseExecutors(Fault fault);
+    boost::asio::awaitable<void> rollInstances(Fault fault);
 
     boost::asio::awaitable<void> restartInstance(std::size_t instance, int signal, Milliseconds away);
+    boost::asio::awaitable<void> untilAllRun();
     std::size_t instanceFor(const Fault& fault) const;
     std::size_t hostFor(const Fault& fault) const;
     void disturbStore(Milliseconds time);
--- a/standin/soak/SoakSchedule.cpp
+++ b/standin/soak/SoakSchedule.cpp
@@ -42,6 +42,8 @@
         { FaultKind::OddEntries, "odd-entries", 8, ms(0), ms(0) },
         { FaultKind::ResizeExecutor, "resize-executor", 8, ms(1'000), ms(9'000) },
         { FaultKind::DeadlyTask, "deadly-task", 3, ms(0), ms(0) },
+        { FaultKind::LoseExecutors, "lose-executors", 5, ms(300), ms(4'000) },
+        { FaultKind::RollInstances, "roll-instances", 3, ms(0), ms(500) },
     });
 
     const KindTraits& traitsOf(FaultKind kind)
--- a/standin/soak/SoakSchedule.h
+++ b/standin/soak/SoakSchedule.h
@@ -36,6 +36,8 @@
     OddEntries,
     ResizeExecutor,
     DeadlyTask,
+    LoseExecutors,
+    RollInstances,
 };
 
 struct Fault {
