--- a/plantainhold/testing/soak/SoakTest.cpp
+++ b/plantainhold/testing/soak/SoakTest.cpp
@@ -20,6 +20,7 @@
     constexpr std::uint32_t s_executors = 12;
     constexpr double s_jobsPerSecond = 6;
     constexpr double s_busyJobsPerSecond = 15;
+    constexpr double s_longRunningShare = 0.15;
 
     SoakOptions optionsFor(std::uint64_t seed, std::chrono::seconds duration)
     {
@@ -132,4 +133,19 @@
     CHECK(result.completedJobs > 0);
 }
 
+// Guards against the incident LOST: a third of the executors crashed at once, their tasks were suspected of it, and each
+// suspect kept an executor to itself, so that long-running tasks and jobs waited while there was room for them.
+TEST_CASE("no long-running task and no job waits beside free room after many executors crashed at once and instances were restarted in turn")
+{
+    SoakOptions options = optionsFor(501, std::chrono::seconds(4));
+    options.executors = 2 * s_executors;
+    options.longRunningShare = s_longRunningShare;
+    options.faults.meanGap = Milliseconds(1'200);
+    options.faults.kinds = { FaultKind::LoseExecutors, FaultKind::RollInstances };
+    SoakResult result = play(options);
+    CHECK(result.isGreen());
+    CHECK(result.faults > 0);
+    CHECK(result.completedJobs > 0);
+}
+
 } // namespace plantainhold::soak
