--- a/plantainhold/jobs/JobCrashes.cpp
+++ b/plantainhold/jobs/JobCrashes.cpp
@@ -11,11 +11,14 @@
 namespace {
 
     // How long a suspect waits for an executor of its own, and for one where nothing has begun for a while.
-    // After that it runs anywhere.
-    constexpr Milliseconds s_emptyWait { 1'000 };
-    constexpr Milliseconds s_seclusionWait { 4'000 };
+    // After that it runs anywhere and keeps nobody away: a job may wait no longer than 3 s beside room.
+    constexpr Milliseconds s_emptyWait { 500 };
+    constexpr Milliseconds s_seclusionWait { 2'000 };
     // Longer than CrashCounts::s_soonLimit, so that a crash can be told from that of a run which began before.
     constexpr Milliseconds s_quietTime { 400 };
+    // How long a suspect keeps others from its executor at most, if no report shows sooner that it has outlasted
+    // the moment after its start.
+    constexpr Milliseconds s_maxSeclusion { 1'500 };
 
     std::string_view nameOf(CrashRelation relation)
     {
@@ -45,9 +48,12 @@
     if (executor.entry.isDraining)
         return;
     std::vector<ActiveRun*> soon;
+    bool isExplained = false;
+    bool isCrash = executor.reportedUnixMs != 0;
     for (ActiveRun* it : executor.runs) {
         bool isConcerned = (it->wasSentHere() || it->phase >= RunPhase::Unconfirmed) && it->incarnation != survivor && it->crash == CrashRelation::None;
-        if (!isConcerned || executor.heardAt >= it->begunAt() + CrashCounts::s_soundAfter)
+        isCrash = isCrash || isConcerned;
+        if (!isConcerned || it->isProven || executor.heardAt >= it->begunAt() + CrashCounts::s_soundAfter)
             continue;
         bool isSoon = it->wasSentHere() && it->sentAt + CrashCounts::s_soonLimit >= executor.heardAt;
         bool hasBegun = it->phase == RunPhase::Running;
@@ -55,20 +61,25 @@
         // neither when.
         if (isSoon || hasBegun || !it->wasSentHere())
             it->crash = CrashRelation::Later;
+        // A start that nobody confirmed may have begun and be the cause.
+        isExplained = isExplained || isSoon;
         if (isSoon && hasBegun)
             soon.push_back(it);
     }
     for (ActiveRun* it : soon)
         it->crash = soon.size() == 1 ? CrashRelation::SoonAlone : CrashRelation::Soon;
-    if (soon.empty() && executor.reportedUnixMs)
+    if (isCrash && !isExplained)
         m_crashSeries.addUnexplained(now);
 }
 
 void JobScheduler::countCrash(ActiveTask& task, const ExpiredRun& run, TimePoint now)
 {
     task.crashes.add(run.crash);
-    m_events.note(EventId::TaskCrashedExecutor, { { "task", task.name().text() }, { "run", run.number }, { "executor", run.executor }, { "incarnation", run.incarnation }, { "relation", nameOf(run.crash) }, { "crashes", task.crashes.all }, { "soon", task.crashes.soon }, { "alone", task.crashes.alone } });
-    judgeLater(task, run.crash, now);
+    bool isExplained = m_crashSeries.hasCommonCauseNear(now);
+    if (isExplained)
+        task.crashes.explain(run.crash);
+    m_events.note(EventId::TaskCrashedExecutor, { { "task", task.name().text() }, { "run", run.number }, { "executor", run.executor }, { "incarnation", run.incarnation }, { "relation", nameOf(run.crash) }, { "crashes", task.crashes.all }, { "soon", task.crashes.soon }, { "alone", task.crashes.alone }, { "explained", task.crashes.explained } });
+    judgeLater(task, isExplained ? CrashRelation::None : run.crash, now);
     markDirty(task.step->job());
 }
 
@@ -86,7 +97,7 @@
 
 void JobScheduler::keepExpired(ActiveExecutor& executor, const ActiveRun& run)
 {
-    bool isSound = executor.heardAt >= run.begunAt() + CrashCounts::s_soundAfter;
+    bool isSound = run.isProven || executor.heardAt >= run.begunAt() + CrashCounts::s_soundAfter;
     if (!isSound && !executor.entry.isDraining && run.crash == CrashRelation::None)
         executor.expiredRuns.push_back({ run.task->name(), run.number, executor.entry.id, run.incarnation, CrashRelation::Later });
 }
@@ -110,6 +121,8 @@
         ActiveTask* task = found == m_jobs.end() ? nullptr : found->second->find(suspicion.task);
         if (!task || task->isDone || isFinal(found->second->state))
             continue;
+        if (suspicion.relation != CrashRelation::None && m_crashSeries.hasCommonCauseNear(suspicion.when))
+            explain(*task, suspicion.relation, now);
         bool isAlone = suspicion.relation == CrashRelation::SoonAlone && !m_crashSeries.hasUnexplainedNear(suspicion.when);
         task->crashes.alone += isAlone;
         if (task->crashes.isConvicted(m_crashSeries.hasUnexplained(now)))
@@ -121,6 +134,17 @@
         wakeAt(m_suspicions.front().when + CrashSeries::s_after);
 }
 
+void JobScheduler::explain(ActiveTask& task, CrashRelation relation, TimePoint now)
+{
+    // An end or some seconds of work may have cleared the task since.
+    if (task.crashes == CrashCounts {})
+        return;
+    task.crashes.explain(relation);
+    if (task.run && task.run->isSuspect && !task.crashes.isSuspect())
+        share(*task.run, "other executors crashed at the same moment", now);
+    markDirty(task.step->job());
+}
+
 void JobScheduler::giveUp(ActiveTask& task, TimePoint now)
 {
     ActiveJob& job = task.step->job();
@@ -128,6 +152,16 @@
     finish(job, JobState::Failed, now);
 }
 
+void JobScheduler::proveRun(ActiveRun& run, TimePoint now)
+{
+    clearSuspect(*run.task, now);
+    if (run.isProven)
+        return;
+    run.isProven = true;
+    // The next owner cannot know otherwise how long the run has been at work.
+    markDirty(run.task->step->job());
+}
+
 void JobScheduler::clearSuspect(ActiveTask& task, TimePoint now)
 {
     if (task.crashes == CrashCounts {})
@@ -146,11 +180,29 @@
     m_events.note(EventId::ExecutorSecluded, { { "executor", executor.entry.id }, { "task", run.task->name().text() }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(now - run.task->waitingSince).count() }, { "beside", executor.runs.size() }, { "secluded", secluded }, { "executors", m_executorList.size() } });
 }
 
+void JobScheduler::shareProven(ActiveExecutor& executor, TimePoint now)
+{
+    if (!executor.suspectRuns)
+        return;
+    for (ActiveRun* it : executor.runs) {
+        if (!it->isSuspect)
+            continue;
+        bool isAtWork = it->phase == RunPhase::Running && executor.heardAt >= it->begunAt() + s_quietTime;
+        TimePoint last = it->assignedAt + s_maxSeclusion;
+        if (isAtWork || now >= last)
+            share(*it, isAtWork ? "the run has outlasted its start" : "its time is over", now);
+        else
+            wakeAt(last);
+    }
+}
+
 void JobScheduler::share(ActiveRun& run, std::string_view reason, TimePoint now)
 {
     run.isSuspect = false;
     ActiveExecutor& executor = *run.executor;
     --executor.suspectRuns;
+    noteChange(executor);
+    m_needsPlacement = true;
     m_events.note(EventId::ExecutorShared, { { "executor", executor.entry.id }, { "task", run.task->name().text() }, { "secluded_ms", std::chrono::duration_cast<Milliseconds>(now - run.assignedAt).count() }, { "reason", reason } });
 }
 
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cmath>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace plantainhold {
@@ -32,6 +33,9 @@
     // never ran waits as long for short tasks while most of the capacity is free.
     constexpr Milliseconds s_starvedAfter { 1'500 };
     constexpr std::uint32_t s_starvedNeighbours = 1;
+    // If no such executor is found for this long, it gets one beside any number of best-effort runs: these reserve
+    // nothing, and each job with nothing running has a claim to a share of what is left over.
+    constexpr Milliseconds s_starvedLongAfter { 500 };
     constexpr double s_otherImageCost = 40;
     // Cost of placing a task that causes no pressure on an executor without latency-critical tasks.
     constexpr double s_unpressuredTask = 50;
@@ -135,6 +139,8 @@
     TimePoint starved = waiting == step.tasks.end() ? TimePoint::max() : starvedSince(*waiting);
     if (now < starved)
         m_placeAgainAt = std::min(m_placeAgainAt, starved);
+    else if (now < starved + s_starvedLongAfter)
+        m_placeAgainAt = std::min(m_placeAgainAt, starved + s_starvedLongAfter);
     bool needsAdvice = step.job().settings.needsAdvice;
     if (!needsAdvice || step.advice.hasTicket(now))
         step.spec->isGang ? placeGang(step, now) : placeStep(step, now);
@@ -158,7 +164,7 @@
             continue;
         }
         bool isSecluded = awaitsSeclusion(task, now);
-        bool isHeldBack = isSecluded && (step.hasSuspectRun() || now < step.verdictAt);
+        bool isHeldBack = isSecluded && (step.hasSuspectRun() || now < step.verdictAt || !m_load.maySeclude(step.job().settings.service));
         if (!isHeldBack && placeTask(task, now))
             continue;
         if (isSecluded) {
@@ -189,16 +195,20 @@
         it.checkpoint = checkpoint;
     }
     for (ActiveTask& it : step.tasks) {
-        if (it.notBefore <= now && placeTask(it, now))
+        if (it.notBefore <= now && assignExecutor(it, now))
             continue;
-        for (ActiveTask& placed : step.tasks) {
-            if (!placed.run)
+        for (ActiveTask& assigned : step.tasks) {
+            if (!assigned.run)
                 continue;
-            std::erase_if(m_starts, [&](const CommitBatch::Start& start) { return start.task == placed.name(); });
-            endRun(placed, now);
+            const ActiveExecutor& executor = *assigned.run->executor;
+            m_load.remove(executor);
+            removeRun(assigned);
+            m_load.add(executor);
         }
         return;
     }
+    for (ActiveTask& it : step.tasks)
+        recordRun(it, now);
 }
 
 TimePoint JobScheduler::starvedSince(const ActiveTask& task) const
@@ -217,7 +227,12 @@
 PlacementNeeds JobScheduler::needsOf(const ActiveTask& task, TimePoint now)
 {
     const StepSpec& spec = *task.step->spec;
-    PlacementNeeds needs { spec.reserved(), 0, std::nullopt, now >= starvedSince(task) };
+    PlacementNeeds needs { spec.reserved(), 0, std::nullopt, false, s_starvedNeighbours };
+    if (TimePoint starved = starvedSince(task); starved != TimePoint::max()) {
+        needs.isStarved = now >= starved;
+        if (now >= starved + s_starvedLongAfter)
+            needs.maxNeighbours = std::numeric_limits<std::uint32_t>::max();
+    }
     if (spec.isBestEffort()) {
         needs.pressure = m_pacer.meanPressure(spec);
         needs.load = m_pacer.loadOf(spec);
@@ -235,7 +250,7 @@
 
 bool JobScheduler::isStarvedOn(const ActiveExecutor& executor, const PlacementNeeds& needs)
 {
-    return needs.isStarved && executor.bestEffortRuns <= s_starvedNeighbours;
+    return needs.isStarved && executor.bestEffortRuns <= needs.maxNeighbours;
 }
 
 PlacementObstacle JobScheduler::obstacleOn(const ActiveExecutor& executor, const ActiveTask& task, const PlacementNeeds& needs, TimePoint now) const
@@ -309,17 +324,24 @@
 
 bool JobScheduler::placeTask(ActiveTask& task, TimePoint now)
 {
-    ActiveStep& step = *task.step;
+    if (!assignExecutor(task, now))
+        return false;
+    recordRun(task, now);
+    return true;
+}
+
+bool JobScheduler::assignExecutor(ActiveTask& task, TimePoint now)
+{
     bool isStarved = now >= starvedSince(task);
-    bool isSuspect = task.crashes.isSuspect();
+    bool isSecluded = awaitsSeclusion(task, now);
     std::optional<std::uint64_t> rejectedIn;
-    if (!task.nominated && !isStarved && !isSuspect)
+    if (!task.nominated && !isStarved && !isSecluded)
         rejectedIn = m_round.rejectedIn(task, PlacementRound::Means::FreeCapacity);
     if (rejectedIn == m_round.number())
         return false;
     ActiveExecutor* best = chooseExecutor(task, rejectedIn.value_or(0), now);
     if (!best) {
-        if (!task.nominated && !isSuspect)
+        if (!task.nominated && !isSecluded)
             m_round.reject(task, PlacementRound::Means::FreeCapacity);
         return false;
     }
@@ -327,19 +349,24 @@
     if (task.nominated)
         m_candidates.clear();
     clearNomination(task);
-    ActiveJob& job = step.job();
     m_load.remove(*best);
     addRun(task, *best, RunPhase::Recording, now);
     m_load.add(*best);
+    return true;
+}
+
+void JobScheduler::recordRun(ActiveTask& task, TimePoint now)
+{
+    ActiveStep& step = *task.step;
+    ActiveJob& job = step.job();
     task.run->number = ++task.lastRun;
     job.wasPlaced = true;
     job.state = JobState::Running;
     markDirty(job);
     m_starts.push_back({ task.name(), task.lastRun });
     ++m_counters.runsAssigned;
-    m_runEvents.assigned(task.name(), task.lastRun, best->entry.id, std::chrono::duration_cast<Milliseconds>(now - task.waitingSince));
+    m_runEvents.assigned(task.name(), task.lastRun, task.run->executor->entry.id, std::chrono::duration_cast<Milliseconds>(now - task.waitingSince));
     refreshReady(step);
-    return true;
 }
 
 } // namespace plantainhold
