--- a/standin/soak/ExecutorFleet.cpp
+++ b/standin/soak/ExecutorFleet.cpp
@@ -36,6 +36,12 @@
     constexpr Milliseconds s_minCrashAway { 2'000 };
     constexpr Milliseconds s_maxCrashAway { 4'000 };
     constexpr double s_newIdChance = 0.5;
+    // The shortest time for which an executor is away that has crashed with others.
+    constexpr Milliseconds s_minLostAway { 300 };
+    constexpr double s_lostForGoodChance = 0.25;
+    // So that the others have room for what runs, at most this share never comes back.
+    constexpr double s_maxLostForGood = 0.25;
+    constexpr std::uint64_t s_groupStream = 4;
     // Nobody listens there.
     constexpr std::string_view s_emptyAddress = "127.0.0.1:9";
 
@@ -116,6 +122,7 @@
     it.nextEntryAt = now + m_dependencies.random.between(Milliseconds(0), s_maxRegistrationDelay);
     m_hosts[host]->occupant = it.state;
     m_hosts[host]->isPromised = false;
+    m_dependencies.ledger.fleetChanged(now);
     m_dependencies.log.line("executor " + it.id + " born " + std::to_string(bornUnixMs) + " at " + m_hosts[host]->address);
 }
 
@@ -123,7 +130,9 @@
 {
     Executor& it = m_executors[executor];
     m_dependencies.log.line("executor " + it.id + " crashes");
-    advanceAll(std::chrono::steady_clock::now());
+    TimePoint now = std::chrono::steady_clock::now();
+    advanceAll(now);
+    m_dependencies.ledger.fleetChanged(now);
     it.state->crash();
     it.state = nullptr;
     m_hosts[it.host]->occupant = nullptr;
@@ -188,6 +197,38 @@
     m_leftovers.push_back({ std::move(id), std::chrono::steady_clock::now() + s_missedHeartbeats * s_heartbeat });
 }
 
+void ExecutorFleet::loseGroup(double share, Milliseconds maxAway, std::uint64_t seed)
+{
+    SoakRandom random(seed, s_groupStream);
+    std::vector<std::size_t> up;
+    for (std::size_t i = 0; i < m_executors.size(); ++i) {
+        if (m_executors[i].state)
+            up.push_back(i);
+    }
+    auto n = std::min(up.size(), static_cast<std::size_t>(share * static_cast<double>(m_executors.size())));
+    m_dependencies.log.line(std::to_string(n) + " of " + std::to_string(up.size()) + " executors crash at once");
+    for (std::size_t i = 0; i < n; ++i) {
+        std::swap(up[i], up[i + random.below(up.size() - i)]);
+        loseOne(up[i], maxAway, random);
+    }
+}
+
+void ExecutorFleet::loseOne(std::size_t executor, Milliseconds maxAway, SoakRandom& random)
+{
+    Executor& it = m_executors[executor];
+    bool isForGood = random.chance(s_lostForGoodChance) && static_cast<double>(m_lostForGood) < s_maxLostForGood * static_cast<double>(m_executors.size());
+    bool isRenamed = random.chance(s_newIdChance);
+    Milliseconds away = random.between(std::min(s_minLostAway, maxAway), maxAway);
+    if (isForGood) {
+        ++m_lostForGood;
+        crash(executor);
+        return;
+    }
+    restart(it.host, away);
+    if (isRenamed)
+        rename(it);
+}
+
 void ExecutorFleet::removeLeftovers(TimePoint now)
 {
     if (!m_isStoreReachable)
@@ -258,10 +299,23 @@
         removeLeftovers(now);
         crashDeadlyHit(now);
         m_dependencies.ledger.checkCancelled(now);
+        m_dependencies.ledger.checkWaiting(room(), now);
         co_await sleepFor(m_executor, s_advanceInterval);
     }
 }
 
+FleetRoom ExecutorFleet::room() const
+{
+    FleetRoom room;
+    for (const Executor& it : m_executors) {
+        if (!it.state)
+            continue;
+        room.capacity += it.state->traits().maxRuns;
+        room.running += it.state->running().size();
+    }
+    return room;
+}
+
 void ExecutorFleet::advanceAll(TimePoint now)
 {
     for (Executor& it : m_executors) {
