Compare a rejected best-effort request with best-effort requests only

Cause: the terms on which requests are compared named the image of best-effort tasks and nothing else of them. A best-effort task without an image, rejected for the load of others, passed for an ordinary one, so that each ordinary task of its size or more counted as rejected too.

--- a/plantainhold/jobs/PlacementRound.cpp
+++ b/plantainhold/jobs/PlacementRound.cpp
@@ -26,7 +26,7 @@
     const StepSpec& spec = *task.step->spec;
     const QueueSettings& settings = task.step->job().settings;
     bool isReturning = spec.isLongRunning && task.lastRun > 0;
-    return { settings.service, spec.isBestEffort() ? spec.image : std::string(), means, settings.priority, spec.isLongRunning, isReturning };
+    return { settings.service, spec.isBestEffort() ? spec.image : std::string(), means, settings.priority, spec.isBestEffort(), spec.isLongRunning, isReturning };
 }
 
 Resources PlacementRound::wantedBy(const ActiveStep& step)
--- a/plantainhold/jobs/PlacementRound.h
+++ b/plantainhold/jobs/PlacementRound.h
@@ -56,6 +56,7 @@
         std::string image;
         Means means = Means::FreeCapacity;
         std::int32_t priority = 0;
+        bool isBestEffort = false;
         bool isLongRunning = false;
         bool isReturning = false;
 
