Take a common cause only from crashes that no task accounts for, and give up tasks as before

A task that crashed its executors late explained its own crashes, one by the other. Now a common cause needs three crashes of executors without a recent start and without a task that has crashes of its own, and it bears on suspicion only: what a task is given up for is counted as before. An owner that stops waits for an instance that stays on standby for longer than its time to live, so that one that was killed is not taken for a successor, and no call outlasts its patience.

--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -31,7 +31,7 @@
     constexpr Milliseconds s_readinessDelay { 2'500 };
     constexpr Milliseconds s_stopReserve { 700 };
     // Time to store the last record of a term and to leave the owners' group.
-    constexpr Milliseconds s_handOverTime { 500 };
+    constexpr Milliseconds s_handOverTime { 1'200 };
     constexpr Milliseconds s_stopPollInterval { 50 };
     constexpr Milliseconds s_minOwnershipTimeToLive { 1'200 };
 
--- a/plantainhold/entry/OwnershipManager.cpp
+++ b/plantainhold/entry/OwnershipManager.cpp
@@ -267,11 +267,18 @@
 
 asio::awaitable<void> OwnershipManager::waitForSuccessor(Milliseconds patience)
 {
-    for (TimePoint last = BootClock::now() + patience; isOwner() && BootClock::now() < last;) {
-        HoldersResult standby = co_await m_store.holders(s_standbyGroup, s_callTimeout);
-        if (standby.status == StoreStatus::Ok && isAnotherStandingBy(standby))
+    const TimePoint last = BootClock::now() + patience;
+    TimePoint seenSince = TimePoint::max();
+    while (isOwner() && BootClock::now() < last) {
+        auto left = std::chrono::ceil<Milliseconds>(last - BootClock::now());
+        HoldersResult standby = co_await m_store.holders(s_standbyGroup, std::min(s_callTimeout, left));
+        bool isSeen = standby.status == StoreStatus::Ok && isAnotherStandingBy(standby);
+        TimePoint now = BootClock::now();
+        seenSince = isSeen ? std::min(seenSince, now) : TimePoint::max();
+        // An instance that was killed is a member until its time to live is over.
+        if (isSeen && now - seenSince >= m_options.timeToLive)
             co_return;
-        co_await sleepFor(m_executor, s_successorInterval);
+        co_await sleepFor(m_executor, std::min(s_successorInterval, left));
     }
 }
 
--- a/plantainhold/jobs/CrashEvidence.cpp
+++ b/plantainhold/jobs/CrashEvidence.cpp
@@ -16,8 +16,8 @@
     // The counts may have been cleared since the crash was added.
     if (relation != CrashRelation::None && explained < all)
         ++explained;
-    if (wasSoon && soon)
-        --soon;
+    if (wasSoon && explainedSoon < soon)
+        ++explainedSoon;
 }
 
 bool CrashSeries::hasUnexplained(TimePoint now)
@@ -27,9 +27,21 @@
     return !m_unexplained.empty();
 }
 
-std::ptrdiff_t CrashSeries::unexplainedNear(TimePoint when) const
+bool CrashSeries::hasUnexplainedNear(TimePoint when) const
 {
-    return std::count_if(m_unexplained.begin(), m_unexplained.end(), [&](TimePoint it) { return it >= when - s_before && it <= when + s_after; });
+    return countNear(m_unexplained, when) > 0;
+}
+
+bool CrashSeries::hasCommonCauseNear(TimePoint when)
+{
+    while (!m_unaccounted.empty() && m_unaccounted.front() < when - s_memory)
+        m_unaccounted.pop_front();
+    return countNear(m_unaccounted, when) >= s_manyCrashes;
+}
+
+std::ptrdiff_t CrashSeries::countNear(const std::deque<TimePoint>& crashes, TimePoint when)
+{
+    return std::count_if(crashes.begin(), crashes.end(), [&](TimePoint it) { return it >= when - s_before && it <= when + s_after; });
 }
 
 } // namespace plantainhold
--- a/plantainhold/jobs/CrashEvidence.h
+++ b/plantainhold/jobs/CrashEvidence.h
@@ -30,8 +30,10 @@
     std::uint32_t soon = 0;
     // Those of them that crashed soon after no other run had begun, and while no other executor crashed.
     std::uint32_t alone = 0;
-    // Those of them that crashed together with others, so that one cause explains all. None of them counts as soon.
+    // Those of them, and of the ones soon after the start, that came together with others, so that one cause explains
+    // all. They make no suspect; whether the task is given up does not depend on it.
     std::uint32_t explained = 0;
+    std::uint32_t explainedSoon = 0;
 
     // Begun this long before the crash, or less, a run counts as a possible cause.
     static constexpr Milliseconds s_soonLimit { 250 };
@@ -49,7 +51,9 @@
     // A crash that was added before turned out to be explained by others of the same moment.
     void explain(CrashRelation relation);
     // True if the task should run alone.
-    bool isSuspect() const { return soon > 0 || all - explained >= s_limitSoon; }
+    bool isSuspect() const { return soon > explainedSoon || all >= explained + s_limitSoon; }
+    // True if there is a crash that others of its moment do not explain.
+    bool hasOwn() const { return all > explained; }
     // True if the task should not be started again. `areOthersCrashing` tells whether executors crash for
     // other reasons as well.
     bool isConvicted(bool areOthersCrashing) const
@@ -74,20 +78,24 @@
 
     // Notes a crash of an executor on which no run had begun shortly before.
     void addUnexplained(TimePoint when) { m_unexplained.push_back(when); }
+    // Notes a crash that no task accounts for: no start was sent there shortly before, and no task there has
+    // crashes of its own, which might crash its executors late.
+    void addUnaccounted(TimePoint when) { m_unaccounted.push_back(when); }
     // Returns whether such a crash was noticed near the time. Precondition: it is over by s_after.
-    bool hasUnexplainedNear(TimePoint when) const { return unexplainedNear(when) > 0; }
-    // Returns whether several executors crashed near the time that nothing else explains. Then what took them
-    // explains the other crashes of the moment as well. The answer may still change until s_after has passed.
-    bool hasCommonCauseNear(TimePoint when) const { return unexplainedNear(when) >= s_manyCrashes; }
+    bool hasUnexplainedNear(TimePoint when) const;
+    // Returns whether several crashes near the time have no task that accounts for them. What took these executors
+    // explains the other crashes of the moment as well. The answer may change until s_after has passed.
+    bool hasCommonCauseNear(TimePoint when);
     // Returns whether such a crash was noticed within s_memory. Forgets earlier ones.
     bool hasUnexplained(TimePoint now);
 
 private:
-    static constexpr std::ptrdiff_t s_manyCrashes = 2;
+    static constexpr std::ptrdiff_t s_manyCrashes = 3;
 
-    std::ptrdiff_t unexplainedNear(TimePoint when) const;
+    static std::ptrdiff_t countNear(const std::deque<TimePoint>& crashes, TimePoint when);
 
     std::deque<TimePoint> m_unexplained;
+    std::deque<TimePoint> m_unaccounted;
 };
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobCodec.cpp
+++ b/plantainhold/jobs/JobCodec.cpp
@@ -4,7 +4,6 @@
 #include "plantainhold/jobs/OwnerTerm.h"
 #include "plantainhold/proto/jobs.pb.h"
 
-#include <algorithm>
 #include <cmath>
 #include <google/protobuf/arena.h>
 
@@ -90,6 +89,7 @@
         record.set_soon_crashes(task.crashes.soon);
         record.set_alone_crashes(task.crashes.alone);
         record.set_explained_crashes(task.crashes.explained);
+        record.set_explained_soon_crashes(task.crashes.explainedSoon);
         record.set_run_proven(task.isRunProven);
     }
 
@@ -105,7 +105,7 @@
         task.executor = record.executor();
         task.executorStartedUnixMs = record.executor_born_unix_ms();
         task.checkpoint = record.checkpoint();
-        task.crashes = { record.crashes(), record.soon_crashes(), record.alone_crashes(), std::min(record.crashes(), record.explained_crashes()) };
+        task.crashes = { record.crashes(), record.soon_crashes(), record.alone_crashes(), record.explained_crashes(), record.explained_soon_crashes() };
         task.isRunProven = record.run_proven();
         return task;
     }
--- a/plantainhold/jobs/JobCrashes.cpp
+++ b/plantainhold/jobs/JobCrashes.cpp
@@ -48,7 +48,7 @@
     if (executor.entry.isDraining)
         return;
     std::vector<ActiveRun*> soon;
-    bool isExplained = false;
+    bool isAccounted = false;
     bool isCrash = executor.reportedUnixMs != 0;
     for (ActiveRun* it : executor.runs) {
         bool isConcerned = (it->wasSentHere() || it->phase >= RunPhase::Unconfirmed) && it->incarnation != survivor && it->crash == CrashRelation::None;
@@ -62,14 +62,16 @@
         if (isSoon || hasBegun || !it->wasSentHere())
             it->crash = CrashRelation::Later;
         // A start that nobody confirmed may have begun and be the cause.
-        isExplained = isExplained || isSoon;
+        isAccounted = isAccounted || isSoon || it->task->crashes.hasOwn();
         if (isSoon && hasBegun)
             soon.push_back(it);
     }
     for (ActiveRun* it : soon)
         it->crash = soon.size() == 1 ? CrashRelation::SoonAlone : CrashRelation::Soon;
-    if (isCrash && !isExplained)
+    if (soon.empty() && executor.reportedUnixMs)
         m_crashSeries.addUnexplained(now);
+    if (isCrash && !isAccounted)
+        m_crashSeries.addUnaccounted(now);
 }
 
 void JobScheduler::countCrash(ActiveTask& task, const ExpiredRun& run, TimePoint now)
@@ -102,6 +104,15 @@
         executor.expiredRuns.push_back({ run.task->name(), run.number, executor.entry.id, run.incarnation, CrashRelation::Later });
 }
 
+bool JobScheduler::hasSuspect(std::span<const ExpiredRun> runs)
+{
+    return std::any_of(runs.begin(), runs.end(), [&](const ExpiredRun& it) {
+        auto found = m_jobs.find(it.task.job);
+        ActiveTask* task = found == m_jobs.end() ? nullptr : found->second->find(it.task);
+        return task && task->crashes.hasOwn();
+    });
+}
+
 void JobScheduler::countExpired(ActiveExecutor& executor, std::int64_t survivor, TimePoint now)
 {
     for (const ExpiredRun& it : std::exchange(executor.expiredRuns, {})) {
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -191,6 +191,8 @@
     // Keeps a run whose lease has expired. countExpired() counts the crash once the executor has restarted or is
     // forgotten; it may also have been cut off.
     static void keepExpired(ActiveExecutor& executor, const ActiveRun& run);
+    // Returns whether the task of one of the runs has a crash that nothing explains.
+    bool hasSuspect(std::span<const ExpiredRun> runs);
     void countExpired(ActiveExecutor& executor, std::int64_t survivor, TimePoint now);
     // Decides about suspects once other crashes of the same moment are known.
     void judgeSuspects(TimePoint now);
--- a/plantainhold/testing/jobs/CrashEvidenceTest.cpp
+++ b/plantainhold/testing/jobs/CrashEvidenceTest.cpp
@@ -39,15 +39,20 @@
     CHECK(counts.all == 2);
     counts.explain(Soon);
     CHECK(counts.explained == 2);
-    CHECK(counts.soon == 0);
+    CHECK(counts.explainedSoon == 1);
+    // Whether the task is given up does not depend on it.
+    CHECK(counts.soon == 1);
 }
 
-TEST_CASE("two executors that crash near a moment for no other reason have a common cause, one has none")
+// BUDGET: a task that crashed its executors late, one within 2 s of the other, explained its crashes by each other.
+TEST_CASE("three executors that crash near a moment without a suspect there have a common cause, two have none")
 {
     CrashSeries series;
+    series.addUnaccounted(s_start);
+    series.addUnaccounted(s_start + Milliseconds(500));
     series.addUnexplained(s_start);
     CHECK_FALSE(series.hasCommonCauseNear(s_start));
-    series.addUnexplained(s_start + Milliseconds(500));
+    series.addUnaccounted(s_start + Milliseconds(500));
     CHECK(series.hasCommonCauseNear(s_start));
     CHECK_FALSE(series.hasCommonCauseNear(s_start + Milliseconds(2'100)));
 }
