Judge long-running tasks that never ran as strictly as others again

The users' page can be read both ways for a task without a run, and a check that was narrowed for what it found would hide that such a task waits for 17 s beside room, by design (TaskStalled, room_for_short_tasks).

--- a/plantainhold/testing/jobs/RunHistory.cpp
+++ b/plantainhold/testing/jobs/RunHistory.cpp
@@ -158,16 +158,15 @@
     std::int64_t calmSince = std::max(m_context.disturbedUntil(), m_context.options().faultsMs) + s_recoveryMs;
     if (m_context.now() % s_waitCheckMs != 0)
         return;
+    if (m_context.options().hasStrictChecks)
+        checkCalmStretch(rooms, table);
     Resources capacity;
     Resources used;
     for (const Room& it : rooms) {
         capacity += it.capacity;
         used += it.used;
     }
-    bool isHalfFree = (used + used).fitsIn(capacity);
-    if (m_context.options().hasStrictChecks)
-        checkCalmStretch(rooms, isHalfFree, table);
-    if (m_context.now() < calmSince || !isHalfFree)
+    if (m_context.now() < calmSince || !(used + used).fitsIn(capacity))
         return m_waitingSince.clear();
     for (const auto& [id, spec] : m_jobs.specs()) {
         if (m_jobs.isWanted(id) && !hasFailed(id) && !isGivenUp(id, table))
@@ -206,7 +205,7 @@
 // Simulations with other faults than the loss of executors can't bear this check. An executor that is cut off
 // may have accepted a start whose response was lost, under the longest lease (SchedulerLimits::maxLease): its task
 // waits for longer than s_calmMs after it. And with a fault in most seconds they have no calm stretches.
-void RunHistory::checkCalmStretch(const std::vector<Room>& rooms, bool isHalfFree, const JobTable& table)
+void RunHistory::checkCalmStretch(const std::vector<Room>& rooms, const JobTable& table)
 {
     bool isCalm = m_context.now() >= m_context.disturbedUntil() + s_calmMs;
     if (!isCalm)
@@ -214,18 +213,17 @@
     for (const auto& [id, spec] : m_jobs.specs()) {
         checkGivenUp(id, table);
         if (isCalm && spec.isLongRunning() && m_jobs.isWanted(id) && !m_givenUp.contains(id))
-            checkCalmlyWaitingJob(id, rooms, isHalfFree);
+            checkCalmlyWaitingJob(id, rooms);
     }
 }
 
-void RunHistory::checkCalmlyWaitingJob(const std::string& job, const std::vector<Room>& rooms, bool isHalfFree)
+void RunHistory::checkCalmlyWaitingJob(const std::string& job, const std::vector<Room>& rooms)
 {
     const JobSpec& spec = m_jobs.specs().at(job);
     for (std::uint32_t n = 0; n < spec.steps.front().taskCount; ++n) {
         TaskName task { job, 0, 0, n };
         std::optional<std::int64_t> lastEndedAt = m_tasks[task.text()].lastEndedAt;
-        // What is promised however full the executors are begins with the end of a run.
-        bool isAwayTooLong = lastEndedAt ? m_context.now() >= *lastEndedAt + s_maxAwayMs : isHalfFree;
+        bool isAwayTooLong = !lastEndedAt || m_context.now() >= *lastEndedAt + s_maxAwayMs;
         if (waitsTooLong(m_calmlyWaitingSince, task.text(), isAwayTooLong && isWaitingBesideRoom(task, rooms), s_maxCalmWaitMs))
             fail(task.text() + " waits beside room in a calm stretch, " + (lastEndedAt ? "away for " + std::to_string(m_context.now() - *lastEndedAt) + " ms" : "never started"));
     }
--- a/plantainhold/testing/jobs/RunHistory.h
+++ b/plantainhold/testing/jobs/RunHistory.h
@@ -78,10 +78,9 @@
     void checkWaitingJob(const std::string& job, const std::vector<Room>& rooms);
     // Returns true once `isWaiting` has been true in all calls for that long.
     bool waitsTooLong(std::map<std::string, std::int64_t>& since, const std::string& name, bool isWaiting, std::int64_t limitMs) const;
-    // The waiting of long-running tasks as it is promised to users, at any time and however full the executors are;
-    // for a task that has never run, while at least half of their capacity is free.
-    void checkCalmStretch(const std::vector<Room>& rooms, bool isHalfFree, const JobTable& table);
-    void checkCalmlyWaitingJob(const std::string& job, const std::vector<Room>& rooms, bool isHalfFree);
+    // The waiting of long-running tasks as it is promised to users, at any time and however full the executors are.
+    void checkCalmStretch(const std::vector<Room>& rooms, const JobTable& table);
+    void checkCalmlyWaitingJob(const std::string& job, const std::vector<Room>& rooms);
     // Checks that no job is shown as failed because executors crashed under it.
     void checkGivenUp(const std::string& job, const JobTable& table);
     // True if the task's turn has come, it is neither done nor running, and an executor could hold it twice.
