Count a suspect's time alone from its start, not from its assignment

While the store is slow, a start is sent long after the assignment: others were let in before the suspect had begun, and its crash could not be told from theirs. Found by reading; no test failed before.

--- a/plantainhold/jobs/JobCrashes.cpp
+++ b/plantainhold/jobs/JobCrashes.cpp
@@ -16,8 +16,8 @@
     constexpr Milliseconds s_seclusionWait { 2'000 };
     // Longer than CrashCounts::s_soonLimit, so that a crash can be told from that of a run which began before.
     constexpr Milliseconds s_quietTime { 400 };
-    // How long a suspect keeps others from its executor at most, if no report shows sooner that it has outlasted
-    // the moment after its start.
+    // How long after its start a suspect keeps others from its executor at most, if no report shows sooner that it
+    // has outlasted the moment after that.
     constexpr Milliseconds s_maxSeclusion { 1'500 };
 
     std::string_view nameOf(CrashRelation relation)
@@ -199,7 +199,8 @@
         if (!it->isSuspect)
             continue;
         bool isAtWork = it->phase == RunPhase::Running && executor.heardAt >= it->begunAt() + s_quietTime;
-        TimePoint last = it->assignedAt + s_maxSeclusion;
+        // Until the record of the start is stored, nobody else's start is sent either.
+        TimePoint last = it->wasSentHere() ? it->sentAt + s_maxSeclusion : TimePoint::max();
         if (isAtWork || now >= last)
             share(*it, isAtWork ? "the run has outlasted its start" : "its time is over", now);
         else
