--- a/plantainhold/entry/OwnershipManager.cpp
+++ b/plantainhold/entry/OwnershipManager.cpp
@@ -22,6 +22,8 @@
     constexpr Milliseconds s_callTimeout { 1'000 };
     constexpr Milliseconds s_retryDelay { 150 };
     constexpr Milliseconds s_releasePollInterval { 10 };
+    // Interval at which an owner that leaves looks for an instance on standby.
+    constexpr Milliseconds s_successorInterval { 100 };
     // A single check may find an instance that is just shutting down.
     constexpr std::uint32_t s_checksToHandOver = 2;
     constexpr double s_milliCoresPerCore = 1'000;
@@ -88,6 +90,11 @@
     });
 }
 
+bool OwnershipManager::isAnotherStandingBy(const HoldersResult& standby) const
+{
+    return std::any_of(standby.holders.begin(), standby.holders.end(), [this](const PartitionHolder& it) { return it.member != m_options.member; });
+}
+
 asio::awaitable<bool> OwnershipManager::renewStandby()
 {
     JoinResult standby = co_await m_store.join(asStandby(), s_callTimeout);
@@ -258,8 +265,26 @@
     loseOwnership("a newer owner has written to the store");
 }
 
-asio::awaitable<void> OwnershipManager::leave(std::string_view reason)
+asio::awaitable<void> OwnershipManager::waitForSuccessor(Milliseconds patience)
+{
+    const TimePoint last = BootClock::now() + patience;
+    TimePoint seenSince = TimePoint::max();
+    while (isOwner() && BootClock::now() < last) {
+        auto left = std::chrono::ceil<Milliseconds>(last - BootClock::now());
+        HoldersResult standby = co_await m_store.holders(s_standbyGroup, std::min(s_callTimeout, left));
+        bool isSeen = standby.status == StoreStatus::Ok && isAnotherStandingBy(standby);
+        TimePoint now = BootClock::now();
+        seenSince = isSeen ? std::min(seenSince, now) : TimePoint::max();
+        // An instance that was killed is a member until its time to live is over.
+        if (isSeen && now - seenSince >= m_options.timeToLive)
+            co_return;
+        co_await sleepFor(m_executor, std::min(s_successorInterval, left));
+    }
+}
+
+asio::awaitable<void> OwnershipManager::leave(std::string_view reason, Milliseconds patience)
 {
+    co_await waitForSuccessor(patience);
     m_isLeaving = true;
     co_await handOver(reason);
     co_await leaveStandby();
--- a/plantainhold/jobs/CrashEvidence.cpp
+++ b/plantainhold/jobs/CrashEvidence.cpp
@@ -10,6 +10,16 @@
     soon += relation == CrashRelation::Soon || relation == CrashRelation::SoonAlone;
 }
 
+void CrashCounts::explain(CrashRelation relation)
+{
+    bool wasSoon = relation == CrashRelation::Soon || relation == CrashRelation::SoonAlone;
+    // The counts may have been cleared since the crash was added.
+    if (relation != CrashRelation::None && explained < all)
+        ++explained;
+    if (wasSoon && explainedSoon < soon)
+        ++explainedSoon;
+}
+
 bool CrashSeries::hasUnexplained(TimePoint now)
 {
     while (!m_unexplained.empty() && m_unexplained.front() < now - s_memory)
@@ -19,7 +29,19 @@
 
 bool CrashSeries::hasUnexplainedNear(TimePoint when) const
 {
-    return std::any_of(m_unexplained.begin(), m_unexplained.end(), [&](TimePoint it) { return it >= when - s_before && it <= when + s_after; });
+    return countNear(m_unexplained, when) > 0;
+}
+
+bool CrashSeries::hasCommonCauseNear(TimePoint when)
+{
+    while (!m_unaccounted.empty() && m_unaccounted.front() < when - s_memory)
+        m_unaccounted.pop_front();
+    return countNear(m_unaccounted, when) >= s_manyCrashes;
+}
+
+std::ptrdiff_t CrashSeries::countNear(const std::deque<TimePoint>& crashes, TimePoint when)
+{
+    return std::count_if(crashes.begin(), crashes.end(), [&](TimePoint it) { return it >= when - s_before && it <= when + s_after; });
 }
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -65,6 +65,9 @@
 
 Milliseconds JobScheduler::reportWait(const ActiveExecutor& executor) const
 {
+    // The next report may let others in.
+    if (executor.suspectRuns)
+        return m_limits.sharedReportWait;
     if (!executor.isShared())
         return m_limits.reportWait;
     Milliseconds fairShare { 1'000 * m_sharedExecutors / m_limits.maxSharedReportsPerSecond };
@@ -185,7 +188,8 @@
     // The executor has moved since the call was sent.
     if (result.address != executor.entry.address)
         return;
-    ++executor.failedCalls;
+    if (!executor.failedCalls++ && !executor.hasClock && !executor.runs.empty())
+        noteAwaitedLease(executor, now);
 }
 
 void JobScheduler::applyReportedRun(ActiveExecutor& executor, const ReportedRun& reportedRun, TimePoint now)
@@ -201,7 +205,7 @@
     run.incarnation = executor.entry.startedUnixMs;
     run.crash = CrashRelation::None;
     if (now >= run.begunAt() + CrashCounts::s_soundAfter)
-        clearSuspect(*task);
+        proveRun(run, now);
     run.unseenLeaseExpiresAt = {};
     if (run.phase == RunPhase::Starting || run.phase == RunPhase::Unconfirmed) {
         run.phase = RunPhase::Running;
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -115,9 +115,10 @@
     run.phase = phase;
     run.token = executor.token;
     run.assignedAt = now;
-    // The members of a gang must be able to run beside each other.
-    run.isSuspect = task.crashes.isSuspect() && !task.step->spec->isGang;
-    executor.suspectRuns += run.isSuspect;
+    // What a former owner started has begun before.
+    run.isSuspect = phase == RunPhase::Recording && awaitsSeclusion(task, now);
+    if (run.isSuspect)
+        seclude(run, now);
     run.progressedAt = now;
     run.checkpoint = task.checkpoint;
     const StepSpec& spec = *task.step->spec;
@@ -138,6 +139,22 @@
 }
 
 void JobScheduler::endRun(ActiveTask& task, TimePoint now)
+{
+    ActiveRun& run = *task.run;
+    if (run.isSuspect)
+        share(run, "the run is over", now);
+    if (!run.checkpoint.empty())
+        task.checkpoint = run.checkpoint;
+    removeRun(task);
+    task.waitingSince = now;
+    if (task.wasDoneByEarlierRun && !task.isDone)
+        acceptEarlierCompletion(task);
+    markDirty(task.step->job());
+    refreshReady(*task.step);
+    m_needsPlacement = true;
+}
+
+void JobScheduler::removeRun(ActiveTask& task)
 {
     ActiveRun& run = *task.run;
     ActiveExecutor& executor = *run.executor;
@@ -156,16 +173,8 @@
     std::erase(executor.runs, &run);
     executor.areDeficitsStale = true;
     noteChange(executor);
-    if (!run.checkpoint.empty())
-        task.checkpoint = run.checkpoint;
     --task.step->placedTasks;
     task.run.reset();
-    task.waitingSince = now;
-    if (task.wasDoneByEarlierRun && !task.isDone)
-        acceptEarlierCompletion(task);
-    markDirty(task.step->job());
-    refreshReady(*task.step);
-    m_needsPlacement = true;
 }
 
 void JobScheduler::refreshReady(ActiveStep& step)
@@ -207,6 +216,8 @@
     applyDueTimes(now, nowUnixMs);
     expireLeases(now);
     judgeSuspects(now);
+    for (ActiveExecutor* it : m_executorList)
+        shareProven(*it, now);
     completeJobs(now);
     expireNominations(now);
     drainExecutors(now);
@@ -267,7 +278,9 @@
     std::uint64_t bestEffortRuns = 0;
     std::uint64_t bestEffortMillicores = 0;
     double tail = 0;
+    std::size_t secluded = 0;
     for (const ActiveExecutor* it : m_executorList) {
+        secluded += it->suspectRuns > 0;
         capacity += it->entry.capacity;
         reserved += it->reserved;
         nominated += it->nominated;
@@ -285,7 +298,7 @@
     std::size_t waitingLongRunning = 0;
     for (const ActiveStep* it : m_ready)
         waitingLongRunning += it->spec->isLongRunning ? it->waitingTasks() : 0;
-    m_events.note(EventId::PartitionState, { { "executors", m_executorList.size() }, { "accepting", open }, { "jobs", m_jobs.size() }, { "runs", runs }, { "waiting", waitingTasks() }, { "waiting_lasting", waitingLongRunning }, { "capacity_millicores", capacity.millicores }, { "reserved_millicores", reserved.millicores }, { "filling_millicores", bestEffortMillicores }, { "nominated_millicores", nominated.millicores }, { "capacity_mib", capacity.memoryMib }, { "reserved_mib", reserved.memoryMib }, { "mean_pace", bestEffortRuns ? pace / bestEffortRuns : 100 }, { "worst_tail_ratio", tail } });
+    m_events.note(EventId::PartitionState, { { "executors", m_executorList.size() }, { "accepting", open }, { "secluded", secluded }, { "jobs", m_jobs.size() }, { "runs", runs }, { "waiting", waitingTasks() }, { "waiting_lasting", waitingLongRunning }, { "capacity_millicores", capacity.millicores }, { "reserved_millicores", reserved.millicores }, { "filling_millicores", bestEffortMillicores }, { "nominated_millicores", nominated.millicores }, { "capacity_mib", capacity.memoryMib }, { "reserved_mib", reserved.memoryMib }, { "mean_pace", bestEffortRuns ? pace / bestEffortRuns : 100 }, { "worst_tail_ratio", tail } });
 }
 
 std::size_t JobScheduler::waitingTasks() const
--- a/plantainhold/testing/jobs/CrashEvidenceTest.cpp
+++ b/plantainhold/testing/jobs/CrashEvidenceTest.cpp
@@ -27,6 +27,36 @@
     CHECK(countsAfter({ CrashRelation::Later, CrashRelation::Later }).isSuspect());
 }
 
+// LOST: after racks were lost, each task that had run there was a suspect, and together they kept the fleet.
+TEST_CASE("crashes that others of the same moment explain make no suspect")
+{
+    using enum CrashRelation;
+    CrashCounts counts = countsAfter({ Soon, Later });
+    CHECK(counts.isSuspect());
+    counts.explain(Soon);
+    counts.explain(Later);
+    CHECK_FALSE(counts.isSuspect());
+    CHECK(counts.all == 2);
+    counts.explain(Soon);
+    CHECK(counts.explained == 2);
+    CHECK(counts.explainedSoon == 1);
+    // Whether the task is given up does not depend on it.
+    CHECK(counts.soon == 1);
+}
+
+// BUDGET: a task that crashed its executors late, one within 2 s of the other, explained its crashes by each other.
+TEST_CASE("three executors that crash near a moment without a suspect there have a common cause, two have none")
+{
+    CrashSeries series;
+    series.addUnaccounted(s_start);
+    series.addUnaccounted(s_start + Milliseconds(500));
+    series.addUnexplained(s_start);
+    CHECK_FALSE(series.hasCommonCauseNear(s_start));
+    series.addUnaccounted(s_start + Milliseconds(500));
+    CHECK(series.hasCommonCauseNear(s_start));
+    CHECK_FALSE(series.hasCommonCauseNear(s_start + Milliseconds(2'100)));
+}
+
 TEST_CASE("two crashes convict only if one of them came while the task ran alone")
 {
     CrashCounts counts = countsAfter({ CrashRelation::Soon, CrashRelation::SoonAlone });
