Count the crash that would be one too many before the next start

The crash was counted when the executor reported. Runs with an expired lease that are not settled yet now count together with the crashes: the last one before the limit counts at once. 'a task that one crash more would convict is not started while its executor may have crashed' failed before (1 start).

--- a/plantainhold/jobs/JobCrashes.cpp
+++ b/plantainhold/jobs/JobCrashes.cpp
@@ -97,11 +97,18 @@
     task.step->verdictAt = task.notBefore;
 }
 
-void JobScheduler::keepExpired(ActiveExecutor& executor, const ActiveRun& run)
+void JobScheduler::keepExpired(ActiveExecutor& executor, ActiveRun& run)
 {
     bool isSound = run.isProven || executor.heardAt >= run.begunAt() + CrashCounts::s_soundAfter;
-    if (!isSound && !executor.entry.isDraining && run.crash == CrashRelation::None)
-        executor.expiredRuns.push_back({ run.task->name(), run.number, executor.entry.id, run.incarnation, CrashRelation::Later });
+    if (isSound || executor.entry.isDraining || run.crash != CrashRelation::None)
+        return;
+    // The executor may come back, and tell of the crash, only after the next start.
+    if (run.task->crashes.all + run.task->unsettledRuns + 1 >= CrashCounts::s_limit) {
+        run.crash = CrashRelation::Later;
+        return;
+    }
+    ++run.task->unsettledRuns;
+    executor.expiredRuns.push_back({ run.task->name(), run.number, executor.entry.id, run.incarnation, CrashRelation::Later });
 }
 
 bool JobScheduler::hasSuspect(std::span<const ExpiredRun> runs)
@@ -118,6 +125,8 @@
     for (const ExpiredRun& it : std::exchange(executor.expiredRuns, {})) {
         auto found = m_jobs.find(it.task.job);
         ActiveTask* task = found == m_jobs.end() ? nullptr : found->second->find(it.task);
+        if (task && task->unsettledRuns)
+            --task->unsettledRuns;
         if (task && !task->isDone && it.incarnation != survivor && !isFinal(found->second->state))
             countCrash(*task, it, now);
     }
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -190,7 +190,8 @@
     void countCrash(ActiveTask& task, const ExpiredRun& run, TimePoint now);
     // Keeps a run whose lease has expired. countExpired() counts the crash once the executor has restarted or is
     // forgotten; it may also have been cut off.
-    static void keepExpired(ActiveExecutor& executor, const ActiveRun& run);
+    // Where one crash more would be too many, it counts at once.
+    static void keepExpired(ActiveExecutor& executor, ActiveRun& run);
     // Returns whether the task of one of the runs has a crash that nothing explains.
     bool hasSuspect(std::span<const ExpiredRun> runs);
     void countExpired(ActiveExecutor& executor, std::int64_t survivor, TimePoint now);
--- a/plantainhold/testing/jobs/DeadlyTaskTest.cpp
+++ b/plantainhold/testing/jobs/DeadlyTaskTest.cpp
@@ -229,6 +229,22 @@
     CHECK(fixture.events().find(EventId::TaskCrashedExecutor).empty());
 }
 
+// BUDGET: the executor of the fifth crash was back only after its lease had expired and the task had been started for
+// the sixth time.
+TEST_CASE("a task that one crash more would convict is not started while its executor may have crashed")
+{
+    SchedulerFixture fixture;
+    fixture.addExecutor("x", 8'000);
+    fixture.restore("j", { SchedulerFixture::step(1, 1'000) }, { JobState::Running, true, { crashedTask({ 4, 0, 0 }) } });
+    std::vector<ExecutorCommand> commands = fixture.advance();
+    REQUIRE(starts(commands) == 1);
+    fixture.accept(commands);
+    fixture.addExecutor("y", 8'000);
+    fixture.disconnect("x");
+    CHECK(startsWithin(fixture, Milliseconds(12'000)) == 0);
+    CHECK(fixture.storedJob("j").state == JobState::Failed);
+}
+
 // The executor came back after the lease had expired, as another incarnation: it had crashed.
 TEST_CASE("a run whose lease expired counts a crash if its executor has restarted")
 {
