--- a/plantainhold/testing/store/MemoryStore.h
+++ b/plantainhold/testing/store/MemoryStore.h
@@ -5,6 +5,9 @@
 #include "plantainhold/util/BootClock.h"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <deque>
 #include <functional>
 #include <map>
@@ -105,8 +108,14 @@
         co_return result;
     }
 
-    boost::asio::awaitable<HoldersResult> holders(std::string_view group, Milliseconds) override
+    boost::asio::awaitable<HoldersResult> holders(std::string_view group, Milliseconds timeout) override
     {
+        if (holdersTime > Milliseconds(0)) {
+            boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, std::min(holdersTime, timeout));
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            if (holdersTime >= timeout)
+                co_return HoldersResult { StoreStatus::Unknown, {} };
+        }
         HoldersResult result { joinStatus, {} };
         const std::vector<Member>& members = currentGroup(group).members;
         for (const Member& it : members) {
@@ -161,6 +170,8 @@
     std::size_t throwingAppends = 0;
     std::size_t appends = 0;
     StoreStatus joinStatus = StoreStatus::Ok;
+    // How long a look-up of the holders takes, unless its time-out is shorter.
+    Milliseconds holdersTime { 0 };
 
 private:
     struct Member {
