Bound how many executors are avoided for failures at once

Now an executor is avoided for failures only while no more than a third of the others of its service are; where more fail, the tasks are the likely cause. 'a job starts in time beside a job whose tasks fail everywhere' failed before.

--- a/plantainhold/jobs/JobEnds.cpp
+++ b/plantainhold/jobs/JobEnds.cpp
@@ -14,6 +14,9 @@
     constexpr double s_failureDecay = 0.8;
     constexpr double s_failureLimit = 2.5;
     constexpr Milliseconds s_failureAvoidance { 3'000 };
+    // Of the other executors of its service, no more than one in this many may be avoided before one is avoided for its
+    // failures: where more fail, the tasks are the likely cause, and others need the room.
+    constexpr std::size_t s_executorsPerAvoidance = 3;
     constexpr double s_slownessSmoothing = 0.3;
     constexpr double s_minRatio = 0.1;
 
@@ -146,10 +149,23 @@
     executor.slowness += s_slownessSmoothing * (std::log(std::max(ratio, s_minRatio)) - executor.slowness);
 }
 
+bool JobScheduler::mayAvoid(const ActiveExecutor& executor, TimePoint now) const
+{
+    std::size_t listed = 0;
+    std::size_t avoided = 0;
+    for (const ActiveExecutor* it : m_executorList) {
+        if (it == &executor || !it->isListed || it->entry.service != executor.entry.service)
+            continue;
+        ++listed;
+        avoided += now < it->avoidedUntil;
+    }
+    return avoided <= listed / s_executorsPerAvoidance;
+}
+
 void JobScheduler::recordFailure(ActiveExecutor& executor, TimePoint now)
 {
     executor.failureScore = executor.failureScore * s_failureDecay + 1;
-    if (executor.failureScore < s_failureLimit)
+    if (executor.failureScore < s_failureLimit || !mayAvoid(executor, now))
         return;
     executor.avoidedUntil = now + s_failureAvoidance;
     wakeAt(executor.avoidedUntil);
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -224,6 +224,8 @@
     void forget(std::size_t index, TimePoint now);
     void forgetNominations(const ActiveExecutor& executor);
     void learnDuration(const ActiveTask& task, ActiveExecutor& executor, TimePoint now);
+    // Returns whether the executor may be avoided for the failures there, in view of how many others are.
+    bool mayAvoid(const ActiveExecutor& executor, TimePoint now) const;
     void recordFailure(ActiveExecutor& executor, TimePoint now);
 
     void place(TimePoint now);
