--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -190,7 +190,8 @@
     void countCrash(ActiveTask& task, const ExpiredRun& run, TimePoint now);
     // Keeps a run whose lease has expired. countExpired() counts the crash once the executor has restarted or is
     // forgotten; it may also have been cut off.
-    static void keepExpired(ActiveExecutor& executor, const ActiveRun& run);
+    // Where one crash more would be too many, it counts at once.
+    static void keepExpired(ActiveExecutor& executor, ActiveRun& run);
     // Returns whether the task of one of the runs has a crash that nothing explains.
     bool hasSuspect(std::span<const ExpiredRun> runs);
     void countExpired(ActiveExecutor& executor, std::int64_t survivor, TimePoint now);
@@ -223,6 +224,8 @@
     void forget(std::size_t index, TimePoint now);
     void forgetNominations(const ActiveExecutor& executor);
     void learnDuration(const ActiveTask& task, ActiveExecutor& executor, TimePoint now);
+    // Returns whether the executor may be avoided for the failures there, in view of how many others are.
+    bool mayAvoid(const ActiveExecutor& executor, TimePoint now) const;
     void recordFailure(ActiveExecutor& executor, TimePoint now);
 
     void place(TimePoint now);
