Name runs that have an executor to themselves as such

'isSuspect' of a run and 'suspectRuns' of an executor said that a task was suspected; they mean now that nothing else is placed beside it for the moment.

--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -69,7 +69,7 @@
     std::uint32_t latencyCriticalRuns = 0;
     std::uint32_t bestEffortRuns = 0;
     // Number of runs of tasks that may crash the executor, for as long as nothing else is placed beside them.
-    std::uint32_t suspectRuns = 0;
+    std::uint32_t secludedRuns = 0;
     // Number of runs whose stop is wanted, and whether a best-effort run is slowed down heavily.
     std::uint32_t stoppingRuns = 0;
     bool hasSlowedRuns = false;
--- a/plantainhold/jobs/ActiveJob.cpp
+++ b/plantainhold/jobs/ActiveJob.cpp
@@ -16,9 +16,9 @@
     return *occurrence->job;
 }
 
-bool ActiveStep::hasSuspectRun() const
+bool ActiveStep::hasSecludedRun() const
 {
-    return std::any_of(tasks.begin(), tasks.end(), [](const ActiveTask& it) { return it.run && it.run->isSuspect; });
+    return std::any_of(tasks.begin(), tasks.end(), [](const ActiveTask& it) { return it.run && it.run->isSecluded; });
 }
 
 bool ActiveOccurrence::isReady(const ActiveStep& step) const
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -69,7 +69,7 @@
     // is lost.
     CrashRelation crash = CrashRelation::None;
     // The task was a suspect when the run was placed, and for now nothing else is placed beside it.
-    bool isSuspect = false;
+    bool isSecluded = false;
     // The run has been at work for CrashCounts::s_soundAfter, under this owner or a former one.
     bool isProven = false;
     // Until a report lists the run, an incarnation that the owner does not know of may have it, under a
@@ -158,8 +158,8 @@
     bool isDone() const { return doneTasks == tasks.size(); }
     std::uint32_t waitingTasks() const { return static_cast<std::uint32_t>(tasks.size()) - doneTasks - placedTasks; }
     ActiveJob& job() const;
-    // True if a task of the step that may crash its executor has a run.
-    bool hasSuspectRun() const;
+    // True if a run of the step has its executor to itself for now, because its task may crash it.
+    bool hasSecludedRun() const;
 };
 
 struct ActiveOccurrence {
--- a/plantainhold/jobs/CrashEvidence.h
+++ b/plantainhold/jobs/CrashEvidence.h
@@ -53,7 +53,7 @@
     // True if the task should run alone.
     bool isSuspect() const { return soon > explainedSoon || all >= explained + s_limitSoon; }
     // True if there is a crash that others of its moment do not explain.
-    bool hasOwn() const { return all > explained; }
+    bool hasUnexplained() const { return all > explained; }
     // True if the task should not be started again. `areOthersCrashing` tells whether executors crash for
     // other reasons as well.
     bool isConvicted(bool areOthersCrashing) const
--- a/plantainhold/jobs/Eligibility.cpp
+++ b/plantainhold/jobs/Eligibility.cpp
@@ -59,7 +59,7 @@
         if (opinion != StepAdvice::Opinion::Approved)
             return PlacementObstacle::NoTicket;
     }
-    if (executor.suspectRuns)
+    if (executor.secludedRuns)
         return PlacementObstacle::SuspectThere;
     bool isOneTooMany = spec.maxPerExecutor && tasksOn(executor, step) >= spec.maxPerExecutor;
     return isOneTooMany ? PlacementObstacle::TooManyOfStep : PlacementObstacle::None;
--- a/plantainhold/jobs/FleetLoad.cpp
+++ b/plantainhold/jobs/FleetLoad.cpp
@@ -119,14 +119,14 @@
 {
     ServiceLoad& load = m_services[executor.entry.service];
     load.shortTaskCapacity -= load.shortTaskCapacityOn(executor, {});
-    load.secluded -= executor.suspectRuns > 0;
+    load.secluded -= executor.secludedRuns > 0;
 }
 
 void FleetLoad::add(const ActiveExecutor& executor)
 {
     ServiceLoad& load = m_services[executor.entry.service];
     load.shortTaskCapacity += load.shortTaskCapacityOn(executor, {});
-    load.secluded += executor.suspectRuns > 0;
+    load.secluded += executor.secludedRuns > 0;
 }
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobCrashes.cpp
+++ b/plantainhold/jobs/JobCrashes.cpp
@@ -62,7 +62,7 @@
         if (isSoon || hasBegun || !it->wasSentHere())
             it->crash = CrashRelation::Later;
         // A start that nobody confirmed may have begun and be the cause.
-        isAccounted = isAccounted || isSoon || it->task->crashes.hasOwn();
+        isAccounted = isAccounted || isSoon || it->task->crashes.hasUnexplained();
         if (isSoon && hasBegun)
             soon.push_back(it);
     }
@@ -111,12 +111,12 @@
     executor.expiredRuns.push_back({ run.task->name(), run.number, executor.entry.id, run.incarnation, CrashRelation::Later });
 }
 
-bool JobScheduler::hasSuspect(std::span<const ExpiredRun> runs)
+bool JobScheduler::hasUnexplainedCrash(std::span<const ExpiredRun> runs)
 {
     return std::any_of(runs.begin(), runs.end(), [&](const ExpiredRun& it) {
         auto found = m_jobs.find(it.task.job);
         ActiveTask* task = found == m_jobs.end() ? nullptr : found->second->find(it.task);
-        return task && task->crashes.hasOwn();
+        return task && task->crashes.hasUnexplained();
     });
 }
 
@@ -160,8 +160,8 @@
     if (task.crashes == CrashCounts {})
         return;
     task.crashes.explain(relation);
-    if (task.run && task.run->isSuspect && !task.crashes.isSuspect())
-        share(*task.run, "other executors crashed at the same moment", now);
+    if (task.run && task.run->isSecluded && !task.crashes.isSuspect())
+        endSeclusion(*task.run, "other executors crashed at the same moment", now);
     markDirty(task.step->job());
 }
 
@@ -188,40 +188,40 @@
         return;
     task.crashes = {};
     markDirty(task.step->job());
-    if (task.run && task.run->isSuspect)
-        share(*task.run, "the task is no suspect any more", now);
+    if (task.run && task.run->isSecluded)
+        endSeclusion(*task.run, "the task is no suspect any more", now);
 }
 
-void JobScheduler::seclude(ActiveRun& run, TimePoint now)
+void JobScheduler::beginSeclusion(ActiveRun& run, TimePoint now)
 {
     ActiveExecutor& executor = *run.executor;
-    ++executor.suspectRuns;
-    std::ptrdiff_t secluded = std::count_if(m_executorList.begin(), m_executorList.end(), [](const ActiveExecutor* it) { return it->suspectRuns > 0; });
+    ++executor.secludedRuns;
+    std::ptrdiff_t secluded = std::count_if(m_executorList.begin(), m_executorList.end(), [](const ActiveExecutor* it) { return it->secludedRuns > 0; });
     m_events.note(EventId::ExecutorSecluded, { { "executor", executor.entry.id }, { "task", run.task->name().text() }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(now - run.task->waitingSince).count() }, { "beside", executor.runs.size() }, { "secluded", secluded }, { "executors", m_executorList.size() } });
 }
 
-void JobScheduler::shareProven(ActiveExecutor& executor, TimePoint now)
+void JobScheduler::endOverdueSeclusions(ActiveExecutor& executor, TimePoint now)
 {
-    if (!executor.suspectRuns)
+    if (!executor.secludedRuns)
         return;
     for (ActiveRun* it : executor.runs) {
-        if (!it->isSuspect)
+        if (!it->isSecluded)
             continue;
         bool isAtWork = it->phase == RunPhase::Running && executor.heardAt >= it->begunAt() + s_quietTime;
         // Until the record of the start is stored, nobody else's start is sent either.
         TimePoint last = it->wasSentHere() ? it->sentAt + s_maxSeclusion : TimePoint::max();
         if (isAtWork || now >= last)
-            share(*it, isAtWork ? "the run has outlasted its start" : "its time is over", now);
+            endSeclusion(*it, isAtWork ? "the run has outlasted its start" : "its time is over", now);
         else
             wakeAt(last);
     }
 }
 
-void JobScheduler::share(ActiveRun& run, std::string_view reason, TimePoint now)
+void JobScheduler::endSeclusion(ActiveRun& run, std::string_view reason, TimePoint now)
 {
-    run.isSuspect = false;
+    run.isSecluded = false;
     ActiveExecutor& executor = *run.executor;
-    --executor.suspectRuns;
+    --executor.secludedRuns;
     noteChange(executor);
     m_needsPlacement = true;
     m_events.note(EventId::ExecutorShared, { { "executor", executor.entry.id }, { "task", run.task->name().text() }, { "secluded_ms", std::chrono::duration_cast<Milliseconds>(now - run.assignedAt).count() }, { "reason", reason } });
--- a/plantainhold/jobs/JobLeases.cpp
+++ b/plantainhold/jobs/JobLeases.cpp
@@ -209,7 +209,7 @@
     const std::string id = executor.entry.id;
     std::erase_if(m_commands, [&](const ExecutorCommand& it) { return it.executor == id; });
     forgetNominations(executor);
-    if (!executor.expiredRuns.empty() && !hasSuspect(executor.expiredRuns))
+    if (!executor.expiredRuns.empty() && !hasUnexplainedCrash(executor.expiredRuns))
         m_crashSeries.addUnaccounted(now);
     countExpired(*m_executorList[index], s_noIncarnation, now);
     m_executorList.erase(m_executorList.begin() + static_cast<std::ptrdiff_t>(index));
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -163,11 +163,11 @@
             m_needsPlacement = true;
             continue;
         }
-        bool isSecluded = awaitsSeclusion(task, now);
-        bool isHeldBack = isSecluded && (step.hasSuspectRun() || now < step.verdictAt || !m_load.maySeclude(step.job().settings.service));
+        bool wantsSeclusion = awaitsSeclusion(task, now);
+        bool isHeldBack = wantsSeclusion && (step.hasSecludedRun() || now < step.verdictAt || !m_load.maySeclude(step.job().settings.service));
         if (!isHeldBack && placeTask(task, now))
             continue;
-        if (isSecluded) {
+        if (wantsSeclusion) {
             m_placeAgainAt = std::min(m_placeAgainAt, now + s_seclusionRetry);
             continue;
         }
@@ -333,15 +333,15 @@
 bool JobScheduler::assignExecutor(ActiveTask& task, TimePoint now)
 {
     bool isStarved = now >= starvedSince(task);
-    bool isSecluded = awaitsSeclusion(task, now);
+    bool wantsSeclusion = awaitsSeclusion(task, now);
     std::optional<std::uint64_t> rejectedIn;
-    if (!task.nominated && !isStarved && !isSecluded)
+    if (!task.nominated && !isStarved && !wantsSeclusion)
         rejectedIn = m_round.rejectedIn(task, PlacementRound::Means::FreeCapacity);
     if (rejectedIn == m_round.number())
         return false;
     ActiveExecutor* best = chooseExecutor(task, rejectedIn.value_or(0), now);
     if (!best) {
-        if (!task.nominated && !isSecluded)
+        if (!task.nominated && !wantsSeclusion)
             m_round.reject(task, PlacementRound::Means::FreeCapacity);
         return false;
     }
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -66,7 +66,7 @@
 Milliseconds JobScheduler::reportWait(const ActiveExecutor& executor) const
 {
     // The next report may let others in.
-    if (executor.suspectRuns)
+    if (executor.secludedRuns)
         return m_limits.sharedReportWait;
     if (!executor.isShared())
         return m_limits.reportWait;
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -116,9 +116,9 @@
     run.token = executor.token;
     run.assignedAt = now;
     // What a former owner started has begun before.
-    run.isSuspect = phase == RunPhase::Recording && awaitsSeclusion(task, now);
-    if (run.isSuspect)
-        seclude(run, now);
+    run.isSecluded = phase == RunPhase::Recording && awaitsSeclusion(task, now);
+    if (run.isSecluded)
+        beginSeclusion(run, now);
     run.progressedAt = now;
     run.checkpoint = task.checkpoint;
     const StepSpec& spec = *task.step->spec;
@@ -141,8 +141,8 @@
 void JobScheduler::endRun(ActiveTask& task, TimePoint now)
 {
     ActiveRun& run = *task.run;
-    if (run.isSuspect)
-        share(run, "the run is over", now);
+    if (run.isSecluded)
+        endSeclusion(run, "the run is over", now);
     if (!run.checkpoint.empty())
         task.checkpoint = run.checkpoint;
     removeRun(task);
@@ -168,7 +168,7 @@
     executor.bestEffortRuns -= spec.isBestEffort();
     executor.bestEffortMillicores -= spec.isBestEffort() ? spec.resources.millicores : 0;
     executor.latencyCriticalMillicores -= spec.isLatencyCritical() ? spec.resources.millicores : 0;
-    executor.suspectRuns -= run.isSuspect;
+    executor.secludedRuns -= run.isSecluded;
     executor.stoppingRuns -= run.isStopRequested;
     std::erase(executor.runs, &run);
     executor.areDeficitsStale = true;
@@ -217,7 +217,7 @@
     expireLeases(now);
     judgeSuspects(now);
     for (ActiveExecutor* it : m_executorList)
-        shareProven(*it, now);
+        endOverdueSeclusions(*it, now);
     completeJobs(now);
     expireNominations(now);
     drainExecutors(now);
@@ -280,7 +280,7 @@
     double tail = 0;
     std::size_t secluded = 0;
     for (const ActiveExecutor* it : m_executorList) {
-        secluded += it->suspectRuns > 0;
+        secluded += it->secludedRuns > 0;
         capacity += it->entry.capacity;
         reserved += it->reserved;
         nominated += it->nominated;
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -193,7 +193,7 @@
     // Where one crash more would be too many, it counts at once.
     static void keepExpired(ActiveExecutor& executor, ActiveRun& run);
     // Returns whether the task of one of the runs has a crash that nothing explains.
-    bool hasSuspect(std::span<const ExpiredRun> runs);
+    bool hasUnexplainedCrash(std::span<const ExpiredRun> runs);
     void countExpired(ActiveExecutor& executor, std::int64_t survivor, TimePoint now);
     // Decides about suspects once other crashes of the same moment are known.
     void judgeSuspects(TimePoint now);
@@ -205,10 +205,10 @@
     void proveRun(ActiveRun& run, TimePoint now);
     void clearSuspect(ActiveTask& task, TimePoint now);
     // Keeps other tasks away from the executor of a suspect, and lets them in again.
-    void seclude(ActiveRun& run, TimePoint now);
-    void share(ActiveRun& run, std::string_view reason, TimePoint now);
+    void beginSeclusion(ActiveRun& run, TimePoint now);
+    void endSeclusion(ActiveRun& run, std::string_view reason, TimePoint now);
     // Lets others in beside suspects that have outlasted the moment after their start, or have had their time.
-    void shareProven(ActiveExecutor& executor, TimePoint now);
+    void endOverdueSeclusions(ActiveExecutor& executor, TimePoint now);
     // True if the task is a suspect that still waits to run alone, and before others of its step.
     static bool awaitsSeclusion(const ActiveTask& task, TimePoint now);
     // True if a crash of the executor soon after the start could be told from that of other runs there, or if
--- a/plantainhold/testing/jobs/SuspicionBoundTest.cpp
+++ b/plantainhold/testing/jobs/SuspicionBoundTest.cpp
@@ -60,7 +60,7 @@
         {
             std::size_t n = 0;
             for (const auto& [executor, incarnation] : m_incarnations)
-                n += fixture.scheduler().executor(executor)->suspectRuns > 0;
+                n += fixture.scheduler().executor(executor)->secludedRuns > 0;
             return n;
         }
 
