Part the decision how a run relates to a crash into functions of its own

markCrash() decided in one loop which runs are concerned, which are sound, which began soon, and what accounts for the crash; whether a run is sound stood twice. No behaviour changes.

--- a/plantainhold/jobs/JobCrashes.cpp
+++ b/plantainhold/jobs/JobCrashes.cpp
@@ -4,6 +4,7 @@
 #include "plantainhold/jobs/JobScheduler.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace plantainhold {
@@ -26,6 +27,35 @@
         return s_names[static_cast<std::size_t>(relation)];
     }
 
+    bool mayHaveBegun(const ActiveRun& run)
+    {
+        return run.wasSentHere() || run.phase >= RunPhase::Unconfirmed;
+    }
+
+    // Returns whether the run was at work for so long that it is no cause of a crash.
+    bool isSound(const ActiveRun& run)
+    {
+        return run.isProven || run.executor->heardAt >= run.begunAt() + CrashCounts::s_soundAfter;
+    }
+
+    // Returns whether the start was sent shortly before the executor was heard last, or after that.
+    bool isRecent(const ActiveRun& run)
+    {
+        return run.wasSentHere() && run.sentAt + CrashCounts::s_soonLimit >= run.executor->heardAt;
+    }
+
+    // Returns how the run relates to a crash of its executor; `isOnly` tells whether no other had begun soon before.
+    CrashRelation crashRelation(const ActiveRun& run, bool isOnly)
+    {
+        bool hasBegun = run.phase == RunPhase::Running;
+        if (isRecent(run) && hasBegun)
+            return isOnly ? CrashRelation::SoonAlone : CrashRelation::Soon;
+        // Of a start that nobody confirmed it is not known whether a run began; of one that a former owner sent,
+        // neither when.
+        bool isPossible = isRecent(run) || hasBegun || !run.wasSentHere();
+        return isPossible ? CrashRelation::Later : CrashRelation::None;
+    }
+
 } // namespace
 
 bool JobScheduler::awaitsSeclusion(const ActiveTask& task, TimePoint now)
@@ -47,28 +77,16 @@
     // What runs on an executor that leaves as announced ends with it.
     if (executor.entry.isDraining)
         return;
-    std::vector<ActiveRun*> soon;
-    bool isAccounted = false;
-    bool isCrash = executor.reportedUnixMs != 0;
-    for (ActiveRun* it : executor.runs) {
-        bool isConcerned = (it->wasSentHere() || it->phase >= RunPhase::Unconfirmed) && it->incarnation != survivor && it->crash == CrashRelation::None;
-        isCrash = isCrash || isConcerned;
-        if (!isConcerned || it->isProven || executor.heardAt >= it->begunAt() + CrashCounts::s_soundAfter)
-            continue;
-        bool isSoon = it->wasSentHere() && it->sentAt + CrashCounts::s_soonLimit >= executor.heardAt;
-        bool hasBegun = it->phase == RunPhase::Running;
-        // Of a start that nobody confirmed it is not known whether a run began; of one that a former owner sent,
-        // neither when.
-        if (isSoon || hasBegun || !it->wasSentHere())
-            it->crash = CrashRelation::Later;
-        // A start that nobody confirmed may have begun and be the cause.
-        isAccounted = isAccounted || isSoon || it->task->crashes.hasUnexplained();
-        if (isSoon && hasBegun)
-            soon.push_back(it);
-    }
-    for (ActiveRun* it : soon)
-        it->crash = soon.size() == 1 ? CrashRelation::SoonAlone : CrashRelation::Soon;
-    if (soon.empty() && executor.reportedUnixMs)
+    std::vector<ActiveRun*> runs;
+    std::copy_if(executor.runs.begin(), executor.runs.end(), std::back_inserter(runs), [survivor](const ActiveRun* it) { return mayHaveBegun(*it) && it->incarnation != survivor && it->crash == CrashRelation::None; });
+    bool isCrash = executor.reportedUnixMs || !runs.empty();
+    std::erase_if(runs, [](const ActiveRun* it) { return isSound(*it); });
+    // A start that nobody confirmed may have begun and be the cause.
+    bool isAccounted = std::any_of(runs.begin(), runs.end(), [](const ActiveRun* it) { return isRecent(*it) || it->task->crashes.hasUnexplained(); });
+    std::ptrdiff_t begunSoon = std::count_if(runs.begin(), runs.end(), [](const ActiveRun* it) { return isRecent(*it) && it->phase == RunPhase::Running; });
+    for (ActiveRun* it : runs)
+        it->crash = crashRelation(*it, begunSoon == 1);
+    if (!begunSoon && executor.reportedUnixMs)
         m_crashSeries.addUnexplained(now);
     if (isCrash && !isAccounted)
         m_crashSeries.addUnaccounted(now);
@@ -99,8 +117,7 @@
 
 void JobScheduler::keepExpired(ActiveExecutor& executor, ActiveRun& run)
 {
-    bool isSound = run.isProven || executor.heardAt >= run.begunAt() + CrashCounts::s_soundAfter;
-    if (isSound || executor.entry.isDraining || run.crash != CrashRelation::None)
+    if (isSound(run) || executor.entry.isDraining || run.crash != CrashRelation::None)
         return;
     // The executor may come back, and tell of the crash, only after the next start.
     if (run.task->crashes.all + run.task->unsettledRuns + 1 >= CrashCounts::s_limit) {
