Write the longest lease of an executor for releases that know no unseen runs

In a roll, an owner of the release before takes over from one of this release and reads one lease for each executor. Since starts without a response are named each by itself, that lease no longer included theirs, so that such a run could be given up too early and its task run twice (found by reading; TWICE). Now the field that former releases read has the longest lease again, and a new field that of all other runs. 'a release that knows no unseen runs reads the longest lease of an executor from the last record': the field had the executor's own lease before.

--- a/plantainhold/jobs/JobCodec.cpp
+++ b/plantainhold/jobs/JobCodec.cpp
@@ -4,6 +4,7 @@
 #include "plantainhold/jobs/OwnerTerm.h"
 #include "plantainhold/proto/jobs.pb.h"
 
+#include <algorithm>
 #include <cmath>
 #include <google/protobuf/arena.h>
 
@@ -208,7 +209,8 @@
         wire::SilentExecutorRecord& unresponsive = *record.add_silent();
         unresponsive.set_id(it.id);
         unresponsive.set_born_unix_ms(it.startedUnixMs);
-        unresponsive.set_lease_left_ms(it.leaseRemainingMs);
+        unresponsive.set_lease_left_ms(std::max(it.leaseRemainingMs, it.longestRemainingMs));
+        unresponsive.set_known_lease_left_ms(it.leaseRemainingMs);
     }
     for (const UnseenRun& it : term.unseenRuns) {
         wire::UnseenRunRecord& unseen = *record.add_unseen();
@@ -227,7 +229,7 @@
         return std::nullopt;
     OwnerTerm term { record.generation(), record.released(), {}, {} };
     for (const auto& it : record.silent())
-        term.unresponsive.push_back({ it.id(), it.born_unix_ms(), it.lease_left_ms() });
+        term.unresponsive.push_back({ it.id(), it.born_unix_ms(), it.has_known_lease_left_ms() ? it.known_lease_left_ms() : it.lease_left_ms(), it.lease_left_ms() });
     for (const auto& it : record.unseen())
         term.unseenRuns.push_back({ it.task(), it.run(), it.address(), it.lease_left_ms() });
     return term;
--- a/plantainhold/jobs/JobStorage.cpp
+++ b/plantainhold/jobs/JobStorage.cpp
@@ -149,14 +149,17 @@
     auto left = [now](TimePoint when) { return std::max<std::int64_t>(0, std::chrono::ceil<Milliseconds>(when - now).count()); };
     for (const ActiveExecutor* it : m_executorList) {
         bool isUnresponsive = it->failedCalls > 0 || !it->hasClock;
-        // After a restart that was seen late.
-        bool isLeaseLong = it->leaseExpiresAt > now + longestOnOurClock(m_limits.lease);
-        if ((isUnresponsive || isLeaseLong) && !it->runs.empty())
-            term.unresponsive.push_back({ it->entry.id, it->entry.startedUnixMs, left(it->leaseExpiresAt) });
+        TimePoint longest = it->leaseExpiresAt;
         for (const ActiveRun* run : it->runs) {
-            if (now < run->unseenLeaseExpiresAt)
-                term.unseenRuns.push_back({ run->task->name().text(), run->number, run->sentTo, left(run->unseenLeaseExpiresAt) });
+            if (now >= run->unseenLeaseExpiresAt)
+                continue;
+            term.unseenRuns.push_back({ run->task->name().text(), run->number, run->sentTo, left(run->unseenLeaseExpiresAt) });
+            longest = std::max(longest, run->unseenLeaseExpiresAt);
         }
+        // That of the executor is long after a restart that was seen late.
+        bool isLeaseLong = longest > now + longestOnOurClock(m_limits.lease);
+        if ((isUnresponsive || isLeaseLong) && !it->runs.empty())
+            term.unresponsive.push_back({ it->entry.id, it->entry.startedUnixMs, left(it->leaseExpiresAt), left(longest) });
     }
     return term;
 }
--- a/plantainhold/jobs/OwnerTerm.h
+++ b/plantainhold/jobs/OwnerTerm.h
@@ -9,12 +9,15 @@
 
 namespace plantainhold {
 
-// An executor that did not respond when the term ended, or whose lease is longer than the usual one.
+// An executor that did not respond when the term ended, or whose lease, or that of a run there, is longer than the
+// usual one.
 struct UnresponsiveExecutor {
     std::string id;
     std::int64_t startedUnixMs = 0;
-    // How long a run may still execute there, counted from the release.
+    // How long a run may still execute there, counted from the release; OwnerTerm::unseenRuns may do so for longer.
     std::int64_t leaseRemainingMs = 0;
+    // The longest of all, for releases that know no unseen runs.
+    std::int64_t longestRemainingMs = 0;
 };
 
 // A run that no report had listed when the term ended. An incarnation of its executor that the owner did not know
--- a/plantainhold/testing/jobs/TakeoverLeaseTest.cpp
+++ b/plantainhold/testing/jobs/TakeoverLeaseTest.cpp
@@ -1,5 +1,6 @@
 // Tests of the time for which a new owner waits for leases that a former one extended.
 
+#include "plantainhold/proto/jobs.pb.h"
 #include "plantainhold/testing/jobs/SchedulerFixture.h"
 
 #include <catch2/catch.hpp>
@@ -23,10 +24,12 @@
             m_former.disconnect("x");
         }
 
+        std::string lastRecord() { return encodeOwnerTerm(m_former.scheduler().release(m_former.now())); }
+
         // Returns the next owner.
         std::unique_ptr<SchedulerFixture> handOver()
         {
-            OwnerTerm term = *decodeOwnerTerm(encodeOwnerTerm(m_former.scheduler().release(m_former.now())));
+            OwnerTerm term = *decodeOwnerTerm(lastRecord());
             auto next = std::make_unique<SchedulerFixture>(term, false, m_former.now());
             next->addExecutor("y", 8'000);
             for (const char* it : { "confirmed", "unknown" })
@@ -52,4 +55,31 @@
     CHECK(startsWithin(*next, Milliseconds(3'000)) == 1);
 }
 
+// TWICE: in a roll, an owner of the release before takes over from one of this release. It knows one lease for each
+// executor only, which no longer included that of a start without a response.
+TEST_CASE("a release that knows no unseen runs reads the longest lease of an executor from the last record")
+{
+    ReleasedTerm term;
+    wire::OwnerRecord record;
+    REQUIRE(record.ParseFromString(term.lastRecord()));
+    REQUIRE(record.silent_size() == 1);
+    REQUIRE(record.unseen_size() == 1);
+    CHECK(record.silent(0).lease_left_ms() == record.unseen(0).lease_left_ms());
+    CHECK(record.silent(0).known_lease_left_ms() < record.silent(0).lease_left_ms());
+}
+
+// An owner of the release before wrote one lease for all runs of an executor.
+TEST_CASE("a last record without unseen runs has one lease for all runs of an executor")
+{
+    constexpr std::int64_t s_leaseMs = 7'000;
+    wire::OwnerRecord record;
+    record.set_released(true);
+    wire::SilentExecutorRecord& executor = *record.add_silent();
+    executor.set_id("x");
+    executor.set_lease_left_ms(s_leaseMs);
+    OwnerTerm term = *decodeOwnerTerm(record.SerializeAsString());
+    REQUIRE(term.unresponsive.size() == 1);
+    CHECK(term.unresponsive[0].leaseRemainingMs == s_leaseMs);
+}
+
 } // namespace plantainhold
