Show two faults of the crash that counts before the next start, both red

BUDGET: crashes.all, unsettledRuns and one more are compared with the limit, but isConvicted() knows crashes.all only. A task with three crashes and two executors that may have crashed got its sixth start; the mend holds only if no other run is unsettled, that is if each executor is back before the next lease expires. The other way round, a task with four runs on executors that are cut off counts a crash at the fifth, which never was and which nobody takes back.

--- a/plantainhold/testing/jobs/DeadlyTaskTest.cpp
+++ b/plantainhold/testing/jobs/DeadlyTaskTest.cpp
@@ -245,6 +245,48 @@
     CHECK(fixture.storedJob("j").state == JobState::Failed);
 }
 
+// BUDGET: of the runs whose executor may have crashed, only the last counted at once. The verdict did not know of the
+// others, and the task was started for the sixth time.
+TEST_CASE("a task that two crashes more would convict is not started while two executors may have crashed")
+{
+    SchedulerFixture fixture;
+    fixture.addExecutor("x", 8'000);
+    fixture.restore("j", { SchedulerFixture::step(1, 1'000) }, { JobState::Running, true, { crashedTask({ 3, 0, 0 }) } });
+    for (const char* it : { "x", "y" }) {
+        std::vector<ExecutorCommand> commands;
+        for (int i = 0; i < 60 && !starts(commands); ++i)
+            commands = fixture.advance(Milliseconds(100));
+        REQUIRE(starts(commands) == 1);
+        fixture.accept(commands);
+        fixture.disconnect(it);
+        fixture.addExecutor(it == std::string_view("x") ? "y" : "z", 8'000);
+    }
+    CHECK(startsWithin(fixture, Milliseconds(6'000)) == 0);
+}
+
+// LOST: with four executors cut off, the fifth counted as crashed, and nothing took that back when it reported again.
+TEST_CASE("executors that were only cut off count no crash, however many they are")
+{
+    SchedulerFixture fixture;
+    fixture.submit("j", 0, { SchedulerFixture::step(1, 1'000) });
+    const std::vector<std::string> executors { "v", "w", "x", "y", "z" };
+    for (const std::string& it : executors) {
+        fixture.addExecutor(it, 8'000);
+        std::vector<ExecutorCommand> commands;
+        for (int i = 0; i < 60 && !starts(commands); ++i)
+            commands = fixture.advance(Milliseconds(100));
+        REQUIRE(starts(commands) == 1);
+        fixture.accept(commands);
+        auto [request, sentAt] = fixture.sendReportRequest(it);
+        fixture.scheduler().reportFailed(it, request, { CommandResult::Unknown, SchedulerFixture::s_address, sentAt, {} }, fixture.now());
+    }
+    startsWithin(fixture, Milliseconds(6'000));
+    for (const std::string& it : executors)
+        fixture.report(it, {}, {});
+    fixture.advance();
+    CHECK(fixture.events().find(EventId::TaskCrashedExecutor).empty());
+}
+
 // The executor came back after the lease had expired, as another incarnation: it had crashed.
 TEST_CASE("a run whose lease expired counts a crash if its executor has restarted")
 {
