--- a/plantainhold/testing/jobs/DeadlyTaskTest.cpp
+++ b/plantainhold/testing/jobs/DeadlyTaskTest.cpp
@@ -264,6 +264,34 @@
     CHECK(startsWithin(fixture, Milliseconds(6'000)) == 0);
 }
 
+// BUDGET: crashes under tasks that had crashed others were taken for a common cause if the executors came back after
+// their leases had expired, so that the tasks were no suspects.
+TEST_CASE("crashes under suspects explain nothing, also if their executors come back after the lease")
+{
+    SchedulerFixture fixture;
+    const std::vector<std::string> executors { "x", "y", "z" };
+    const std::vector<std::string> jobs { "a", "b", "c" };
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+        fixture.addExecutor(executors[i], 1'000);
+        fixture.restore(jobs[i], { SchedulerFixture::step(1, 1'000) }, { JobState::Running, true, { crashedTask({ 1, 0, 0 }) } });
+        std::vector<ExecutorCommand> commands = fixture.advance();
+        REQUIRE(starts(commands) == 1);
+        fixture.accept(commands);
+    }
+    for (const std::string& it : executors)
+        fixture.disconnect(it);
+    startsWithin(fixture, Milliseconds(6'000));
+    for (const std::string& it : executors)
+        fixture.report(it, {}, {}, 2);
+    startsWithin(fixture, Milliseconds(1'500));
+    for (const std::string& it : jobs) {
+        std::optional<JobProgress> progress = decodeProgress(fixture.storedJob(it).progress);
+        REQUIRE(progress);
+        CHECK(progress->tasks.at(0).crashes.all == 2);
+        CHECK(progress->tasks.at(0).crashes.explained == 0);
+    }
+}
+
 // LOST: with four executors cut off, the fifth counted as crashed, and nothing took that back when it reported again.
 TEST_CASE("executors that were only cut off count no crash, however many they are")
 {
@@ -287,6 +315,37 @@
     CHECK(fixture.events().find(EventId::TaskCrashedExecutor).empty());
 }
 
+// BUDGET: executors that had been lost 12 s before explained the crash under a task that ran alone, so that this crash
+// never counted as one alone, and the task was started once more.
+TEST_CASE("executors forgotten at the moment of a crash keep no verdict off")
+{
+    const std::vector<std::string> executors { "x", "y", "z" };
+    std::size_t lost = GENERATE(1, 3);
+    SchedulerFixture fixture;
+    for (std::size_t i = 0; i < lost; ++i) {
+        fixture.addExecutor(executors[i], 1'000);
+        fixture.submit("on-" + executors[i], 0, { SchedulerFixture::step(1, 1'000) });
+        std::vector<ExecutorCommand> commands = fixture.advance();
+        REQUIRE(starts(commands) == 1);
+        fixture.accept(commands);
+    }
+    for (std::size_t i = 0; i < lost; ++i)
+        fixture.disconnect(executors[i]);
+    while (fixture.scheduler().executor("x"))
+        fixture.advance(Milliseconds(100));
+    fixture.addExecutor("w", 8'000);
+    fixture.restore("deadly", { SchedulerFixture::step(1, 8'000) }, { JobState::Running, true, { crashedTask({ 1, 1, 0 }) } });
+    std::vector<ExecutorCommand> commands = fixture.advance();
+    REQUIRE(starts(commands) == 1);
+    REQUIRE(commands[0].task.job == "deadly");
+    fixture.accept(commands);
+    fixture.advance(Milliseconds(100));
+    fixture.report("w", {}, {}, 2);
+    startsWithin(fixture, Milliseconds(2'000));
+    INFO("executors lost: " << lost);
+    CHECK(fixture.storedJob("deadly").state == JobState::Failed);
+}
+
 // The executor came back after the lease had expired, as another incarnation: it had crashed.
 TEST_CASE("a run whose lease expired counts a crash if its executor has restarted")
 {
