Show that three late crashes explain each other for ever, red

Three tasks of a step crash their executors 600 ms after their start. Each crash is explained by the other two, so that no task has one of its own, so that the next ones are no one's either: none is ever parted from others.

--- a/plantainhold/testing/jobs/ReviewedSuspicionTest.cpp
+++ b/plantainhold/testing/jobs/ReviewedSuspicionTest.cpp
@@ -109,6 +109,19 @@
         CHECK(fleet.fixture.storedJob("beside" + std::to_string(i)).state == JobState::Running);
 }
 
+// BUDGET: three tasks that crash their executors at the same time some time after their start explained each other's
+// crashes. So none was ever suspected.
+TEST_CASE("tasks that crash their executors together some time after their start become suspects")
+{
+    LateCrashingFleet fleet;
+    StepSpec step = SchedulerFixture::step(3, 1'000);
+    step.maxPerExecutor = 1;
+    fleet.fixture.submit(s_deadly, 0, { step });
+    fleet.run(Milliseconds(20'000));
+    CHECK(fleet.fixture.storedJob(s_deadly).state == JobState::Failed);
+    CHECK(fleet.fixture.events().find(EventId::ExecutorSecluded).find("task=deadly.0.0.") != std::string::npos);
+}
+
 // LOST: an incarnation that only the list names may have accepted starts whose result is not known. The longest lease
 // that it may have granted was waited for by all runs of the executor, also by those that an earlier one had reported.
 TEST_CASE("a run that reports have confirmed waits for no lease of an incarnation that only the list names")
