--- a/plantainhold/testing/jobs/ReviewedSuspicionTest.cpp
+++ b/plantainhold/testing/jobs/ReviewedSuspicionTest.cpp
@@ -192,4 +192,38 @@
     CHECK(started == 1);
 }
 
+// LOST: the only executor of a service was avoided for the failures of one job, and nothing else could run.
+TEST_CASE("a job starts in time beside a job whose tasks fail on the only executor")
+{
+    constexpr Milliseconds s_failureInterval { 400 };
+    constexpr std::uint32_t s_failing = 16;
+    constexpr int s_failuresBefore = 4;
+    SchedulerFixture fixture;
+    fixture.addExecutor("x", 16'000);
+    fixture.submit("failing", 0, { SchedulerFixture::step(s_failing, 500) });
+    fixture.accept(fixture.advance());
+    std::uint32_t failed = 0;
+    auto failOne = [&]() {
+        std::vector<ReportedRun> running;
+        for (std::uint32_t i = failed + 1; i < s_failing; ++i)
+            running.push_back({ { "failing", 0, 0, i }, 1, {}, 50, 0 });
+        fixture.report("x", running, { { failed + 1, { "failing", 0, 0, failed }, 1, EndKind::Failed, {} } });
+        ++failed;
+    };
+    for (int i = 0; i < s_failuresBefore; ++i) {
+        fixture.advance(s_failureInterval);
+        failOne();
+    }
+    REQUIRE_FALSE(fixture.events().find(EventId::ExecutorAvoided).empty());
+    fixture.submit("j", 0, { SchedulerFixture::step(1, 1'000) });
+    std::size_t started = 0;
+    for (Milliseconds waited { 0 }; waited < Milliseconds(3'000); waited += s_failureInterval) {
+        for (const ExecutorCommand& it : fixture.advance(s_failureInterval))
+            started += it.kind == CommandKind::Start && it.task.job == "j";
+        if (failed < s_failing)
+            failOne();
+    }
+    CHECK(started == 1);
+}
+
 } // namespace plantainhold
