--- a/plantainhold/testing/jobs/DeadlyTaskTest.cpp
+++ b/plantainhold/testing/jobs/DeadlyTaskTest.cpp
@@ -245,6 +245,107 @@
     CHECK(fixture.storedJob("j").state == JobState::Failed);
 }
 
+// BUDGET: of the runs whose executor may have crashed, only the last counted at once. The verdict did not know of the
+// others, and the task was started for the sixth time.
+TEST_CASE("a task that two crashes more would convict is not started while two executors may have crashed")
+{
+    SchedulerFixture fixture;
+    fixture.addExecutor("x", 8'000);
+    fixture.restore("j", { SchedulerFixture::step(1, 1'000) }, { JobState::Running, true, { crashedTask({ 3, 0, 0 }) } });
+    for (const char* it : { "x", "y" }) {
+        std::vector<ExecutorCommand> commands;
+        for (int i = 0; i < 60 && !starts(commands); ++i)
+            commands = fixture.advance(Milliseconds(100));
+        REQUIRE(starts(commands) == 1);
+        fixture.accept(commands);
+        fixture.disconnect(it);
+        fixture.addExecutor(it == std::string_view("x") ? "y" : "z", 8'000);
+    }
+    CHECK(startsWithin(fixture, Milliseconds(6'000)) == 0);
+}
+
+// BUDGET: crashes under tasks that had crashed others were taken for a common cause if the executors came back after
+// their leases had expired, so that the tasks were no suspects.
+TEST_CASE("crashes under suspects explain nothing, also if their executors come back after the lease")
+{
+    SchedulerFixture fixture;
+    const std::vector<std::string> executors { "x", "y", "z" };
+    const std::vector<std::string> jobs { "a", "b", "c" };
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+        fixture.addExecutor(executors[i], 1'000);
+        fixture.restore(jobs[i], { SchedulerFixture::step(1, 1'000) }, { JobState::Running, true, { crashedTask({ 1, 0, 0 }) } });
+        std::vector<ExecutorCommand> commands = fixture.advance();
+        REQUIRE(starts(commands) == 1);
+        fixture.accept(commands);
+    }
+    for (const std::string& it : executors)
+        fixture.disconnect(it);
+    startsWithin(fixture, Milliseconds(6'000));
+    for (const std::string& it : executors)
+        fixture.report(it, {}, {}, 2);
+    startsWithin(fixture, Milliseconds(1'500));
+    for (const std::string& it : jobs) {
+        std::optional<JobProgress> progress = decodeProgress(fixture.storedJob(it).progress);
+        REQUIRE(progress);
+        CHECK(progress->tasks.at(0).crashes.all == 2);
+        CHECK(progress->tasks.at(0).crashes.explained == 0);
+    }
+}
+
+// LOST: with four executors cut off, the fifth counted as crashed, and nothing took that back when it reported again.
+TEST_CASE("executors that were only cut off count no crash, however many they are")
+{
+    SchedulerFixture fixture;
+    fixture.submit("j", 0, { SchedulerFixture::step(1, 1'000) });
+    const std::vector<std::string> executors { "v", "w", "x", "y", "z" };
+    for (const std::string& it : executors) {
+        fixture.addExecutor(it, 8'000);
+        std::vector<ExecutorCommand> commands;
+        for (int i = 0; i < 60 && !starts(commands); ++i)
+            commands = fixture.advance(Milliseconds(100));
+        REQUIRE(starts(commands) == 1);
+        fixture.accept(commands);
+        auto [request, sentAt] = fixture.sendReportRequest(it);
+        fixture.scheduler().reportFailed(it, request, { CommandResult::Unknown, SchedulerFixture::s_address, sentAt, {} }, fixture.now());
+    }
+    startsWithin(fixture, Milliseconds(6'000));
+    for (const std::string& it : executors)
+        fixture.report(it, {}, {});
+    fixture.advance();
+    CHECK(fixture.events().find(EventId::TaskCrashedExecutor).empty());
+}
+
+// BUDGET: executors that had been lost 12 s before explained the crash under a task that ran alone, so that this crash
+// never counted as one alone, and the task was started once more.
+TEST_CASE("executors forgotten at the moment of a crash keep no verdict off")
+{
+    const std::vector<std::string> executors { "x", "y", "z" };
+    std::size_t lost = GENERATE(1, 3);
+    SchedulerFixture fixture;
+    for (std::size_t i = 0; i < lost; ++i) {
+        fixture.addExecutor(executors[i], 1'000);
+        fixture.submit("on-" + executors[i], 0, { SchedulerFixture::step(1, 1'000) });
+        std::vector<ExecutorCommand> commands = fixture.advance();
+        REQUIRE(starts(commands) == 1);
+        fixture.accept(commands);
+    }
+    for (std::size_t i = 0; i < lost; ++i)
+        fixture.disconnect(executors[i]);
+    while (fixture.scheduler().executor("x"))
+        fixture.advance(Milliseconds(100));
+    fixture.addExecutor("w", 8'000);
+    fixture.restore("deadly", { SchedulerFixture::step(1, 8'000) }, { JobState::Running, true, { crashedTask({ 1, 1, 0 }) } });
+    std::vector<ExecutorCommand> commands = fixture.advance();
+    REQUIRE(starts(commands) == 1);
+    REQUIRE(commands[0].task.job == "deadly");
+    fixture.accept(commands);
+    fixture.advance(Milliseconds(100));
+    fixture.report("w", {}, {}, 2);
+    startsWithin(fixture, Milliseconds(2'000));
+    INFO("executors lost: " << lost);
+    CHECK(fixture.storedJob("deadly").state == JobState::Failed);
+}
+
 // The executor came back after the lease had expired, as another incarnation: it had crashed.
 TEST_CASE("a run whose lease expired counts a crash if its executor has restarted")
 {
--- a/plantainhold/testing/jobs/LateCrashTest.cpp
+++ b/plantainhold/testing/jobs/LateCrashTest.cpp
@@ -45,4 +45,18 @@
         CHECK(fleet.fixture.storedJob("beside" + std::to_string(i)).state == JobState::Running);
 }
 
+// BUDGET: three tasks that crash their executors at the same time some time after their start explained each other's
+// crashes. So none was ever suspected.
+TEST_CASE("tasks that crash their executors together some time after their start become suspects")
+{
+    SteadyFleet fleet(s_executors);
+    fleet.makeDeadly(s_deadly, s_lateCrash);
+    StepSpec step = SchedulerFixture::step(3, 1'000);
+    step.maxPerExecutor = 1;
+    fleet.fixture.submit(s_deadly, 0, { step });
+    fleet.run(Milliseconds(20'000));
+    CHECK(fleet.fixture.storedJob(s_deadly).state == JobState::Failed);
+    CHECK(fleet.fixture.events().find(EventId::ExecutorSecluded).find("task=deadly.0.0.") != std::string::npos);
+}
+
 } // namespace plantainhold
