Never avoid the only executor of a service, and at most a third of several

Callers: nothing ran for 3 s and more beside a job whose tasks fail on the only executor. The bound was counted against the other executors, with none of them it allowed one; of four it allowed two. 'a job starts in time beside a job whose tasks fail on the only executor' failed before.

--- a/plantainhold/jobs/JobEnds.cpp
+++ b/plantainhold/jobs/JobEnds.cpp
@@ -14,8 +14,8 @@
     constexpr double s_failureDecay = 0.8;
     constexpr double s_failureLimit = 2.5;
     constexpr Milliseconds s_failureAvoidance { 3'000 };
-    // Of the other executors of its service, no more than one in this many may be avoided before one is avoided for its
-    // failures: where more fail, the tasks are the likely cause, and others need the room.
+    // No more than one executor of a service in this many is avoided for its failures at a time, but one of two may
+    // be: where more fail, the tasks are the likely cause, and others need the room.
     constexpr std::size_t s_executorsPerAvoidance = 3;
     constexpr double s_slownessSmoothing = 0.3;
     constexpr double s_minRatio = 0.1;
@@ -154,12 +154,12 @@
     std::size_t listed = 0;
     std::size_t avoided = 0;
     for (const ActiveExecutor* it : m_executorList) {
-        if (it == &executor || !it->isListed || it->entry.service != executor.entry.service)
+        if (!it->isListed || it->entry.service != executor.entry.service)
             continue;
         ++listed;
-        avoided += now < it->avoidedUntil;
+        avoided += it != &executor && now < it->avoidedUntil;
     }
-    return avoided <= listed / s_executorsPerAvoidance;
+    return listed > 1 && avoided < std::max<std::size_t>(1, listed / s_executorsPerAvoidance);
 }
 
 void JobScheduler::recordFailure(ActiveExecutor& executor, TimePoint now)
