Take a successor that was seen twice for the same instance only

Two instances on standby in turn, one killed and one just started, counted as one that stayed; and a first sighting counted from its arrival to the arrival of the last, which proves up to a call's time less. The name is kept now, and the time counted from the arrival of the first answer to the sending of the last call. Found by reading; no test failed before.

--- a/plantainhold/entry/OwnershipManager.cpp
+++ b/plantainhold/entry/OwnershipManager.cpp
@@ -90,9 +90,10 @@
     });
 }
 
-bool OwnershipManager::isAnotherStandingBy(const HoldersResult& standby) const
+std::string OwnershipManager::standbyBeside(const HoldersResult& standby) const
 {
-    return std::any_of(standby.holders.begin(), standby.holders.end(), [this](const PartitionHolder& it) { return it.member != m_options.member; });
+    auto it = std::find_if(standby.holders.begin(), standby.holders.end(), [this](const PartitionHolder& holder) { return holder.member != m_options.member; });
+    return it == standby.holders.end() ? std::string() : std::string(it->member);
 }
 
 asio::awaitable<bool> OwnershipManager::renewStandby()
@@ -268,16 +269,20 @@
 asio::awaitable<void> OwnershipManager::waitForSuccessor(Milliseconds patience)
 {
     const TimePoint last = BootClock::now() + patience;
-    TimePoint seenSince = TimePoint::max();
+    std::string successor;
+    TimePoint seenAt {};
     while (isOwner() && BootClock::now() < last) {
-        auto left = std::chrono::ceil<Milliseconds>(last - BootClock::now());
+        TimePoint sentAt = BootClock::now();
+        auto left = std::chrono::ceil<Milliseconds>(last - sentAt);
         HoldersResult standby = co_await m_store.holders(s_standbyGroup, std::min(s_callTimeout, left));
-        bool isSeen = standby.status == StoreStatus::Ok && isAnotherStandingBy(standby);
-        TimePoint now = BootClock::now();
-        seenSince = isSeen ? std::min(seenSince, now) : TimePoint::max();
+        std::string seen = standby.status == StoreStatus::Ok ? standbyBeside(standby) : std::string();
         // An instance that was killed is a member until its time to live is over.
-        if (isSeen && now - seenSince >= m_options.timeToLive)
+        if (!seen.empty() && seen == successor && sentAt - seenAt >= m_options.timeToLive)
             co_return;
+        if (seen != successor) {
+            successor = std::move(seen);
+            seenAt = BootClock::now();
+        }
         co_await sleepFor(m_executor, std::min(s_successorInterval, left));
     }
 }
--- a/plantainhold/entry/OwnershipManager.h
+++ b/plantainhold/entry/OwnershipManager.h
@@ -73,8 +73,8 @@
     boost::asio::awaitable<void> run();
     // Gives up the partition and stops renewing the memberships. Leaves the owners' group,
     // so that another instance can take over, once the final record is stored. An owner
-    // remains one for up to `patience` until another instance is on standby: tasks would
-    // wait, and leases expire, while nobody owns the partition.
+    // remains one for up to `patience` until another instance has been on standby for its
+    // time to live: tasks would wait, and leases expire, while nobody owns the partition.
     boost::asio::awaitable<void> leave(std::string_view reason, Milliseconds patience);
     // To be called when the store refused a write because a newer owner has written.
     void onFenced();
@@ -97,9 +97,10 @@
     boost::asio::awaitable<bool> checkStillUnowned();
     boost::asio::awaitable<void> checkForLargerStandby();
     boost::asio::awaitable<void> handOver(std::string_view reason);
-    // Returns once another instance is on standby, this one is no owner any more, or the time is over.
+    // Returns once another instance has been on standby for its time to live, this one is no owner any more, or the time is over.
     boost::asio::awaitable<void> waitForSuccessor(Milliseconds patience);
-    bool isAnotherStandingBy(const HoldersResult& standby) const;
+    // Returns a member on standby other than this instance; an empty string if there is none.
+    std::string standbyBeside(const HoldersResult& standby) const;
     // From now on this instance does not renew its membership in the owners' group but leaves it.
     void requestLeave();
     // Returns whether the membership is over: the store responded, or the time to live has passed.
