--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -33,9 +33,9 @@
     // never ran waits as long for short tasks while most of the capacity is free.
     constexpr Milliseconds s_starvedAfter { 1'500 };
     constexpr std::uint32_t s_starvedNeighbours = 1;
-    // If no such executor is found for this long, it gets one beside any number of best-effort runs: these reserve
+    // If no such executor is found within this time after that, it gets one beside any number of best-effort runs: these reserve
     // nothing, and each job with nothing running has a claim to a share of what is left over.
-    constexpr Milliseconds s_starvedLongAfter { 500 };
+    constexpr Milliseconds s_crowdedAfter { 500 };
     constexpr double s_otherImageCost = 40;
     // Cost of placing a task that causes no pressure on an executor without latency-critical tasks.
     constexpr double s_unpressuredTask = 50;
@@ -139,8 +139,8 @@
     TimePoint starved = waiting == step.tasks.end() ? TimePoint::max() : starvedSince(*waiting);
     if (now < starved)
         m_placeAgainAt = std::min(m_placeAgainAt, starved);
-    else if (now < starved + s_starvedLongAfter)
-        m_placeAgainAt = std::min(m_placeAgainAt, starved + s_starvedLongAfter);
+    else if (now < starved + s_crowdedAfter)
+        m_placeAgainAt = std::min(m_placeAgainAt, starved + s_crowdedAfter);
     bool needsAdvice = step.job().settings.needsAdvice;
     if (!needsAdvice || step.advice.hasTicket(now))
         step.spec->isGang ? placeGang(step, now) : placeStep(step, now);
@@ -230,7 +230,7 @@
     PlacementNeeds needs { spec.reserved(), 0, std::nullopt, false, s_starvedNeighbours };
     if (TimePoint starved = starvedSince(task); starved != TimePoint::max()) {
         needs.isStarved = now >= starved;
-        if (now >= starved + s_starvedLongAfter)
+        if (now >= starved + s_crowdedAfter)
             needs.maxNeighbours = std::numeric_limits<std::uint32_t>::max();
     }
     if (spec.isBestEffort()) {
