Count unsettled crashes together, and keep verdicts free of what explains a suspicion

All count now, and only once two executors have crashed for certain: with four executors that were only cut off the fifth made a crash that never was. - A crash under a suspect whose executor was back after the lease counted as accounted for by nobody. - An explained crash never counted as one alone, and executors that were forgotten were dated 12 s late, so that they kept a verdict off. 'a task that two crashes more ...', 'executors that were only cut off ...', 'crashes under suspects explain nothing ...', 'executors forgotten at the moment ...' failed before. No counter is kept beside the entries any more.

--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -25,6 +25,7 @@
     std::string executor;
     std::int64_t incarnation = 0;
     CrashRelation crash = CrashRelation::None;
+    TimePoint lostAt {};
 };
 
 struct ActiveExecutor {
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -113,8 +113,6 @@
     std::uint32_t lastRun = 0;
     std::uint32_t failures = 0;
     CrashCounts crashes;
-    // Runs whose lease has expired and whose executor may have crashed; see ActiveExecutor::expiredRuns.
-    std::uint32_t unsettledRuns = 0;
     bool isDone = false;
     // An earlier run completed after it had been given up. The task becomes done once its present
     // run has ended.
--- a/plantainhold/jobs/CrashEvidence.h
+++ b/plantainhold/jobs/CrashEvidence.h
@@ -2,8 +2,8 @@
 // starts it; but an executor carries many tasks, and all of them are on it when it crashes. So a crash
 // alone convicts nobody: it makes those tasks suspects that it followed closely, suspects run alone, and a
 // crash under a task that ran alone convicts it. An end, or some seconds of work, clears it. Where executors
-// crash for other reasons as well, a coincidence is likely, so more is asked. Where many crash at one moment, one
-// cause explains all, so that these crashes make no suspects.
+// crash for other reasons as well, a coincidence is likely, so more is asked. Where three or more
+// crash at one moment that no task accounts for, one cause explains all, so that these crashes make no suspects.
 #pragma once
 
 #include "plantainhold/ports/Clock.h"
@@ -31,7 +31,7 @@
     // Those of them that crashed soon after no other run had begun, and while no other executor crashed.
     std::uint32_t alone = 0;
     // Those of them, and of the ones soon after the start, that came together with others, so that one cause explains
-    // all. They make no suspect; whether the task is given up does not depend on it.
+    // all. They make no suspect, and count towards a verdict like the others.
     std::uint32_t explained = 0;
     std::uint32_t explainedSoon = 0;
 
@@ -42,6 +42,8 @@
     // Crashes after which a task is given up, whatever else they tell. The sixth start would be the third after
     // three crashes.
     static constexpr std::uint32_t s_limit = 5;
+    // Crashes without which a task is never given up.
+    static constexpr std::uint32_t s_least = 2;
     // Crashes soon after a start, after which it is given up if one of them came alone; two of them, where
     // executors crash for other reasons.
     static constexpr std::uint32_t s_limitSoon = 2;
--- a/plantainhold/jobs/JobCrashes.cpp
+++ b/plantainhold/jobs/JobCrashes.cpp
@@ -72,17 +72,18 @@
     return std::all_of(executor.runs.begin(), executor.runs.end(), [&](const ActiveRun* it) { return it->phase == RunPhase::Running && now >= it->begunAt() + s_quietTime; });
 }
 
-void JobScheduler::markCrash(ActiveExecutor& executor, std::int64_t survivor, TimePoint now)
+void JobScheduler::markCrash(ActiveExecutor& executor, std::int64_t survivor, bool isAccounted, TimePoint now)
 {
     // What runs on an executor that leaves as announced ends with it.
     if (executor.entry.isDraining)
         return;
     std::vector<ActiveRun*> runs;
     std::copy_if(executor.runs.begin(), executor.runs.end(), std::back_inserter(runs), [survivor](const ActiveRun* it) { return mayHaveBegun(*it) && it->incarnation != survivor && it->crash == CrashRelation::None; });
+    // Also if all runs are sound.
     bool isCrash = executor.reportedUnixMs || !runs.empty();
     std::erase_if(runs, [](const ActiveRun* it) { return isSound(*it); });
     // A start that nobody confirmed may have begun and be the cause.
-    bool isAccounted = std::any_of(runs.begin(), runs.end(), [](const ActiveRun* it) { return isRecent(*it) || it->task->crashes.hasUnexplained(); });
+    isAccounted = isAccounted || std::any_of(runs.begin(), runs.end(), [](const ActiveRun* it) { return isRecent(*it) || it->task->crashes.hasUnexplained(); });
     std::ptrdiff_t begunSoon = std::count_if(runs.begin(), runs.end(), [](const ActiveRun* it) { return isRecent(*it) && it->phase == RunPhase::Running; });
     for (ActiveRun* it : runs)
         it->crash = crashRelation(*it, begunSoon == 1);
@@ -95,37 +96,56 @@
 void JobScheduler::countCrash(ActiveTask& task, const ExpiredRun& run, TimePoint now)
 {
     task.crashes.add(run.crash);
-    bool isExplained = m_crashSeries.hasCommonCauseNear(now);
+    bool isExplained = m_crashSeries.hasCommonCauseNear(now) || m_crashSeries.hasCommonCauseNear(run.lostAt);
     if (isExplained)
         task.crashes.explain(run.crash);
     m_events.note(EventId::TaskCrashedExecutor, { { "task", task.name().text() }, { "run", run.number }, { "executor", run.executor }, { "incarnation", run.incarnation }, { "relation", nameOf(run.crash) }, { "crashes", task.crashes.all }, { "soon", task.crashes.soon }, { "alone", task.crashes.alone }, { "explained", task.crashes.explained } });
-    judgeLater(task, isExplained ? CrashRelation::None : run.crash, now);
+    judgeLater(task, { task.name(), run.crash, isExplained, now });
     markDirty(task.step->job());
 }
 
-void JobScheduler::judgeLater(ActiveTask& task, CrashRelation relation, TimePoint now)
+void JobScheduler::judgeLater(ActiveTask& task, const Suspicion& suspicion)
 {
-    m_suspicions.push_back({ task.name(), relation, now });
+    m_suspicions.push_back(suspicion);
     CrashCounts worst = task.crashes;
-    worst.alone += relation == CrashRelation::SoonAlone;
-    if (!worst.isConvicted(m_crashSeries.hasUnexplained(now)))
+    worst.alone += suspicion.relation == CrashRelation::SoonAlone;
+    if (!worst.isConvicted(m_crashSeries.hasUnexplained(suspicion.when)))
         return;
     // Other crashes of the same moment may not be known yet. The step's other suspects wait as well.
-    task.notBefore = std::max(task.notBefore, now + CrashSeries::s_after);
+    task.notBefore = std::max(task.notBefore, suspicion.when + CrashSeries::s_after);
     task.step->verdictAt = task.notBefore;
 }
 
-void JobScheduler::keepExpired(ActiveExecutor& executor, ActiveRun& run)
+void JobScheduler::noteExpired(ActiveExecutor& executor, ActiveRun& run, TimePoint now)
 {
     if (isSound(run) || executor.entry.isDraining || run.crash != CrashRelation::None)
         return;
-    // The executor may come back, and tell of the crash, only after the next start.
-    if (run.task->crashes.all + run.task->unsettledRuns + 1 >= CrashCounts::s_limit) {
-        run.crash = CrashRelation::Later;
-        return;
+    ActiveTask& task = *run.task;
+    executor.expiredRuns.push_back({ task.name(), run.number, executor.entry.id, run.incarnation, CrashRelation::Later, now });
+    // The executors may come back, and tell of their crashes, only after the next start.
+    if (task.crashes.all >= CrashCounts::s_least && task.crashes.all + countExpiredOf(task) >= CrashCounts::s_limit)
+        settleExpiredOf(task, now);
+}
+
+std::size_t JobScheduler::countExpiredOf(const ActiveTask& task) const
+{
+    const TaskName name = task.name();
+    std::ptrdiff_t n = 0;
+    for (const ActiveExecutor* executor : m_executorList)
+        n += std::count_if(executor->expiredRuns.begin(), executor->expiredRuns.end(), [&](const ExpiredRun& it) { return it.task == name; });
+    return static_cast<std::size_t>(n);
+}
+
+void JobScheduler::settleExpiredOf(ActiveTask& task, TimePoint now)
+{
+    const TaskName name = task.name();
+    for (ActiveExecutor* executor : m_executorList) {
+        std::vector<ExpiredRun>& runs = executor->expiredRuns;
+        auto settled = std::stable_partition(runs.begin(), runs.end(), [&](const ExpiredRun& it) { return it.task != name; });
+        for (auto it = settled; it != runs.end(); ++it)
+            countCrash(task, *it, now);
+        runs.erase(settled, runs.end());
     }
-    ++run.task->unsettledRuns;
-    executor.expiredRuns.push_back({ run.task->name(), run.number, executor.entry.id, run.incarnation, CrashRelation::Later });
 }
 
 bool JobScheduler::hasUnexplainedCrash(std::span<const ExpiredRun> runs)
@@ -142,8 +162,6 @@
     for (const ExpiredRun& it : std::exchange(executor.expiredRuns, {})) {
         auto found = m_jobs.find(it.task.job);
         ActiveTask* task = found == m_jobs.end() ? nullptr : found->second->find(it.task);
-        if (task && task->unsettledRuns)
-            --task->unsettledRuns;
         if (task && !task->isDone && it.incarnation != survivor && !isFinal(found->second->state))
             countCrash(*task, it, now);
     }
@@ -158,7 +176,7 @@
         ActiveTask* task = found == m_jobs.end() ? nullptr : found->second->find(suspicion.task);
         if (!task || task->isDone || isFinal(found->second->state))
             continue;
-        if (suspicion.relation != CrashRelation::None && m_crashSeries.hasCommonCauseNear(suspicion.when))
+        if (!suspicion.isExplained && m_crashSeries.hasCommonCauseNear(suspicion.when))
             explain(*task, suspicion.relation, now);
         bool isAlone = suspicion.relation == CrashRelation::SoonAlone && !m_crashSeries.hasUnexplainedNear(suspicion.when);
         task->crashes.alone += isAlone;
@@ -225,7 +243,7 @@
         if (!it->isSecluded)
             continue;
         bool isAtWork = it->phase == RunPhase::Running && executor.heardAt >= it->begunAt() + s_quietTime;
-        // Until the record of the start is stored, nobody else's start is sent either.
+        // A start that is not sent yet has no moment to outlast.
         TimePoint last = it->wasSentHere() ? it->sentAt + s_maxSeclusion : TimePoint::max();
         if (isAtWork || now >= last)
             endSeclusion(*it, isAtWork ? "the run has outlasted its start" : "its time is over", now);
--- a/plantainhold/jobs/JobLeases.cpp
+++ b/plantainhold/jobs/JobLeases.cpp
@@ -74,11 +74,11 @@
 
 void JobScheduler::noteAwaitedLease(const ActiveExecutor& executor, TimePoint now)
 {
-    TimePoint unseen = executor.leaseExpiresAt;
+    TimePoint longest = executor.leaseExpiresAt;
     for (const ActiveRun* it : executor.runs)
-        unseen = std::max(unseen, it->unseenLeaseExpiresAt);
+        longest = std::max(longest, it->unseenLeaseExpiresAt);
     auto left = [now](TimePoint when) { return std::chrono::duration_cast<Milliseconds>(when - now).count(); };
-    m_events.note(EventId::LeaseAwaited, { { "executor", executor.entry.id }, { "runs", executor.runs.size() }, { "lease_left_ms", left(executor.leaseExpiresAt) }, { "longest_left_ms", left(unseen) }, { "claimed_ms_ago", -left(m_claimedAt) }, { "former_generation", m_former.generation }, { "former_released", m_former.isReleased }, { "listed", executor.isListed } });
+    m_events.note(EventId::LeaseAwaited, { { "executor", executor.entry.id }, { "runs", executor.runs.size() }, { "lease_left_ms", left(executor.leaseExpiresAt) }, { "longest_left_ms", left(longest) }, { "claimed_ms_ago", -left(m_claimedAt) }, { "former_generation", m_former.generation }, { "former_released", m_former.isReleased }, { "listed", executor.isListed } });
 }
 
 void JobScheduler::handleRestart(ActiveExecutor& executor, std::int64_t startedUnixMs, RestartSource source, TimePoint now)
@@ -125,7 +125,7 @@
     std::vector<ActiveRun*> runs = executor.runs;
     std::erase_if(runs, [&](const ActiveRun* it) { return !isOver(*it); });
     if (!runs.empty())
-        markCrash(executor, s_noIncarnation, now);
+        markCrash(executor, s_noIncarnation, hasUnexplainedCrash(executor.expiredRuns), now);
     if (result.address == executor.reportedAddress && result.sentAt >= executor.reportedSince)
         countExpired(executor, s_noIncarnation, now);
     for (ActiveRun* it : runs)
@@ -154,7 +154,7 @@
     m_events.note(EventId::RunLost, { { "task", run.task->name().text() }, { "run", run.number }, { "executor", executor.entry.id }, { "reason", reason }, { "phase", nameOf(run.phase) }, { "incarnation", executor.entry.startedUnixMs }, { "token", run.token }, { "assigned_ms_ago", since(run.assignedAt) }, { "confirmed_ms_ago", since(run.confirmedAt) }, { "report_ms_ago", reportAge.count() }, { "lease_left_ms", -since(executor.leaseExpiresAt) }, { "failed_calls", executor.failedCalls } });
     ++m_counters.lostRuns;
     ActiveTask& task = *run.task;
-    ExpiredRun lost { task.name(), run.number, executor.entry.id, run.incarnation, run.crash };
+    ExpiredRun lost { task.name(), run.number, executor.entry.id, run.incarnation, run.crash, now };
     endRun(task, now);
     if (lost.crash != CrashRelation::None && !task.isDone)
         countCrash(task, lost, now);
@@ -189,7 +189,7 @@
             wakeAt(it->unseenLeaseExpiresAt);
             continue;
         }
-        keepExpired(executor, *it);
+        noteExpired(executor, *it, now);
         loseRun(*it, "its lease expired", Milliseconds(0), now);
     }
 }
@@ -210,7 +210,7 @@
     std::erase_if(m_commands, [&](const ExecutorCommand& it) { return it.executor == id; });
     forgetNominations(executor);
     if (!executor.expiredRuns.empty() && !hasUnexplainedCrash(executor.expiredRuns))
-        m_crashSeries.addUnaccounted(now);
+        m_crashSeries.addUnaccounted(executor.expiredRuns.front().lostAt);
     countExpired(*m_executorList[index], s_noIncarnation, now);
     m_executorList.erase(m_executorList.begin() + static_cast<std::ptrdiff_t>(index));
     m_executors.erase(id);
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -179,6 +179,15 @@
     enum class RestartSource : std::uint8_t { List,
         Report };
     void handleRestart(ActiveExecutor& executor, std::int64_t startedUnixMs, RestartSource source, TimePoint now);
+    // A crash about whose task is not decided yet.
+    struct Suspicion {
+        TaskName task;
+        CrashRelation relation = CrashRelation::None;
+        // One cause explains it and others of the moment.
+        bool isExplained = false;
+        TimePoint when {};
+    };
+
     // Handles a response from another executor at the address that was called.
     void handleReplacement(ActiveExecutor& executor, const CallResult& result, TimePoint now);
     void noteReplacement(const ActiveExecutor& executor, const CallResult& result, TimePoint now);
@@ -186,18 +195,21 @@
     bool isGoneFrom(const ActiveRun& run, const CallResult& result) const;
     // Notes that all incarnations of the executor but this one are over, without having announced it. Each
     // run that may have begun in one of them counts the crash when it is lost.
-    void markCrash(ActiveExecutor& executor, std::int64_t survivor, TimePoint now);
+    // `isAccounted` tells whether a task whose run there was given up before accounts for the crash.
+    void markCrash(ActiveExecutor& executor, std::int64_t survivor, bool isAccounted, TimePoint now);
     void countCrash(ActiveTask& task, const ExpiredRun& run, TimePoint now);
-    // Keeps a run whose lease has expired. countExpired() counts the crash once the executor has restarted or is
-    // forgotten; it may also have been cut off.
-    // Where one crash more would be too many, it counts at once.
-    static void keepExpired(ActiveExecutor& executor, ActiveRun& run);
+    // Keeps what is known of a run whose lease has expired, for countExpired(), which counts the crash once the
+    // executor has restarted or is forgotten; it may also have been cut off. Where such crashes could be too many
+    // for the task, they count at once.
+    void noteExpired(ActiveExecutor& executor, ActiveRun& run, TimePoint now);
+    std::size_t countExpiredOf(const ActiveTask& task) const;
+    void settleExpiredOf(ActiveTask& task, TimePoint now);
     // Returns whether the task of one of the runs has a crash that nothing explains.
     bool hasUnexplainedCrash(std::span<const ExpiredRun> runs);
     void countExpired(ActiveExecutor& executor, std::int64_t survivor, TimePoint now);
     // Decides about suspects once other crashes of the same moment are known.
     void judgeSuspects(TimePoint now);
-    void judgeLater(ActiveTask& task, CrashRelation relation, TimePoint now);
+    void judgeLater(ActiveTask& task, const Suspicion& suspicion);
     // Takes a crash back as a reason for suspicion, since it was one of several with a common cause.
     void explain(ActiveTask& task, CrashRelation relation, TimePoint now);
     void giveUp(ActiveTask& task, TimePoint now);
@@ -338,11 +350,6 @@
     std::vector<AdviceRequest> m_adviceRequests;
     std::vector<ActiveJob*> m_timed;
     // Crashes about whose tasks is not decided yet, by time.
-    struct Suspicion {
-        TaskName task;
-        CrashRelation relation = CrashRelation::None;
-        TimePoint when {};
-    };
     std::deque<Suspicion> m_suspicions;
     CrashSeries m_crashSeries;
     // Ids of jobs that may have become complete.
--- a/plantainhold/jobs/JobStorage.cpp
+++ b/plantainhold/jobs/JobStorage.cpp
@@ -97,7 +97,7 @@
     task->failures = progress.failures;
     task->crashes = progress.crashes;
     if (task->crashes.isConvicted(false))
-        judgeLater(*task, CrashRelation::None, now);
+        judgeLater(*task, { task->name(), CrashRelation::None, false, now });
     task->checkpoint = progress.checkpoint;
     if (progress.isDone) {
         task->isDone = true;
@@ -156,7 +156,7 @@
             term.unseenRuns.push_back({ run->task->name().text(), run->number, run->sentTo, left(run->unseenLeaseExpiresAt) });
             longest = std::max(longest, run->unseenLeaseExpiresAt);
         }
-        // That of the executor is long after a restart that was seen late.
+        // An executor's own lease is long after a restart that was seen late.
         bool isLeaseLong = longest > now + longestOnOurClock(m_limits.lease);
         if ((isUnresponsive || isLeaseLong) && !it->runs.empty())
             term.unresponsive.push_back({ it->entry.id, it->entry.startedUnixMs, left(it->leaseExpiresAt), left(longest) });
