Keep one meaning for 'unexplained' in what is told of crashes

It said that no run had just begun, that no common cause was known, and that no task was suspected. The last two are 'own crash' and 'without suspect' now. No behaviour changes.

--- a/plantainhold/jobs/CrashEvidence.cpp
+++ b/plantainhold/jobs/CrashEvidence.cpp
@@ -34,9 +34,9 @@
 
 bool CrashSeries::hasCommonCauseNear(TimePoint when)
 {
-    while (!m_unaccounted.empty() && m_unaccounted.front() < when - s_memory)
-        m_unaccounted.pop_front();
-    return countNear(m_unaccounted, when) >= s_manyCrashes;
+    while (!m_withoutSuspect.empty() && m_withoutSuspect.front() < when - s_memory)
+        m_withoutSuspect.pop_front();
+    return countNear(m_withoutSuspect, when) >= s_manyCrashes;
 }
 
 std::ptrdiff_t CrashSeries::countNear(const std::deque<TimePoint>& crashes, TimePoint when)
--- a/plantainhold/jobs/CrashEvidence.h
+++ b/plantainhold/jobs/CrashEvidence.h
@@ -3,7 +3,7 @@
 // alone convicts nobody: it makes those tasks suspects that it followed closely, suspects run alone, and a
 // crash under a task that ran alone convicts it. An end, or some seconds of work, clears it. Where executors
 // crash for other reasons as well, a coincidence is likely, so more is asked. Where three or more
-// crash at one moment that no task accounts for, one cause explains all, so that these crashes make no suspects.
+// crash at one moment without a suspect there, one cause explains all, so that these crashes make no suspects.
 #pragma once
 
 #include "plantainhold/ports/Clock.h"
@@ -55,7 +55,7 @@
     // True if the task should run alone.
     bool isSuspect() const { return soon > explainedSoon || all >= explained + s_limitSoon; }
     // True if there is a crash that others of its moment do not explain.
-    bool hasUnexplained() const { return all > explained; }
+    bool hasOwn() const { return all > explained; }
     // True if the task should not be started again. `areOthersCrashing` tells whether executors crash for
     // other reasons as well.
     bool isConvicted(bool areOthersCrashing) const
@@ -80,12 +80,12 @@
 
     // Notes a crash of an executor on which no run had begun shortly before.
     void addUnexplained(TimePoint when) { m_unexplained.push_back(when); }
-    // Notes a crash that no task accounts for: no start was sent there shortly before, and no task there has
+    // Notes a crash for which no task is suspected: no start was sent there shortly before, and no task there has
     // crashes of its own, which might crash its executors late.
-    void addUnaccounted(TimePoint when) { m_unaccounted.push_back(when); }
+    void addWithoutSuspect(TimePoint when) { m_withoutSuspect.push_back(when); }
     // Returns whether such a crash was noticed near the time. Precondition: it is over by s_after.
     bool hasUnexplainedNear(TimePoint when) const;
-    // Returns whether several crashes near the time have no task that accounts for them. What took these executors
+    // Returns whether several such crashes were noticed near the time. What took these executors
     // explains the other crashes of the moment as well. The answer may change until s_after has passed.
     bool hasCommonCauseNear(TimePoint when);
     // Returns whether such a crash was noticed within s_memory. Forgets earlier ones.
@@ -97,7 +97,7 @@
     static std::ptrdiff_t countNear(const std::deque<TimePoint>& crashes, TimePoint when);
 
     std::deque<TimePoint> m_unexplained;
-    std::deque<TimePoint> m_unaccounted;
+    std::deque<TimePoint> m_withoutSuspect;
 };
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobCrashes.cpp
+++ b/plantainhold/jobs/JobCrashes.cpp
@@ -72,7 +72,7 @@
     return std::all_of(executor.runs.begin(), executor.runs.end(), [&](const ActiveRun* it) { return it->phase == RunPhase::Running && now >= it->begunAt() + s_quietTime; });
 }
 
-void JobScheduler::markCrash(ActiveExecutor& executor, std::int64_t survivor, bool isAccounted, TimePoint now)
+void JobScheduler::markCrash(ActiveExecutor& executor, std::int64_t survivor, bool hasSuspect, TimePoint now)
 {
     // What runs on an executor that leaves as announced ends with it.
     if (executor.entry.isDraining)
@@ -83,14 +83,14 @@
     bool isCrash = executor.reportedUnixMs || !runs.empty();
     std::erase_if(runs, [](const ActiveRun* it) { return isSound(*it); });
     // A start that nobody confirmed may have begun and be the cause.
-    isAccounted = isAccounted || std::any_of(runs.begin(), runs.end(), [](const ActiveRun* it) { return isRecent(*it) || it->task->crashes.hasUnexplained(); });
+    hasSuspect = hasSuspect || std::any_of(runs.begin(), runs.end(), [](const ActiveRun* it) { return isRecent(*it) || it->task->crashes.hasOwn(); });
     std::ptrdiff_t begunSoon = std::count_if(runs.begin(), runs.end(), [](const ActiveRun* it) { return isRecent(*it) && it->phase == RunPhase::Running; });
     for (ActiveRun* it : runs)
         it->crash = crashRelation(*it, begunSoon == 1);
     if (!begunSoon && executor.reportedUnixMs)
         m_crashSeries.addUnexplained(now);
-    if (isCrash && !isAccounted)
-        m_crashSeries.addUnaccounted(now);
+    if (isCrash && !hasSuspect)
+        m_crashSeries.addWithoutSuspect(now);
 }
 
 void JobScheduler::countCrash(ActiveTask& task, const ExpiredRun& run, TimePoint now)
@@ -148,12 +148,12 @@
     }
 }
 
-bool JobScheduler::hasUnexplainedCrash(std::span<const ExpiredRun> runs)
+bool JobScheduler::hasTaskWithOwnCrash(std::span<const ExpiredRun> runs)
 {
     return std::any_of(runs.begin(), runs.end(), [&](const ExpiredRun& it) {
         auto found = m_jobs.find(it.task.job);
         ActiveTask* task = found == m_jobs.end() ? nullptr : found->second->find(it.task);
-        return task && task->crashes.hasUnexplained();
+        return task && task->crashes.hasOwn();
     });
 }
 
--- a/plantainhold/jobs/JobLeases.cpp
+++ b/plantainhold/jobs/JobLeases.cpp
@@ -125,7 +125,7 @@
     std::vector<ActiveRun*> runs = executor.runs;
     std::erase_if(runs, [&](const ActiveRun* it) { return !isOver(*it); });
     if (!runs.empty())
-        markCrash(executor, s_noIncarnation, hasUnexplainedCrash(executor.expiredRuns), now);
+        markCrash(executor, s_noIncarnation, hasTaskWithOwnCrash(executor.expiredRuns), now);
     if (result.address == executor.reportedAddress && result.sentAt >= executor.reportedSince)
         countExpired(executor, s_noIncarnation, now);
     for (ActiveRun* it : runs)
@@ -209,8 +209,8 @@
     const std::string id = executor.entry.id;
     std::erase_if(m_commands, [&](const ExecutorCommand& it) { return it.executor == id; });
     forgetNominations(executor);
-    if (!executor.expiredRuns.empty() && !hasUnexplainedCrash(executor.expiredRuns))
-        m_crashSeries.addUnaccounted(executor.expiredRuns.front().lostAt);
+    if (!executor.expiredRuns.empty() && !hasTaskWithOwnCrash(executor.expiredRuns))
+        m_crashSeries.addWithoutSuspect(executor.expiredRuns.front().lostAt);
     countExpired(*m_executorList[index], s_noIncarnation, now);
     m_executorList.erase(m_executorList.begin() + static_cast<std::ptrdiff_t>(index));
     m_executors.erase(id);
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -77,11 +77,11 @@
 void JobScheduler::noteReporting(ActiveExecutor& executor, std::int64_t startedUnixMs, TimePoint now)
 {
     executor.incarnationSeenAt = now;
-    bool isAccounted = hasUnexplainedCrash(executor.expiredRuns);
+    bool hasSuspect = hasTaskWithOwnCrash(executor.expiredRuns);
     countExpired(executor, startedUnixMs, now);
     if (!startedUnixMs || executor.reportedUnixMs == startedUnixMs)
         return;
-    markCrash(executor, startedUnixMs, isAccounted, now);
+    markCrash(executor, startedUnixMs, hasSuspect, now);
     std::erase(executor.formerIncarnations, startedUnixMs);
     addFormer(executor, executor.reportedUnixMs);
     executor.reportedUnixMs = startedUnixMs;
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -195,8 +195,8 @@
     bool isGoneFrom(const ActiveRun& run, const CallResult& result) const;
     // Notes that all incarnations of the executor but this one are over, without having announced it. Each
     // run that may have begun in one of them counts the crash when it is lost.
-    // `isAccounted` tells whether a task whose run there was given up before accounts for the crash.
-    void markCrash(ActiveExecutor& executor, std::int64_t survivor, bool isAccounted, TimePoint now);
+    // `hasSuspect` tells whether a task whose run there was given up before may be the cause.
+    void markCrash(ActiveExecutor& executor, std::int64_t survivor, bool hasSuspect, TimePoint now);
     void countCrash(ActiveTask& task, const ExpiredRun& run, TimePoint now);
     // Keeps what is known of a run whose lease has expired, for countExpired(), which counts the crash once the
     // executor has restarted or is forgotten; it may also have been cut off. Where such crashes could be too many
@@ -204,8 +204,8 @@
     void noteExpired(ActiveExecutor& executor, ActiveRun& run, TimePoint now);
     std::size_t countExpiredOf(const ActiveTask& task) const;
     void settleExpiredOf(ActiveTask& task, TimePoint now);
-    // Returns whether the task of one of the runs has a crash that nothing explains.
-    bool hasUnexplainedCrash(std::span<const ExpiredRun> runs);
+    // Returns whether the task of one of the runs has a crash that others of its moment do not explain.
+    bool hasTaskWithOwnCrash(std::span<const ExpiredRun> runs);
     void countExpired(ActiveExecutor& executor, std::int64_t survivor, TimePoint now);
     // Decides about suspects once other crashes of the same moment are known.
     void judgeSuspects(TimePoint now);
--- a/plantainhold/jobs/OwnerTerm.h
+++ b/plantainhold/jobs/OwnerTerm.h
@@ -16,7 +16,7 @@
     std::int64_t startedUnixMs = 0;
     // How long a run may still execute there, counted from the release; OwnerTerm::unseenRuns may do so for longer.
     std::int64_t leaseRemainingMs = 0;
-    // The longest of all, for releases that know no unseen runs.
+    // The longest of all. Written for releases that know no unseen runs; this one does not read it.
     std::int64_t longestRemainingMs = 0;
 };
 
--- a/plantainhold/testing/jobs/CrashEvidenceTest.cpp
+++ b/plantainhold/testing/jobs/CrashEvidenceTest.cpp
@@ -48,11 +48,11 @@
 TEST_CASE("three executors that crash near a moment without a suspect there have a common cause, two have none")
 {
     CrashSeries series;
-    series.addUnaccounted(s_start);
-    series.addUnaccounted(s_start + Milliseconds(500));
+    series.addWithoutSuspect(s_start);
+    series.addWithoutSuspect(s_start + Milliseconds(500));
     series.addUnexplained(s_start);
     CHECK_FALSE(series.hasCommonCauseNear(s_start));
-    series.addUnaccounted(s_start + Milliseconds(500));
+    series.addWithoutSuspect(s_start + Milliseconds(500));
     CHECK(series.hasCommonCauseNear(s_start));
     CHECK_FALSE(series.hasCommonCauseNear(s_start + Milliseconds(2'100)));
 }
