Show that a job is denied once its route has another name

Rule LOST: a GET for an accepted job is answered 410. A configuration removes a route and adds one with another name at the same host and path. GET and DELETE of jobs accepted before are answered 410, and the task works on.

--- a/review/standin-2/platform_standin.py
+++ b/review/standin-2/platform_standin.py
@@ -757,9 +757,11 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    def configure(self, version=7):
-        route = {"name": "r-batch", "host": self.host, "path_prefix": self.prefix, "kind": "non_idempotent", "timeout_ms": 3000, "service": self.service}
+    def configure(self, version=7, name="r-batch"):
+        """Stores a configuration with one route, as the operator does."""
+        route = {"name": name, "host": self.host, "path_prefix": self.prefix, "kind": "non_idempotent", "timeout_ms": 3000, "service": self.service}
         route.update(self.queue)
+        self.record.line("configuration", version=version, route=name, host=self.host, path_prefix=self.prefix)
         self.store.put("keyed.op", "config", {"version": version, "routes": [route], "services": [{"name": self.service, "health_path": "/health", "enforces_capacity": self.executors[0].guards}], "limits": {}})
 
     async def start(self):
