--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
-"""A worker is cut off while it runs a task, ends the task, and starts again behind the cut; this up to five times.
+"""A configuration removes a route and adds one with another name at the same host and path.
 
-Broken: the job is shown as `failed`, though no run has ended `failed` and no executor has crashed under the task.
+Broken: a GET for a job that was accepted there before, and that nobody has cancelled, is answered 410; or its
+task goes on after a DELETE was answered.
 """
 
 import asyncio
@@ -12,53 +13,34 @@
 
 import platform_standin as standin  # noqa: E402
 
-WORK_MS = 1000
-MOST_CUTS = 5
-# From the start of the run until the cut, and from the cut until the executor restarts and until the cut ends.
-CUT_AFTER_S = 0.3
-RESTART_AFTER_S = 1.5
-CUT_S = 3.0
-
-
-async def cut_off(platform, executor):
-    platform.record.line("cut", executor=executor.id)
-    executor.link.cut()
-    await asyncio.sleep(RESTART_AFTER_S)
-    executor.crash(0.3)
-    await asyncio.sleep(CUT_S - RESTART_AFTER_S)
-    platform.record.line("cut_ends", executor=executor.id)
-    executor.link.heal()
+WORK_MS = 30000
+# More than config_apply_ms, visible_ms and stability_ms after the acknowledgement.
+SETTLED_S = 6
+CANCEL_S = 3.0
+STOP_TIMEOUT_S = 0.9
+SLACK_S = 2.0
 
 
 async def scenario(platform):
     job = standin.job_id()
     task = f"{job}.0.0.0"
-    phases = [{"count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": WORK_MS}]
-    if not await platform.submit(job, {"work_ms": WORK_MS}, phases):
+    if not await platform.submit(job, {"work_ms": WORK_MS}, [{"count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": WORK_MS}]):
         raise RuntimeError("the job was not accepted")
-    executors = {it.id: it for it in platform.executors}
-    cuts = 0
-    shown = {"state": None, "asked": 0.0}
-
-    async def ask():
-        shown["state"] = await platform.state(job)
-
-    until = platform.record.now() + 60
-    while platform.record.now() < until and shown["state"] not in ("completed", "failed", "cancelled", "unknown"):
-        now = platform.record.now()
-        starts = platform.ledger.starts_of(task)
-        if standin.has_trouble() and cuts < min(MOST_CUTS, len(starts)) and now >= starts[-1]["at"] + CUT_AFTER_S:
-            cuts += 1
-            platform.spawn(cut_off(platform, executors[starts[-1]["executor"]]))
-        if now >= shown["asked"] + 1:
-            shown["asked"] = now
-            platform.spawn(ask())
-        await asyncio.sleep(0.02)
-    ends = [it["how"] for it in platform.ledger.ended if it["task"] == task]
-    has_cause = "failed" in ends or ends.count("crashed") >= 2
-    held = shown["state"] == "completed" or (shown["state"] == "failed" and has_cause)
-    platform.record.line("result", held=held, state=shown["state"], cuts=cuts, ends=",".join(ends))
+    await asyncio.sleep(2)
+    before = [await platform.request(it, "GET", job) for it in platform.instances]
+    if any(it is None or it[0] != 200 for it in before):
+        raise RuntimeError("the job is not shown before the change")
+    platform.configure(version=8, name="r-batch-2" if standin.has_trouble() else "r-batch")
+    await asyncio.sleep(SETTLED_S)
+    answers = [await platform.request(it, "GET", job) for it in platform.instances]
+    cancelled = await platform.request(platform.instances[0], "DELETE", job)
+    await asyncio.sleep(CANCEL_S + STOP_TIMEOUT_S + SLACK_S)
+    is_denied = any(it is not None and it[0] == 410 for it in answers)
+    is_acknowledged = cancelled is not None and (cancelled[0] // 100 == 2 or cancelled[0] == 410)
+    runs_on = is_acknowledged and any(task in it.running for it in platform.executors)
+    held = not is_denied and not runs_on
+    platform.record.line("result", held=held, get=[it and it[0] for it in answers], delete=cancelled and cancelled[0], runs_on_after_delete=runs_on)
     return held
 
 
-standin.main(scenario, HERE, instances=2, executors=6)
+standin.main(scenario, HERE, instances=2, executors=4)
--- a/review/standin-2/platform_standin.py
+++ b/review/standin-2/platform_standin.py
@@ -458,8 +458,14 @@
     fail: the runs end `failed` after that time.
     deadly: {"after_ms": time at work after which the executor crashes, "down_s": how long it is away}.
     checkpoint_bytes: the length of a checkpoint, of which each second of work makes a new one.
+    target_ms: of a task that serves: its tail is this, divided by a headroom that each core of tasks that fill lessens.
+    fills_cpu: of a task that fills: the thousandths of a core that it uses at full pace.
     """
 
+    # Of a task that serves: target / tail without neighbours, and what a core in use by those that fill takes of it.
+    HEADROOM = 4.0
+    HEADROOM_PER_CORE = 0.05
+
     def __init__(self, platform, number, cpu=32000, mem_mb=125000, rack="r1-1", guards=True):
         self.platform = platform
         self.record = platform.record
@@ -606,7 +612,7 @@
         if self.guards and any(self.used(key) + needs.get(key, 0) > self.capacity[key] for key in self.capacity):
             return self._refuse("room")
         behaviour = json.loads(body["spec"])
-        self.running[task] = {"run": run, "began": time.monotonic(), "needs": needs, "behaviour": behaviour, "saved": body.get("checkpoint", ""), "checkpoints": 0, "stop_at": None}
+        self.running[task] = {"run": run, "began": time.monotonic(), "needs": needs, "behaviour": behaviour, "saved": body.get("checkpoint", ""), "checkpoints": 0, "stop_at": None, "pace": 100}
         self.record.line("start", task=task, run=run, executor=self.id, token=body["fencing_token"])
         self.platform.ledger.started(task, run, self, body)
         return 200, {"clock_ms": self.clock_ms()}
@@ -621,8 +627,24 @@
         return 200, {"clock_ms": self.clock_ms()}
 
     async def _pace(self, body):
+        it = self.running.get(body["task"])
+        if it and it["run"] == body["run_id"]:
+            it["pace"] = body["percent"]
         return 200, {"clock_ms": self.clock_ms()}
 
+    def _filling_cpu(self, it):
+        return it["behaviour"].get("fills_cpu", 0) * it["pace"] / 100
+
+    def _measured(self, it):
+        """The tail of a task that serves, in whole milliseconds; for others, the processor in use."""
+        target = it["behaviour"].get("target_ms")
+        if target:
+            cores = sum(map(self._filling_cpu, self.running.values())) / 1000
+            return max(1, round(target / (self.HEADROOM - self.HEADROOM_PER_CORE * cores)))
+        if "fills_cpu" in it["behaviour"]:
+            return self._filling_cpu(it)
+        return it["needs"].get("cpu", 0)
+
     async def _hold(self, body):
         self._extend(body)
         for it in self.finished:
@@ -634,7 +656,7 @@
                 await asyncio.wait_for(self.changed.wait(), min(body["wait_ms"], 2000) / 1000)
             except asyncio.TimeoutError:
                 pass
-        running = [[task, it["run"], it["saved"], 100, 0] for task, it in self.running.items()]
+        running = [[task, it["run"], it["saved"], 100, self._measured(it)] for task, it in self.running.items()]
         return 200, {"clock_ms": self.clock_ms(), "born": self.born_unix_ms, "running": running, "finished": self.finished[:500]}
 
 
