--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -27,6 +27,7 @@
 #include "plantainhold/jobs/PlacementRound.h"
 #include "plantainhold/jobs/Queue.h"
 #include "plantainhold/jobs/RunEventLog.h"
+#include "plantainhold/jobs/SchedulerCounters.h"
 #include "plantainhold/jobs/SchedulerLimits.h"
 #include "plantainhold/jobs/WaitingTaskMonitor.h"
 
@@ -44,15 +45,6 @@
 
 struct StoredJob;
 
-struct SchedulerCounters {
-    std::uint64_t runsAssigned = 0;
-    std::uint64_t ends = 0;
-    std::uint64_t preemptions = 0;
-    std::uint64_t rejectedStarts = 0;
-    std::uint64_t unknownStarts = 0;
-    std::uint64_t lostRuns = 0;
-};
-
 class JobScheduler {
 public:
     // The generation of this ownership forms the high bits of every fencing token. `former` is the
