Refuse submissions before anything is sent while the store is away

Cause: An append was sent although the store was known to be away, and records that were never sent went out together with the repeats of those that may be stored. Their callers were told 504. Change: A circuit breaker (StoreCircuit) shared by the writers of all partitions. While it is open, submissions and cancellations are refused unsent, and forwarded to the owner as before; records that may be stored are repeated alone.

--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -191,7 +191,7 @@
 
 asio::awaitable<HttpResponse> EntryInstance::metricsResponse()
 {
-    MetricsInput input { m_service.counters(), m_records.table().size(), m_owner && m_owner->scheduler() ? m_owner->scheduler() : nullptr, m_owner ? m_owner->queuedCommands() : 0, m_config ? m_config->version() : 0, m_log.droppedLines(), m_owner ? m_owner->refusedRecords() : 0 };
+    MetricsInput input { m_service.counters(), m_records.table().size(), m_owner && m_owner->scheduler() ? m_owner->scheduler() : nullptr, m_owner ? m_owner->queuedCommands() : 0, m_config ? m_config->version() : 0, m_log.droppedLines(), m_owner ? m_owner->refusedRecords() : 0, m_submissionWriter.gate().state(), m_submissionWriter.gate().counters(), m_submissionWriter.gate().refused() };
     co_return HttpResponse { 200, renderMetrics(input), "text/plain; version=0.0.4" };
 }
 
--- a/plantainhold/entry/MetricsPage.cpp
+++ b/plantainhold/entry/MetricsPage.cpp
@@ -42,6 +42,10 @@
     page.counter("plantainhold_jobs_cancelled_total", "Cancellations that this instance stored.", input.service.cancelled);
     page.counter("plantainhold_job_lookups_total", "Questions for a job's state.", input.service.lookups);
     page.counter("plantainhold_records_forwarded_total", "Submissions and cancellations that the owner stored for this instance.", input.service.forwarded);
+    page.gauge("plantainhold_store_circuit_state", "Submissions to the store: 0 sent, 1 held back until a probe has returned, 2 refused as it is away.", static_cast<std::uint64_t>(input.circuit));
+    page.counter("plantainhold_store_circuit_transitions_total", "Times that the circuit opened or closed.", input.circuitCounters.openings + input.circuitCounters.closings);
+    page.counter("plantainhold_store_circuit_probes_total", "Probes of the store.", input.circuitCounters.probes);
+    page.counter("plantainhold_store_circuit_refused_total", "Submissions and cancellations that were not sent to the store, because it is away.", input.refusedByCircuit);
     page.gauge("plantainhold_known_jobs", "Jobs in this instance's copy of the records.", input.knownJobs);
     page.gauge("plantainhold_config_version", "Version of the configuration in force.", input.configVersion);
     page.counter("plantainhold_log_lines_dropped_total", "Log lines dropped for the sake of the budget.", input.droppedLines);
--- a/plantainhold/entry/MetricsPage.h
+++ b/plantainhold/entry/MetricsPage.h
@@ -1,6 +1,8 @@
 // Renders the metrics page of one entry instance.
 #pragma once
 
+#include "plantainhold/store/StoreCircuit.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -20,6 +22,10 @@
     std::uint64_t droppedLines = 0;
     // Records that the store did not take from this owner.
     std::uint64_t refusedRecords = 0;
+    // The circuit of submissions, and the records that it refused.
+    CircuitState circuit = CircuitState::Closed;
+    CircuitCounters circuitCounters {};
+    std::uint64_t refusedByCircuit = 0;
 };
 
 // Returns the metrics in the Prometheus text format. Thread-safe as long as nobody
--- a/plantainhold/entry/SubmissionWriter.h
+++ b/plantainhold/entry/SubmissionWriter.h
@@ -1,9 +1,11 @@
 // SubmissionWriter stores submissions and cancellations, each in the partition of its
-// job. Records that arrive close together for one partition are appended together.
+// job. Records that arrive close together for one partition are appended together. While
+// the store is away, they are refused before anything is sent (StoreCircuit).
 #pragma once
 
 #include "plantainhold/entry/JobDirectory.h"
 #include "plantainhold/store/GroupCommit.h"
+#include "plantainhold/store/StoreGate.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -24,7 +26,10 @@
     // Precondition: the kind is Submit or Cancel.
     boost::asio::awaitable<StoreStatus> put(JobRequest request, TimePoint deadline);
 
+    const StoreGate& gate() const { return m_gate; }
+
 private:
+    StoreGate m_gate;
     std::vector<std::unique_ptr<GroupCommit>> m_partitions;
 };
 
--- a/plantainhold/store/GroupCommit.cpp
+++ b/plantainhold/store/GroupCommit.cpp
@@ -1,4 +1,6 @@
 #include "plantainhold/store/GroupCommit.h"
+
+#include "plantainhold/store/StoreGate.h"
 #include "plantainhold/util/Sleep.h"
 #include "plantainhold/util/Spawn.h"
 
@@ -19,6 +21,7 @@
     constexpr Milliseconds s_minTimeout { 800 };
     constexpr Milliseconds s_maxTimeout { 2'500 };
     constexpr Milliseconds s_retryDelay { 60 };
+    constexpr Milliseconds s_holdStep { 10 };
 
 } // namespace
 
@@ -37,15 +40,16 @@
     bool isUncertain = false;
 };
 
-GroupCommit::GroupCommit(asio::any_io_executor executor, StorePort& store, EventSink& events, const StoreLimits& limits, std::string topic, std::uint32_t partition)
+GroupCommit::GroupCommit(asio::any_io_executor executor, StoreGate& gate, EventSink& events, const StoreLimits& limits, std::string topic, std::uint32_t partition)
     : m_executor(std::move(executor))
-    , m_store(store)
+    , m_gate(gate)
     , m_events(events)
     , m_limits(limits)
     , m_topic(std::move(topic))
     , m_partition(partition)
     , m_timeout(s_minTimeout, s_maxTimeout)
 {
+    m_gate.onOpened([this]() { refuseUnsent(); });
 }
 
 GroupCommit::~GroupCommit() = default;
@@ -59,6 +63,10 @@
         finishRefused(*pending);
         co_return StoreStatus::Invalid;
     }
+    if (m_gate.state() == CircuitState::Open) {
+        m_gate.countRefused(1);
+        co_return StoreStatus::Refused;
+    }
     m_queue.push_back(pending);
     if (!m_isFlushing) {
         m_isFlushing = true;
@@ -87,7 +95,9 @@
     while (!m_queue.empty()) {
         bytes += StoreLimits::sizeOf(m_queue.front()->record);
         bool isFull = bytes > limit || m_singles;
-        if (isFull && !batch.empty())
+        // A record that was never sent is not put at risk together with those that may be stored.
+        bool isOfOtherKind = !batch.empty() && batch.front()->isUncertain != m_queue.front()->isUncertain;
+        if (isOfOtherKind || (isFull && !batch.empty()))
             break;
         batch.push_back(std::move(m_queue.front()));
         m_queue.pop_front();
@@ -113,18 +123,44 @@
 
 asio::awaitable<void> GroupCommit::flush()
 {
-    while (!m_queue.empty())
-        co_await append(takeBatch());
+    while (!m_queue.empty()) {
+        co_await waitWhileHeld();
+        // What was waiting may have been refused meanwhile.
+        if (!m_queue.empty())
+            co_await append(takeBatch());
+    }
     m_isFlushing = false;
 }
 
+asio::awaitable<void> GroupCommit::waitWhileHeld()
+{
+    while (!m_queue.empty() && !m_queue.front()->isUncertain && m_gate.state() == CircuitState::Held) {
+        m_gate.ensureProbing();
+        co_await sleepFor(m_executor, s_holdStep);
+    }
+}
+
+void GroupCommit::refuseUnsent()
+{
+    auto isUnsent = [](const auto& it) { return !it->isUncertain; };
+    std::size_t refused = 0;
+    for (const auto& it : m_queue) {
+        if (!isUnsent(it))
+            continue;
+        finish(*it, StoreStatus::Refused);
+        ++refused;
+    }
+    std::erase_if(m_queue, isUnsent);
+    m_gate.countRefused(refused);
+}
+
 asio::awaitable<void> GroupCommit::append(Batch batch)
 {
     std::vector<KeyedRecord> records;
     for (const auto& it : batch)
         records.push_back(it->record);
     TimePoint sentAt = std::chrono::steady_clock::now();
-    AppendResult result = co_await m_store.append({ m_topic, m_partition }, records, std::nullopt, m_timeout.current());
+    AppendResult result = co_await m_gate.append(m_partition, records, m_timeout.current());
     if (result.status == StoreStatus::Unknown)
         m_timeout.recordTimeout();
     else
@@ -152,7 +188,8 @@
     }
     // Records that may already be stored are appended again until the caller's deadline.
     std::erase_if(batch, [](const auto& it) { return it->isDone; });
-    m_queue.insert(m_queue.begin(), batch.begin(), batch.end());
+    // After a refusal those that were never sent go first, so that they learn of it as soon.
+    m_queue.insert(isUncertain ? m_queue.begin() : m_queue.end(), batch.begin(), batch.end());
     if (!batch.empty())
         co_await sleepFor(m_executor, s_retryDelay);
 }
--- a/plantainhold/testing/store/MemoryStore.h
+++ b/plantainhold/testing/store/MemoryStore.h
@@ -20,10 +20,15 @@
 
 class MemoryStore final : public StorePort {
 public:
-    boost::asio::awaitable<AppendResult> append(TopicPartition where, std::span<const KeyedRecord> records, std::optional<WriterStamp>, Milliseconds) override
+    boost::asio::awaitable<AppendResult> append(TopicPartition where, std::span<const KeyedRecord> records, std::optional<WriterStamp>, Milliseconds timeout) override
     {
         std::vector<StoredRecord>& kept = logOf(where);
         ++appends;
+        if (beforeAppend) {
+            StoreStatus failure = co_await beforeAppend(where, records, timeout);
+            if (failure != StoreStatus::Ok)
+                co_return AppendResult { failure };
+        }
         if (throwingAppends) {
             --throwingAppends;
             throw std::runtime_error("an append that can't be encoded");
@@ -166,6 +171,8 @@
     StoreLimits limits;
     std::function<bool(const KeyedRecord&)> takes;
     std::size_t invalidAppends = 0;
+    // Runs before an append. Unless it returns Ok, the append ends with this status, and nothing is stored.
+    std::function<boost::asio::awaitable<StoreStatus>(TopicPartition, std::span<const KeyedRecord>, Milliseconds timeout)> beforeAppend;
     // Runs before a page is read, in order to delay it.
     std::function<boost::asio::awaitable<void>(TopicPartition, std::string_view)> beforeNewest;
     // Runs after a page was read, in order to delay the response.
--- a/plantainhold/testing/store/StoreTest.cpp
+++ b/plantainhold/testing/store/StoreTest.cpp
@@ -4,6 +4,7 @@
 #include "plantainhold/base/EventSink.h"
 #include "plantainhold/store/AdaptiveTimeout.h"
 #include "plantainhold/store/GroupCommit.h"
+#include "plantainhold/store/StoreGate.h"
 #include "plantainhold/store/TopicTail.h"
 #include "plantainhold/testing/store/MemoryStore.h"
 
@@ -64,13 +65,16 @@
     {
         asio::io_context context;
         NullEventSink events;
-        GroupCommit commit(context.get_executor(), store, events, store.limits, "keyed.topic", 0);
+        StoreGate gate(context.get_executor(), store, events, "keyed.topic", 1);
+        GroupCommit commit(context.get_executor(), gate, events, store.limits, "keyed.topic", 0);
         StoreStatus status = StoreStatus::Invalid;
         TimePoint deadline = std::chrono::steady_clock::now() + timeout;
         asio::co_spawn(
             context, [&]() -> asio::awaitable<void> {
         KeyedRecord record { "k", "v" };
-        status = co_await commit.put(std::move(record), deadline); }, asio::detached);
+        status = co_await commit.put(std::move(record), deadline);
+        // The gate's probes may go on.
+        context.stop(); }, asio::detached);
         context.run();
         return status;
     }
@@ -128,7 +132,8 @@
     store.takes = [](const KeyedRecord& it) { return it.key != "bad"; };
     asio::io_context context;
     NullEventSink events;
-    GroupCommit commit(context.get_executor(), store, events, store.limits, "keyed.topic", 0);
+    StoreGate gate(context.get_executor(), store, events, "keyed.topic", 1);
+    GroupCommit commit(context.get_executor(), gate, events, store.limits, "keyed.topic", 0);
     std::map<std::string, StoreStatus> statuses;
     TimePoint deadline = std::chrono::steady_clock::now() + Milliseconds(1'000);
     for (const char* key : { "a", "bad", "b", "c" }) {
@@ -159,7 +164,8 @@
     store.limits = { 100, 250 };
     asio::io_context context;
     NullEventSink events;
-    GroupCommit commit(context.get_executor(), store, events, store.limits, "keyed.topic", 0);
+    StoreGate gate(context.get_executor(), store, events, "keyed.topic", 1);
+    GroupCommit commit(context.get_executor(), gate, events, store.limits, "keyed.topic", 0);
     std::size_t stored = 0;
     TimePoint deadline = std::chrono::steady_clock::now() + Milliseconds(1'000);
     constexpr int s_records = 20;
