Merge the limits of what all clients together take

Cause: clients that stay inside no limits could run a process out of memory. Change: the crowd tests and the connection budget join the circuit breaker; the input of the metrics page names its members.

--- a/plantainhold/entry/MetricsPage.h
+++ b/plantainhold/entry/MetricsPage.h
@@ -9,6 +9,7 @@
 
 namespace plantainhold {
 
+class ConnectionBudget;
 class JobScheduler;
 struct ServiceCounters;
 
@@ -26,6 +27,7 @@
     CircuitState circuit = CircuitState::Closed;
     CircuitCounters circuitCounters {};
     std::uint64_t refusedByCircuit = 0;
+    const ConnectionBudget& connections;
 };
 
 // Returns the metrics in the Prometheus text format. Thread-safe as long as nobody
