Let tasks wait for the rack of their data as long as that is expected to pay

Cause: a task whose data lies in a full rack started elsewhere at once, where it takes remote_factor times as long, also if the rack had room a moment later. Change: LocalityWait decides, LocalityGate asks it once placement has found room elsewhere and none in the rack, from the ends that RackForecast expects there. A task waits no longer than it could gain, than 1 s, and than its job's objective allows; gangs, long-running tasks and suspects don't. A gang that wants one rack gets one that holds all of it. The factor is the new setting scheduling.remote_factor, 1 without it, which leaves placement as it was.

--- a/bench/JobFleet.cpp
+++ b/bench/JobFleet.cpp
@@ -11,6 +11,7 @@
 namespace {
 
     constexpr std::int64_t s_stepMs = 10;
+    constexpr std::size_t s_executorsPerRack = 8;
     constexpr std::int64_t s_leadMs = 4'000;
     constexpr std::int64_t s_commitMs = 20;
     constexpr std::int64_t s_reportPauseMs = 90;
@@ -40,6 +41,8 @@
         return step.usesLeftoverCpu ? JobKind::Filling : JobKind::Short;
     }
 
+    std::string rackName(std::size_t number) { return "r1-" + std::to_string(number); }
+
     double processorSeconds()
     {
         timespec now {};
@@ -107,7 +110,9 @@
         queue.settings.priority = s_priorities[i];
         m_config->add(queue);
     }
-    m_scheduler = std::make_unique<JobScheduler>(SchedulerLimits(), 1, OwnerTerm { 0, true, {} }, m_events, at(0));
+    SchedulerLimits limits;
+    limits.remoteFactor = options.waitsForRacks ? options.remoteFactor : 1;
+    m_scheduler = std::make_unique<JobScheduler>(limits, 1, OwnerTerm { 0, true, {} }, m_events, at(0));
     m_scheduler->termRecorded();
     m_scheduler->configure(m_config);
     std::bernoulli_distribution isHeavy(s_heavyShare);
@@ -130,7 +135,7 @@
         executor->entry.service = "service";
         executor->entry.address = "executor";
         executor->entry.capacity = { i % 3 == 2 ? 48'000 : 32'000, i % 3 == 2 ? 192'000 : 128'000, 0 };
-        executor->entry.labels = { "a", "r1-" + std::to_string(i / 8) };
+        executor->entry.labels = { "a", rackName(i / s_executorsPerRack) };
         executor->entry.startedUnixMs = 1;
         executor->nextReport = static_cast<std::int64_t>(i) % s_reportWaitMs;
         m_byId[executor->entry.id] = executor.get();
@@ -148,6 +153,18 @@
     m_figures.longestCallMs = std::max(m_figures.longestCallMs, took * 1'000);
 }
 
+std::string JobFleet::drawRack()
+{
+    if (m_options.nearShare <= 0)
+        return {};
+    std::uniform_real_distribution<double> share(0, 1);
+    bool isNear = share(m_random) < m_options.nearShare;
+    bool isHot = share(m_random) < m_options.hotShare;
+    std::size_t racks = (m_options.executors + s_executorsPerRack - 1) / s_executorsPerRack;
+    std::size_t number = isHot ? 0 : m_random() % racks;
+    return isNear ? rackName(number) : std::string();
+}
+
 void JobFleet::addJob(JobKind kind)
 {
     const JobKindLoad& load = m_options.loads[static_cast<std::size_t>(kind)];
@@ -161,6 +178,7 @@
     job.kind = kind;
     job.sentAt = m_now;
     double chain = 0;
+    std::string rack = kind == JobKind::Short ? drawRack() : std::string();
     for (std::uint32_t i = 0; i < steps; ++i) {
         StepSpec& step = spec->steps.emplace_back();
         step.taskCount = static_cast<std::uint32_t>(std::max(1.0, load.tasksPerStep * spread(m_random)));
@@ -169,6 +187,7 @@
         step.estimateMs = static_cast<std::uint32_t>(static_cast<double>(load.workMs) * spread(m_random));
         if (i > 0)
             step.after.push_back(i - 1);
+        step.dataRack = rack;
         step.image = std::string(s_queues[number]) + "-" + std::to_string(image);
         step.isLongRunning = kind == JobKind::Lasting;
         step.targetTailMs = step.isLongRunning ? s_targetTailMs : 0;
@@ -287,6 +306,8 @@
         run.cores = static_cast<double>(step.resources.millicores) / 1'000;
         std::lognormal_distribution<double> stretch(0, 0.2);
         run.leftMs = command.checkpoint.empty() ? step.estimateMs * stretch(m_random) : std::stod(command.checkpoint);
+        if (!step.dataRack.empty() && step.dataRack != executor.entry.labels.back())
+            run.leftMs *= m_options.remoteFactor;
         run.phase = static_cast<double>(m_random() % 628) / 100;
         executor.running.push_back(run);
         ++m_figures.starts;
@@ -366,6 +387,7 @@
         }
     }
     judge();
+    m_figures.counters = m_scheduler->counters();
     return m_figures;
 }
 
--- a/bench/JobFleet.h
+++ b/bench/JobFleet.h
@@ -41,6 +41,12 @@
     std::int64_t seconds = 20;
     // By JobKind.
     std::array<JobKindLoad, 3> loads;
+    // Share of the short jobs whose data lies in a rack, and of these, share of which it is the first rack.
+    double nearShare = 0;
+    double hotShare = 0;
+    // How many times as long their tasks take on another rack, and whether the scheduler knows that.
+    double remoteFactor = 1;
+    bool waitsForRacks = true;
 
     // A load like the users' for so many executors of 32 to 48 cores.
     static JobFleetOptions forExecutors(std::size_t executors, std::uint64_t seed);
@@ -65,6 +71,8 @@
     // Seconds of serving tasks at work, and of these over their target or beside a pace below 100.
     double servingSeconds = 0;
     double servingOverSeconds = 0;
+    // What the scheduler counted of tasks that name a rack.
+    SchedulerCounters counters;
     double fillingPaceSum = 0;
     std::uint64_t fillingSamples = 0;
 };
@@ -83,6 +91,8 @@
 
     TimePoint at(std::int64_t ms) const { return TimePoint(std::chrono::milliseconds(1'000'000 + ms)); }
     void addExecutors();
+    // Returns the rack of a short job's data; empty: any.
+    std::string drawRack();
     void addJob(JobKind kind);
     void arrive();
     void work();
--- a/bench/JobsBench.cpp
+++ b/bench/JobsBench.cpp
@@ -30,6 +30,8 @@
             decimal(share(it.inTime[0], it.judged[0]), 3), decimal(share(it.inTime[1], it.judged[1]), 3),
             decimal(it.judged[1] ? it.jobSeconds[1] / static_cast<double>(it.judged[1]) : 0, 2),
             decimal(it.servingSeconds ? it.servingOverSeconds / it.servingSeconds : 0, 4),
+            decimal(it.judged[0] ? it.jobSeconds[0] / static_cast<double>(it.judged[0]) : 0, 3),
+            std::to_string(it.counters.rackRuns), std::to_string(it.counters.remoteRuns), std::to_string(it.counters.rackWaits), std::to_string(it.counters.rackWaitMs),
             decimal(it.fillingSamples ? it.fillingPaceSum / static_cast<double>(it.fillingSamples) : 100, 1) });
         report.addTargetAtMost("cores for scheduling with " + std::to_string(executors) + " executors", all / seconds, s_coreLimit);
     }
@@ -39,15 +41,23 @@
         BenchOptions options("Costs and results of scheduling jobs, by size of the fleet.");
         TCLAP::MultiArg<std::size_t> executors("e", "executors", "size of the fleet", false, "number", options.line());
         TCLAP::ValueArg<std::int64_t> seconds("", "seconds", "simulated time", false, 20, "s", options.line());
+        TCLAP::ValueArg<double> near("", "near", "share of the short jobs whose data lies in a rack", false, 0, "share", options.line());
+        TCLAP::ValueArg<double> hot("", "hot", "share of these for which it is the first rack", false, 0, "share", options.line());
+        TCLAP::ValueArg<double> factor("", "remote-factor", "how many times as long their tasks take on another rack", false, 1, "factor", options.line());
+        TCLAP::SwitchArg noWait("", "no-wait", "the scheduler does not know that factor", options.line());
         options.parse(argc, argv);
         std::vector<std::size_t> sizes = executors.getValue();
         if (sizes.empty())
             sizes = { 50, 150, 350 };
         BenchReport report("jobs", options.seed());
-        report.setColumns({ "executors", "starts/s", "cores", "placing", "reports", "storing", "orders", "longest ms", "kB/s stored", "short in time", "filling in time", "filling s", "serving over", "mean pace" });
+        report.setColumns({ "executors", "starts/s", "cores", "placing", "reports", "storing", "orders", "longest ms", "kB/s stored", "short in time", "filling in time", "filling s", "serving over", "short s", "rack runs", "remote runs", "rack waits", "rack wait ms", "mean pace" });
         for (std::size_t it : sizes) {
             JobFleetOptions fleet = JobFleetOptions::forExecutors(it, options.seed());
             fleet.seconds = seconds.getValue();
+            fleet.nearShare = near.getValue();
+            fleet.hotShare = hot.getValue();
+            fleet.remoteFactor = factor.getValue();
+            fleet.waitsForRacks = !noWait.getValue();
             addRow(report, it, static_cast<double>(fleet.seconds), JobFleet(fleet).run());
         }
         options.print(report);
--- a/plantainhold/entry/EntrySettings.cpp
+++ b/plantainhold/entry/EntrySettings.cpp
@@ -70,6 +70,7 @@
     }
 
     constexpr Milliseconds s_minute { 60'000 };
+    constexpr double s_maxRemoteFactor = 1'000;
     constexpr double s_maxStorePartitions = 100'000;
     constexpr StoreLimits s_defaultLimits;
     // The progress of one task without its checkpoint fits with room to spare.
@@ -116,6 +117,8 @@
     limits.lease = std::min(limits.maxLease, milliseconds(root, "scheduling.lease_ms", limits.lease, Milliseconds(500), 10 * s_minute));
     limits.stopTimeout = milliseconds(root, "scheduling.stop_timeout_ms", limits.stopTimeout, Milliseconds(10), s_minute);
     limits.interferenceLimit = milliseconds(root, "scheduling.interference_ms", limits.interferenceLimit, Milliseconds(100), s_minute);
+    // Below 1 it would mean that a task is faster away from its data.
+    limits.remoteFactor = std::max(1.0, newerNumber(root, "scheduling.remote_factor", limits.remoteFactor, 0, s_maxRemoteFactor, settings.unfilled));
     limits.maxRecordBytes = std::min(limits.maxRecordBytes, settings.storeLimits.recordBytes - s_recordReserve);
     limits.finishedRetention = Milliseconds(static_cast<std::int64_t>(1'000 * number(root, "scheduling.finished_kept_s", 120, 1, 86'400)));
     return settings;
--- a/plantainhold/entry/MetricsPage.cpp
+++ b/plantainhold/entry/MetricsPage.cpp
@@ -57,6 +57,10 @@
     page.counter("plantainhold_runs_ended_total", "Ends that executors listed.", counters.ends);
     page.counter("plantainhold_runs_lost_total", "Runs over without a listed end.", counters.lostRuns);
     page.counter("plantainhold_runs_preempted_total", "Runs stopped to make room.", counters.preemptions);
+    page.counter("plantainhold_rack_runs_total", "Runs of tasks that name the rack of their data.", counters.rackRuns);
+    page.counter("plantainhold_remote_runs_total", "Runs away from the rack of their data.", counters.remoteRuns);
+    page.counter("plantainhold_rack_waits_total", "Runs that passed over room elsewhere to wait for that rack.", counters.rackWaits);
+    page.counter("plantainhold_rack_wait_ms_total", "Milliseconds that they waited for it.", counters.rackWaitMs);
     page.counter("plantainhold_starts_rejected_total", "Orders to start that were rejected.", counters.rejectedStarts);
     page.counter("plantainhold_starts_unknown_total", "Orders to start without a clear answer.", counters.unknownStarts);
     return page.text();
--- a/plantainhold/jobs/ActiveJob.h
+++ b/plantainhold/jobs/ActiveJob.h
@@ -128,6 +128,10 @@
     TimePoint waitingSince {};
     // The task is not placed before this time.
     TimePoint notBefore {};
+    // When the task first passed over room to wait for room near its data; unset if it has not. And until when it does;
+    // not later than now if it does not.
+    TimePoint passesOverSince {};
+    TimePoint passesOverUntil {};
     // The executor where the task last failed, was rejected or was slowed down. It is avoided if possible.
     const ActiveExecutor* avoided = nullptr;
     // The executor where capacity is being freed for the task by preemption.
@@ -149,6 +153,8 @@
     std::uint32_t placedTasks = 0;
     // When a round of placement looked at the step last.
     TimePoint consideredAt {};
+    // For a gang that wants one rack: where there was room for all of it in the last round; empty: nowhere.
+    std::string preferredRack;
     // For a queue that needs advice.
     StepAdvice advice;
     // Until this time it is not decided whether one of the tasks crashes its executors.
--- a/plantainhold/jobs/JobEnds.cpp
+++ b/plantainhold/jobs/JobEnds.cpp
@@ -145,7 +145,8 @@
     // The duration of a run that was slowed down or resumed from a checkpoint says nothing about the task.
     if (run.wasPaced || !task.checkpoint.empty() || !task.step->spec->estimateMs)
         return;
-    auto took = std::chrono::duration_cast<Milliseconds>(now - run.assignedAt);
+    // What it would have taken near its data.
+    auto took = std::chrono::duration_cast<Milliseconds>((now - run.assignedAt) / m_locality.stretchOn(executor, task));
     task.step->longestRun = std::max(task.step->longestRun, took);
     auto expected = m_prioritizer.expected(task.step->job().spec->queue, task.step->spec->estimateMs);
     double ratio = static_cast<double>(took.count()) / static_cast<double>(std::max<std::int64_t>(1, expected.count()));
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -30,7 +30,6 @@
     // If no such executor is found within this time after that, it gets one beside any number of best-effort runs: these reserve
     // nothing, and each job with nothing running has a claim to a share of what is left over.
     constexpr Milliseconds s_crowdedAfter { 500 };
-    constexpr double s_bestEffortLoadLimit = 1.0;
     // Interval at which an executor without runs is sought for a suspect.
     constexpr Milliseconds s_seclusionRetry { 50 };
     // Searches through all executors in one round, and those of them that go to the steps in order of urgency:
@@ -58,6 +57,7 @@
     std::copy_if(m_ready.begin(), m_ready.end(), std::back_inserter(steps), [&](const ActiveStep* it) { return !it->job().isHeld(now) && canRunSomewhere(*it, m_executorList); });
     m_load.update(m_executorList, steps, now);
     m_prioritizer.sort(steps, now);
+    m_locality.beginRound(m_executorList, m_executorsVersion);
     auto next = steps.begin();
     for (; next != steps.end() && m_round.searches() < s_searchesInOrder; ++next)
         consider(**next, now);
@@ -104,6 +104,11 @@
         bool isHeldBack = wantsSeclusion && (step.hasSecludedRun() || now < step.verdictAt || !m_load.maySeclude(step.job().settings.service));
         if (!isHeldBack && placeTask(task, now))
             continue;
+        // There is room elsewhere, so nothing is preempted for it.
+        if (task.passesOverUntil > now) {
+            m_placeAgainAt = std::min(m_placeAgainAt, task.passesOverUntil);
+            continue;
+        }
         if (wantsSeclusion) {
             m_placeAgainAt = std::min(m_placeAgainAt, now + s_seclusionRetry);
             continue;
@@ -131,6 +136,7 @@
         it.lastRun = run;
         it.checkpoint = checkpoint;
     }
+    m_locality.chooseRack(step, now);
     for (ActiveTask& it : step.tasks) {
         if (it.notBefore <= now && assignExecutor(it, now))
             continue;
@@ -269,6 +275,7 @@
 
 bool JobScheduler::assignExecutor(ActiveTask& task, TimePoint now)
 {
+    task.passesOverUntil = {};
     bool isStarved = now >= starvedSince(task);
     bool wantsSeclusion = awaitsSeclusion(task, now);
     std::optional<std::uint64_t> rejectedIn;
@@ -282,6 +289,8 @@
             m_round.reject(task, PlacementRound::Means::FreeCapacity);
         return false;
     }
+    if (m_locality.passesOver(task, *best, now))
+        return false;
     // The capacity held for the task becomes available to other tasks of its step.
     if (task.nominated)
         m_candidates.clear();
@@ -302,6 +311,7 @@
     markDirty(job);
     m_starts.push_back({ task.name(), task.lastRun });
     ++m_counters.runsAssigned;
+    m_locality.noteStart(task, m_counters, now);
     m_runEvents.assigned(task.name(), task.lastRun, task.run->executor->entry.id, std::chrono::duration_cast<Milliseconds>(now - task.waitingSince));
     refreshReady(step);
 }
--- a/plantainhold/jobs/JobPrioritizer.cpp
+++ b/plantainhold/jobs/JobPrioritizer.cpp
@@ -57,6 +57,12 @@
     return job.firstSeenAt + Milliseconds(static_cast<std::int64_t>(allowed));
 }
 
+TimePoint JobPrioritizer::latestStartOf(const ActiveStep& step) const
+{
+    const ActiveJob& job = step.job();
+    return objectiveOf(job) - Milliseconds(static_cast<std::int64_t>(job.remainingPathMs[step.number] * slowdownOf(job.spec->queue)));
+}
+
 JobPrioritizer::Rank JobPrioritizer::rankOf(ActiveStep& step, TimePoint now) const
 {
     const ActiveJob& job = step.job();
--- a/plantainhold/jobs/JobPrioritizer.h
+++ b/plantainhold/jobs/JobPrioritizer.h
@@ -30,6 +30,8 @@
     // Returns when the job should be complete. Precondition, also of sort():
     // ActiveJob::computeCriticalPath() was called.
     TimePoint objectiveOf(const ActiveJob& job) const;
+    // Returns the latest start of the step's tasks that meets the objective, as far as the estimates tell.
+    TimePoint latestStartOf(const ActiveStep& step) const;
     // Returns the expected duration of the longest task of a step: the estimate, corrected by the
     // learned slowdown.
     Milliseconds expected(const std::string& queue, std::uint32_t estimateMs) const;
--- a/plantainhold/jobs/JobScheduler.cpp
+++ b/plantainhold/jobs/JobScheduler.cpp
@@ -29,6 +29,7 @@
     , m_claimedAt(now)
     , m_former(former)
     , m_pacer(m_limits)
+    , m_locality(m_limits.remoteFactor, m_prioritizer)
 {
 }
 
@@ -298,7 +299,7 @@
     std::size_t waitingLongRunning = 0;
     for (const ActiveStep* it : m_ready)
         waitingLongRunning += it->spec->isLongRunning ? it->waitingTasks() : 0;
-    m_events.note(EventId::PartitionState, { { "executors", m_executorList.size() }, { "accepting", open }, { "secluded", secluded }, { "jobs", m_jobs.size() }, { "runs", runs }, { "waiting", waitingTasks() }, { "waiting_lasting", waitingLongRunning }, { "capacity_millicores", capacity.millicores }, { "reserved_millicores", reserved.millicores }, { "filling_millicores", bestEffortMillicores }, { "nominated_millicores", nominated.millicores }, { "capacity_mib", capacity.memoryMib }, { "reserved_mib", reserved.memoryMib }, { "mean_pace", bestEffortRuns ? pace / bestEffortRuns : 100 }, { "worst_tail_ratio", tail } });
+    m_events.note(EventId::PartitionState, { { "executors", m_executorList.size() }, { "accepting", open }, { "secluded", secluded }, { "jobs", m_jobs.size() }, { "runs", runs }, { "waiting", waitingTasks() }, { "waiting_lasting", waitingLongRunning }, { "capacity_millicores", capacity.millicores }, { "reserved_millicores", reserved.millicores }, { "filling_millicores", bestEffortMillicores }, { "nominated_millicores", nominated.millicores }, { "capacity_mib", capacity.memoryMib }, { "reserved_mib", reserved.memoryMib }, { "mean_pace", bestEffortRuns ? pace / bestEffortRuns : 100 }, { "worst_tail_ratio", tail }, { "rack_runs", m_counters.rackRuns }, { "remote_runs", m_counters.remoteRuns }, { "rack_waits", m_counters.rackWaits }, { "rack_wait_ms", m_counters.rackWaitMs } });
 }
 
 std::size_t JobScheduler::waitingTasks() const
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -21,6 +21,7 @@
 #include "plantainhold/jobs/FleetLoad.h"
 #include "plantainhold/jobs/JobPrioritizer.h"
 #include "plantainhold/jobs/LearnedState.h"
+#include "plantainhold/jobs/LocalityGate.h"
 #include "plantainhold/jobs/OwnerTerm.h"
 #include "plantainhold/jobs/PlacementCandidates.h"
 #include "plantainhold/jobs/PlacementNeeds.h"
@@ -365,6 +366,7 @@
     std::unordered_set<ActiveTask*> m_nominatedTasks;
     BestEffortPacer m_pacer;
     JobPrioritizer m_prioritizer;
+    LocalityGate m_locality;
     PlacementRound m_round;
     // Candidates for the step that is being placed.
     PlacementCandidates m_candidates;
--- a/plantainhold/jobs/PlacementCost.cpp
+++ b/plantainhold/jobs/PlacementCost.cpp
@@ -14,6 +14,8 @@
     constexpr double s_remoteDataCost = 1'000;
     constexpr double s_avoidedExecutorCost = 500;
     constexpr double s_otherRackCost = 200;
+    // Outweighs the data's rack: a gang on two racks is as slow as one away from its data.
+    constexpr double s_outsideRackCost = 2'000;
     // Cost of each run that a suspect would take down with the executor.
     constexpr double s_companyCost = 400;
     constexpr double s_sameStepCost = 30;
@@ -39,6 +41,12 @@
     return (busy + bestEffort) / static_cast<double>(std::max<std::int64_t>(1, executor.entry.capacity.millicores));
 }
 
+std::int64_t bestEffortRoom(const ActiveExecutor& executor)
+{
+    static const StepSpec s_nothing;
+    return static_cast<std::int64_t>((s_bestEffortLoadLimit - bestEffortLoad(executor, s_nothing)) * static_cast<double>(executor.entry.capacity.millicores));
+}
+
 double costWithoutPressure(const ActiveExecutor& executor, const ActiveTask& task, const Resources& freeCapacity, double pressure)
 {
     const StepSpec& spec = *task.step->spec;
@@ -51,6 +59,8 @@
         sum += s_companyCost * static_cast<double>(executor.runs.size());
     if (!spec.isLongRunning)
         sum += s_slowWeight * std::max(0.0, executor.slowness - s_slowIgnored);
+    if (!task.step->preferredRack.empty() && executor.rack != task.step->preferredRack)
+        sum += s_outsideRackCost;
     if (spec.prefersOneRack) {
         for (const ActiveTask& it : task.step->tasks) {
             if (it.run && it.run->executor->rack != executor.rack) {
--- a/plantainhold/jobs/SchedulerCounters.h
+++ b/plantainhold/jobs/SchedulerCounters.h
@@ -12,6 +12,12 @@
     std::uint64_t rejectedStarts = 0;
     std::uint64_t unknownStarts = 0;
     std::uint64_t lostRuns = 0;
+    // Runs of tasks that name the rack of their data, and those of them on another rack.
+    std::uint64_t rackRuns = 0;
+    std::uint64_t remoteRuns = 0;
+    // Those that passed over room elsewhere before, and for how long in all.
+    std::uint64_t rackWaits = 0;
+    std::uint64_t rackWaitMs = 0;
 };
 
 } // namespace plantainhold
--- a/plantainhold/jobs/SchedulerLimits.h
+++ b/plantainhold/jobs/SchedulerLimits.h
@@ -35,6 +35,8 @@
     std::size_t maxRecordBytes = 200'000;
     // Delay before a task is tried again after a rejection.
     Milliseconds retryDelay { 100 };
+    // How many times as long a task takes away from its data, or a gang that wants one rack on several; 1: nothing waits.
+    double remoteFactor = 1;
 };
 
 } // namespace plantainhold
--- a/plantainhold/testing/entry/EntrySettingsTest.cpp
+++ b/plantainhold/testing/entry/EntrySettingsTest.cpp
@@ -52,4 +52,15 @@
     CHECK(settingsWith("").unfilled.empty());
 }
 
+TEST_CASE("tasks wait for the rack of their data by the factor that the settings name, and not at all without one")
+{
+    CHECK(settingsWith("[scheduling]\nremote_factor = \"1.5\"\n").scheduler.remoteFactor == 1.5);
+    CHECK(settingsWith("").scheduler.remoteFactor == 1);
+    EntrySettings settings = settingsWith("[scheduling]\nremote_factor = \"{{bounds.remote_factor}}\"\n");
+    CHECK(settings.scheduler.remoteFactor == 1);
+    CHECK(settings.unfilled == std::vector<std::string> { "scheduling.remote_factor" });
+    CHECK(settingsWith("[scheduling]\nremote_factor = 0.5\n").scheduler.remoteFactor == 1);
+    CHECK_THROWS_AS(settingsWith("[scheduling]\nremote_factor = \"many\"\n"), ResultError);
+}
+
 } // namespace plantainhold
