--- a/plantainhold/entry/MetricsPage.h
+++ b/plantainhold/entry/MetricsPage.h
@@ -10,6 +10,7 @@
 namespace plantainhold {
 
 class ConnectionBudget;
+class EvacuationTable;
 class JobScheduler;
 struct ServiceCounters;
 
@@ -27,6 +28,8 @@
     CircuitState circuit = CircuitState::Closed;
     CircuitCounters circuitCounters {};
     std::uint64_t refusedByCircuit = 0;
+    // Null if no operator writes.
+    const EvacuationTable* evacuations = nullptr;
     const ConnectionBudget& connections;
 };
 
