Learn of an outage from joins, and settle what was never sent as refused

Cause: An instance has about one submission a second, so that the first one of an outage was always sent and lost. Callers with little time left were told 504 after half of it, even if their record had not been sent. Change: The gate watches the joins that each instance makes several times a second: while one has no response, records wait unsent for a probe. An append that this instance alone can make is waited for up to its deadline. The first unanswered append after a quiet time counts as evidence.

--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -61,8 +61,9 @@
     , m_peers(context.get_executor())
     , m_peerDirectory(context.get_executor(), m_adapters.store, m_peers, s_partition)
     , m_service(m_submissionWriter, m_ownerDirectory, m_peerDirectory, log)
+    , m_membershipStore(m_adapters.store, m_submissionWriter.gate())
     , m_ownership(
-          context.get_executor(), m_adapters.store, log, ownershipOptions(settings),
+          context.get_executor(), m_membershipStore, log, ownershipOptions(settings),
           { [this](std::uint64_t it) { onOwnershipGained(it); }, [this](std::string_view) { onOwnershipLost(); }, [this]() { return !m_releasingOwner || m_releasingOwner->isReleased(); } })
     , m_configTail(m_adapters.store, log, m_adapters.operatorTopic, 0, [this](const StoredRecord& it) { applyConfig(it); })
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
--- a/plantainhold/entry/EntryInstance.h
+++ b/plantainhold/entry/EntryInstance.h
@@ -16,6 +16,7 @@
 #include "plantainhold/entry/SubmissionWriter.h"
 #include "plantainhold/http/HttpServer.h"
 #include "plantainhold/store/TopicTail.h"
+#include "plantainhold/store/WatchedStore.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -79,6 +80,7 @@
     HttpPeers m_peers;
     PeerDirectory m_peerDirectory;
     JobService m_service;
+    WatchedStore m_membershipStore;
     OwnershipManager m_ownership;
     TopicTail m_configTail;
     std::shared_ptr<JobOwner> m_owner;
--- a/plantainhold/entry/JobService.cpp
+++ b/plantainhold/entry/JobService.cpp
@@ -27,6 +27,8 @@
     constexpr int s_forwardDivisor = 2;
     // If the lookup takes longer, the cancellation is stored without knowing whether the job exists.
     constexpr Milliseconds s_cancelLookupTimeout { 800 };
+    // An append that ends at the deadline tells its result this much later at the latest.
+    constexpr Milliseconds s_settleTime { 20 };
 
     TimePoint deadlineFor(Milliseconds timeout)
     {
@@ -58,6 +60,10 @@
             co_await signal.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
 
+    // Returns when the append has ended, which it does at the deadline at the latest: a record that
+    // was never sent is refused then.
+    asio::awaitable<void> waitForEnd(TimePoint deadline) { return waitUntil(deadline + s_settleTime); }
+
     asio::steady_timer signal;
     StoreStatus status = StoreStatus::Unknown;
     bool isDone = false;
@@ -91,20 +97,25 @@
     auto left = [deadline]() { return std::chrono::duration_cast<Milliseconds>(deadline - std::chrono::steady_clock::now()); };
     auto localAppend = std::make_shared<LocalAppend>(executor);
     spawnLogged(executor, append(localAppend, request, deadline), m_events, "submission");
-    co_await localAppend->waitUntil(m_ownerDirectory.isAuthoritative() ? deadline : deadline - left() / s_forwardDivisor);
+    if (m_ownerDirectory.isAuthoritative())
+        co_await localAppend->waitForEnd(deadline);
+    else
+        co_await localAppend->waitUntil(deadline - left() / s_forwardDivisor);
     request.timeout = left();
     bool isSettled = localAppend->status == StoreStatus::Ok || localAppend->status == StoreStatus::Invalid || m_ownerDirectory.isAuthoritative();
     if (localAppend->isDone && isSettled)
         co_return localAppend->status;
-    if (request.timeout < s_minTimeout)
+    if (request.timeout < s_minTimeout) {
+        co_await localAppend->waitForEnd(deadline);
         co_return localAppend->status;
+    }
     // Storing the record twice is harmless, because records with equal keys carry equal values.
     JobReply reply = co_await m_peerDirectory.handleOnce(std::move(request));
     if (reply.outcome == JobRequestOutcome::Ok) {
         ++m_counters.forwarded;
         co_return StoreStatus::Ok;
     }
-    co_await localAppend->waitUntil(deadline);
+    co_await localAppend->waitForEnd(deadline);
     bool isStored = localAppend->isDone && localAppend->status == StoreStatus::Ok;
     if (isStored || reply.outcome != JobRequestOutcome::Unknown)
         co_return localAppend->status;
--- a/plantainhold/entry/SubmissionWriter.h
+++ b/plantainhold/entry/SubmissionWriter.h
@@ -27,6 +27,7 @@
     boost::asio::awaitable<StoreStatus> put(JobRequest request, TimePoint deadline);
 
     const StoreGate& gate() const { return m_gate; }
+    StoreGate& gate() { return m_gate; }
 
 private:
     StoreGate m_gate;
--- a/plantainhold/store/StoreCircuit.cpp
+++ b/plantainhold/store/StoreCircuit.cpp
@@ -44,10 +44,15 @@
     if (m_isOpen)
         return CircuitState::Open;
     bool isRecent = now - m_evidenceAt < s_evidenceAge;
-    bool isSilent = m_silentSince != s_never && now - m_silentSince >= m_usual.current();
+    bool isSilent = isSilentSince(m_silentSince, now) || isSilentSince(m_watchedSince, now);
     return isSilent || (m_hasUnanswered && isRecent) ? CircuitState::Held : CircuitState::Closed;
 }
 
+bool StoreCircuit::isSilentSince(TimePoint since, TimePoint now) const
+{
+    return since != s_never && now - since >= m_usual.current();
+}
+
 void StoreCircuit::recordSent(TimePoint now)
 {
     forgetOldEvidence(now);
@@ -59,6 +64,7 @@
     m_usual.recordResponse(now - sentAt);
     m_answeredAt = now;
     m_silentSince = s_never;
+    m_watchedSince = s_never;
     m_score = 0;
     m_hasUnanswered = false;
     if (!m_isOpen)
@@ -80,8 +86,20 @@
     bool wasPaused = now - sentAt > timeout + s_pauseSlack;
     if (isFollowedByResponse || wasPaused)
         return;
-    m_hasUnanswered = true;
     addEvidence(s_unansweredWeight, now);
+    m_hasUnanswered = true;
+}
+
+void StoreCircuit::recordWatchSent(TimePoint now)
+{
+    m_watchedSince = std::min(m_watchedSince, now);
+}
+
+void StoreCircuit::recordWatchEnded(bool isAnswered, TimePoint sentAt, Milliseconds timeout, TimePoint now)
+{
+    m_watchedSince = s_never;
+    if (!isAnswered)
+        recordUnanswered(sentAt, timeout, now);
 }
 
 void StoreCircuit::forgetOldEvidence(TimePoint now)
--- a/plantainhold/store/StoreCircuit.h
+++ b/plantainhold/store/StoreCircuit.h
@@ -46,6 +46,11 @@
     void recordRefused(TimePoint now);
     void recordUnanswered(TimePoint sentAt, Milliseconds timeout, TimePoint now);
 
+    // Records that a call was sent which is no append, such as a join, and how it ended. Without a response it says as
+    // much as an append; its response says nothing of appends, since a store may be away in part.
+    void recordWatchSent(TimePoint now);
+    void recordWatchEnded(bool isAnswered, TimePoint sentAt, Milliseconds timeout, TimePoint now);
+
     // Returns whether a probe should be sent now. Never true between startProbe() and endProbe().
     bool isProbeDue(TimePoint now) const;
     // Counts the probe as sent and returns its timeout. Precondition: isProbeDue().
@@ -58,6 +63,7 @@
     const CircuitCounters& counters() const { return m_counters; }
 
 private:
+    bool isSilentSince(TimePoint since, TimePoint now) const;
     void addEvidence(int weight, TimePoint now);
     void forgetOldEvidence(TimePoint now);
     int openScore(TimePoint now) const;
@@ -71,6 +77,8 @@
     bool m_isProbing = false;
     // When the first append was sent that nothing has followed by a response; s_never if there is none.
     TimePoint m_silentSince = s_never;
+    // When the watched call was sent that has no response yet; s_never if there is none.
+    TimePoint m_watchedSince = s_never;
     TimePoint m_answeredAt {};
     TimePoint m_evidenceAt {};
     TimePoint m_openedAt {};
--- a/plantainhold/store/StoreGate.cpp
+++ b/plantainhold/store/StoreGate.cpp
@@ -47,12 +47,25 @@
         m_circuit.recordRefused(now);
     else
         m_circuit.recordAnswered(sentAt, now);
+    applyTransitions(before, result.status, now);
+}
+
+void StoreGate::watchEnded(StoreStatus status, TimePoint sentAt, Milliseconds timeout)
+{
+    TimePoint now = BootClock::now();
+    const CircuitCounters before = m_circuit.counters();
+    m_circuit.recordWatchEnded(status != StoreStatus::Unknown, sentAt, timeout, now);
+    applyTransitions(before, status, now);
+}
+
+void StoreGate::applyTransitions(const CircuitCounters& before, StoreStatus cause, TimePoint now)
+{
     if (m_circuit.counters().closings != before.closings) {
         auto openMs = std::chrono::duration_cast<Milliseconds>(now - m_circuit.openedAt()).count();
         m_events.note(EventId::StoreCircuitClosed, { { "open_ms", openMs }, { "refused", m_refused }, { "probes", m_circuit.counters().probes } });
     }
     if (m_circuit.counters().openings != before.openings) {
-        m_events.note(EventId::StoreCircuitOpened, { { "cause", nameOf(result.status) }, { "openings", m_circuit.counters().openings } });
+        m_events.note(EventId::StoreCircuitOpened, { { "cause", nameOf(cause) }, { "openings", m_circuit.counters().openings } });
         for (const auto& it : m_openListeners)
             it();
     }
--- a/plantainhold/store/StoreGate.h
+++ b/plantainhold/store/StoreGate.h
@@ -29,6 +29,9 @@
     boost::asio::awaitable<AppendResult> append(std::uint32_t partition, std::span<const KeyedRecord> records, Milliseconds timeout);
     // Sends probes until the circuit is closed, unless that is being done already.
     void ensureProbing();
+    // Notes a call that is no append, and how it ended.
+    void watchSent(TimePoint now) { m_circuit.recordWatchSent(now); }
+    void watchEnded(StoreStatus status, TimePoint sentAt, Milliseconds timeout);
     // Called whenever the circuit has opened: the writer refuses its records that were never sent. The writer must outlive the gate's appends.
     void onOpened(std::function<void()> refuse) { m_openListeners.push_back(std::move(refuse)); }
     // Counts records that were refused because the circuit is open.
@@ -41,6 +44,8 @@
     boost::asio::awaitable<void> probe();
     boost::asio::awaitable<void> probeOnce();
     void record(const AppendResult& result, TimePoint sentAt, Milliseconds timeout);
+    // Notes the transitions since the counters were taken, and does what they require.
+    void applyTransitions(const CircuitCounters& before, StoreStatus cause, TimePoint now);
 
     boost::asio::any_io_executor m_executor;
     StorePort& m_store;
--- a/plantainhold/testing/entry/StoreOutageTest.cpp
+++ b/plantainhold/testing/entry/StoreOutageTest.cpp
@@ -54,6 +54,8 @@
         {
             store.beforeAppend = [this](TopicPartition, std::span<const KeyedRecord> appended, Milliseconds) -> asio::awaitable<StoreStatus> {
                 recordsSent += appended.size();
+                if (isAway && !appended.empty())
+                    co_await sleepFor(context.get_executor(), silence);
                 co_return isAway ? StoreStatus::Unknown : StoreStatus::Ok;
             };
         }
@@ -72,7 +74,7 @@
             context.restart();
             context.run_for(time);
         }
-        JobRequestOutcome submit(std::string id) { return run(service.submit(std::move(id), JobSpec {}, s_callerTime)); }
+        JobRequestOutcome submit(std::string id, Milliseconds callerTime = s_callerTime) { return run(service.submit(std::move(id), JobSpec {}, callerTime)); }
         void setOwner(std::string address)
         {
             GroupMember member { OwnershipManager::s_ownersGroup, {}, OwnershipManager::s_ownersTopic, Milliseconds(60'000), 0 };
@@ -99,6 +101,8 @@
         Owners owners;
         bool isOwner = false;
         bool isAway = false;
+        // How long an append waits in vain.
+        Milliseconds silence { 0 };
         std::size_t recordsSent = 0;
         JobRecords records;
         SubmissionWriter writer;
@@ -178,4 +182,20 @@
     CHECK(instance.run(instance.ownerDirectory.handle(forwarded)).outcome == JobRequestOutcome::Ok);
 }
 
+// SETTLED: half of a short time went by for the owner's sake, and then the outcome was called unknown although nothing
+// had been sent.
+TEST_CASE("store silent, callers with little time left: a record that was held back is refused, one that was sent is unknown")
+{
+    Instance instance;
+    instance.isAway = true;
+    instance.silence = Milliseconds(800);
+    constexpr Milliseconds s_littleTime { 250 };
+    CHECK(instance.submit("sent", s_littleTime) == JobRequestOutcome::Unknown);
+    std::size_t sent = instance.recordsSent;
+    instance.runFor(Milliseconds(200));
+    REQUIRE(instance.writer.gate().state() == CircuitState::Held);
+    CHECK(instance.submit("held", s_littleTime) == JobRequestOutcome::Refused);
+    CHECK(instance.recordsSent == sent);
+}
+
 } // namespace plantainhold
--- a/plantainhold/testing/store/StoreCircuitTest.cpp
+++ b/plantainhold/testing/store/StoreCircuitTest.cpp
@@ -142,6 +142,24 @@
     CHECK(it.state(9'800) == CircuitState::Held);
 }
 
+TEST_CASE("circuit, outage without submissions: a join without a response holds records back, and its answer closes nothing")
+{
+    Script it;
+    it.circuit.recordWatchSent(it.at(0));
+    CHECK(it.state(250) == CircuitState::Held);
+    it.circuit.recordWatchEnded(true, it.at(0), s_timeout, it.at(300));
+    CHECK(it.state(300) == CircuitState::Closed);
+    it.circuit.recordWatchSent(it.at(400));
+    it.circuit.recordWatchEnded(false, it.at(400), s_timeout, it.at(1'200));
+    CHECK(it.state(1'200) == CircuitState::Held);
+    it.send(1'250);
+    it.lose(1'250, 2'050);
+    CHECK(it.state(2'050) == CircuitState::Open);
+    it.circuit.recordWatchSent(it.at(2'100));
+    it.circuit.recordWatchEnded(true, it.at(2'100), s_timeout, it.at(2'150));
+    CHECK(it.state(2'150) == CircuitState::Open);
+}
+
 TEST_CASE("circuit: old failures are forgotten")
 {
     Script it;
