Start nothing in a data centre that the operator has evacuated

Cause: nothing read the operator's evacuate records, so that tasks went on being started in evacuated data centres (EVAC).

Change: EvacuationTable keeps the newest record of each data centre, by offset. The instance fills it from the operator's topic and gives it to the owner before the owner reads its jobs. Executors there accept no work, nominated room there is released, and starts that are recorded or queued are taken back, a gang's as a whole. No start is sent while the operator's topic was last read over 2.5 s ago, so none before it was read at all. Runs there go on.

--- a/cmd/plantainhold_jobsd/Main.cpp
+++ b/cmd/plantainhold_jobsd/Main.cpp
@@ -57,7 +57,7 @@
         if (!settings.adviceAddress.empty())
             advice.emplace(context.get_executor(), settings.adviceAddress);
         EntryAdapters adapters { store, executors, platform::decodeExecutor, platform::decodeConfig,
-            platform::handleJobRequest,
+            platform::handleJobRequest, platform::decodeEvacuation,
             std::string(platform::s_operatorTopic), std::string(platform::s_configKey), std::string(platform::s_executorsTopic), advice ? &*advice : nullptr };
         EntryInstance instance(context, settings, std::move(adapters), log);
         instance.start();
--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -20,6 +20,9 @@
     constexpr std::uint32_t s_partition = 0;
     constexpr Milliseconds s_configWait { 1'000 };
     constexpr Milliseconds s_storeTimeout { 1'000 };
+    // No start is sent if the operator's topic was last read longer ago. It leaves time for a read that waits, and
+    // together with the time of a call it is within what the platform allows from an evacuation to the last start.
+    constexpr Milliseconds s_maxOperatorAge { 2'500 };
     constexpr Milliseconds s_storeRetryDelay { 100 };
     // How often the successor catches up with the records, so that it can take over quickly.
     constexpr Milliseconds s_recordsInterval { 2'000 };
@@ -64,7 +67,7 @@
     , m_ownership(
           context.get_executor(), m_adapters.store, log, ownershipOptions(settings),
           { [this](std::uint64_t it) { onOwnershipGained(it); }, [this](std::string_view) { onOwnershipLost(); }, [this]() { return !m_releasingOwner || m_releasingOwner->isReleased(); } })
-    , m_configTail(m_adapters.store, log, m_adapters.operatorTopic, 0, [this](const StoredRecord& it) { applyConfig(it); })
+    , m_configTail(m_adapters.store, log, m_adapters.operatorTopic, 0, [this](const StoredRecord& it) { applyOperatorRecord(it); })
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
 {
 }
@@ -116,10 +119,30 @@
     }
 }
 
-void EntryInstance::applyConfig(const StoredRecord& record)
+void EntryInstance::applyOperatorRecord(const StoredRecord& record)
 {
-    if (record.key != m_adapters.configKey || record.value.empty())
+    if (record.key == m_adapters.configKey && !record.value.empty())
+        applyConfig(record);
+    else if (std::optional<EvacuationRecord> evacuation = m_adapters.decodeEvacuation(record.key, record.value))
+        applyEvacuation(*evacuation, record);
+}
+
+void EntryInstance::applyEvacuation(const EvacuationRecord& evacuation, const StoredRecord& record)
+{
+    if (!evacuation.fault.empty()) {
+        m_log.note(EventId::EvacuationRejected, { { "key", record.key }, { "offset", record.offset }, { "fault", evacuation.fault } });
         return;
+    }
+    EvacuationTable::Outcome outcome = m_evacuations.apply(evacuation.dataCentre, evacuation.isEvacuated, record.offset);
+    if (outcome == EvacuationTable::Outcome::Full)
+        m_log.note(EventId::EvacuationRejected, { { "key", record.key }, { "offset", record.offset }, { "fault", "too many data centres are evacuated: all others count as evacuated until this process restarts" } });
+    bool isChanged = outcome == EvacuationTable::Outcome::Changed || outcome == EvacuationTable::Outcome::Full;
+    if (isChanged && m_owner)
+        m_owner->evacuate(m_evacuations);
+}
+
+void EntryInstance::applyConfig(const StoredRecord& record)
+{
     std::string fault;
     std::optional<FleetConfig> config = m_adapters.decodeConfig(record.value, fault);
     if (!config) {
@@ -169,8 +192,9 @@
 
 void EntryInstance::onOwnershipGained(std::uint64_t generation)
 {
-    OwnerDependencies dependencies { m_adapters.store, m_adapters.executors, m_records, m_ownership, m_log, m_adapters.decodeExecutor, m_adapters.executorsTopic, m_adapters.advice };
+    OwnerDependencies dependencies { m_adapters.store, m_adapters.executors, m_records, m_ownership, m_log, m_adapters.decodeExecutor, m_adapters.executorsTopic, m_adapters.advice, [this]() { return BootClock::now() < m_configTail.currentAsOf() + s_maxOperatorAge; } };
     m_owner = std::make_shared<JobOwner>(m_context.get_executor(), m_settings, std::move(dependencies), generation);
+    m_owner->evacuate(m_evacuations);
     m_owner->start(m_config);
 }
 
@@ -191,7 +215,7 @@
 
 asio::awaitable<HttpResponse> EntryInstance::metricsResponse()
 {
-    MetricsInput input { m_service.counters(), m_records.table().size(), m_owner && m_owner->scheduler() ? m_owner->scheduler() : nullptr, m_owner ? m_owner->queuedCommands() : 0, m_config ? m_config->version() : 0, m_log.droppedLines(), m_owner ? m_owner->refusedRecords() : 0 };
+    MetricsInput input { m_service.counters(), m_records.table().size(), m_owner && m_owner->scheduler() ? m_owner->scheduler() : nullptr, m_owner ? m_owner->queuedCommands() : 0, m_config ? m_config->version() : 0, m_log.droppedLines(), m_owner ? m_owner->refusedRecords() : 0, &m_evacuations };
     co_return HttpResponse { 200, renderMetrics(input), "text/plain; version=0.0.4" };
 }
 
--- a/plantainhold/entry/EntryInstance.h
+++ b/plantainhold/entry/EntryInstance.h
@@ -35,6 +35,8 @@
     // Returns std::nullopt and sets `fault` if the bytes do not encode a configuration.
     std::function<std::optional<FleetConfig>(std::string_view bytes, std::string& fault)> decodeConfig;
     std::function<boost::asio::awaitable<HttpResponse>(JobService&, HttpRequest, std::shared_ptr<const FleetConfig>)> handleRequest;
+    // Returns std::nullopt if the key of the operator's topic is not that of an evacuation.
+    std::function<std::optional<EvacuationRecord>(std::string_view key, std::string_view value)> decodeEvacuation;
     std::string operatorTopic;
     std::string configKey;
     std::string executorsTopic;
@@ -62,7 +64,9 @@
     boost::asio::awaitable<HttpResponse> readinessResponse();
     boost::asio::awaitable<HttpResponse> metricsResponse();
     bool isAuthoritative() const;
+    void applyOperatorRecord(const StoredRecord& record);
     void applyConfig(const StoredRecord& record);
+    void applyEvacuation(const EvacuationRecord& evacuation, const StoredRecord& record);
     void onOwnershipGained(std::uint64_t generation);
     void onOwnershipLost();
     void awaitSignals();
@@ -73,6 +77,7 @@
     EntryAdapters m_adapters;
     EventLog& m_log;
     std::shared_ptr<const FleetConfig> m_config;
+    EvacuationTable m_evacuations;
     JobRecords m_records;
     SubmissionWriter m_submissionWriter;
     OwnerDirectory m_ownerDirectory;
--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -110,6 +110,7 @@
     TimePoint now = BootClock::now();
     for (const auto& [id, job] : m_dependencies.records.table().jobs())
         m_scheduler->submit(id, job, now);
+    m_scheduler->evacuate(m_evacuations, now);
     m_calls = std::make_shared<ExecutorCalls>(m_executor, m_scheduler, m_dependencies.executors, m_dependencies.ownership, m_dependencies.events, listeners());
     m_isRestored = true;
     ++m_rounds;
@@ -184,6 +185,14 @@
     scheduleRound();
 }
 
+void JobOwner::evacuate(const EvacuationTable& table)
+{
+    m_evacuations = table;
+    if (m_scheduler)
+        m_scheduler->evacuate(m_evacuations, BootClock::now());
+    scheduleRound();
+}
+
 void JobOwner::onSubmissionRead(std::string_view id)
 {
     if (m_isStopped || !m_isRestored)
@@ -207,7 +216,9 @@
     // An executor may have announced since the list was read that it is draining.
     auto mayStart = [owner = weak_from_this()]() {
         auto self = owner.lock();
-        return self && BootClock::now() < self->m_executorTail->currentAsOf() + self->m_settings.maxExecutorListAge;
+        if (!self || (self->m_dependencies.isOperatorHeard && !self->m_dependencies.isOperatorHeard()))
+            return false;
+        return BootClock::now() < self->m_executorTail->currentAsOf() + self->m_settings.maxExecutorListAge;
     };
     return { replied, mayStart };
 }
--- a/plantainhold/entry/JobOwner.h
+++ b/plantainhold/entry/JobOwner.h
@@ -42,6 +42,9 @@
     std::string_view executorsTopic;
     // Null if no advice service is configured.
     AdvicePort* advice = nullptr;
+    // Returns whether it is known what the operator has evacuated, as of lately: without that nothing is started.
+    // Null if no operator writes.
+    std::function<bool()> isOperatorHeard {};
 };
 
 class JobOwner : public std::enable_shared_from_this<JobOwner> {
@@ -58,6 +61,8 @@
     // Returns whether the final record is stored or never will be.
     bool isReleased() const { return m_isReleased; }
     void configure(std::shared_ptr<const FleetConfig> config);
+    // Sets what is evacuated. To be called before start() too.
+    void evacuate(const EvacuationTable& table);
     // Called when a submission or cancellation of this job was read.
     void onSubmissionRead(std::string_view id);
 
@@ -109,6 +114,7 @@
     boost::asio::steady_timer m_advanceTimer;
     boost::asio::steady_timer m_commitSignal;
     std::shared_ptr<const FleetConfig> m_config;
+    EvacuationTable m_evacuations;
     // No command may be sent before this is set: an executor's report cannot be
     // interpreted while the jobs that it mentions are unknown.
     bool m_isRestored = false;
--- a/plantainhold/entry/MetricsPage.cpp
+++ b/plantainhold/entry/MetricsPage.cpp
@@ -3,6 +3,7 @@
 #include "plantainhold/entry/JobService.h"
 #include "plantainhold/jobs/JobScheduler.h"
 
+#include <map>
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 #include <vector>
@@ -25,12 +26,39 @@
             metric.gauge.value = static_cast<double>(value);
             m_families.push_back({ std::move(name), std::move(help), prometheus::MetricType::Gauge, { metric } });
         }
+        // One value for each of these, under a label. No line is written if there are none.
+        void gauges(std::string name, std::string help, const std::string& label, const std::map<std::string, std::size_t>& values)
+        {
+            std::vector<prometheus::ClientMetric> metrics;
+            for (const auto& [of, value] : values) {
+                prometheus::ClientMetric& metric = metrics.emplace_back();
+                metric.label.push_back({ label, of });
+                metric.gauge.value = static_cast<double>(value);
+            }
+            m_families.push_back({ std::move(name), std::move(help), prometheus::MetricType::Gauge, std::move(metrics) });
+        }
         std::string text() const { return prometheus::TextSerializer().Serialize(m_families); }
 
     private:
         std::vector<prometheus::MetricFamily> m_families;
     };
 
+    // Returns the number of runs that are left in each data centre that is evacuated.
+    std::map<std::string, std::size_t> runsLeft(const JobScheduler& scheduler, const EvacuationTable& evacuations)
+    {
+        std::map<std::string, std::size_t> left;
+        for (const std::string& it : evacuations.evacuated())
+            left[it] = 0;
+        if (left.empty())
+            return left;
+        for (const std::string& id : scheduler.executorIds()) {
+            const ActiveExecutor& executor = *scheduler.executor(id);
+            if (auto it = left.find(executor.entry.dataCentre); it != left.end())
+                it->second += executor.runs.size();
+        }
+        return left;
+    }
+
 } // namespace
 
 std::string renderMetrics(const MetricsInput& input)
@@ -59,6 +87,8 @@
     page.counter("plantainhold_runs_preempted_total", "Runs stopped to make room.", counters.preemptions);
     page.counter("plantainhold_starts_rejected_total", "Orders to start that were rejected.", counters.rejectedStarts);
     page.counter("plantainhold_starts_unknown_total", "Orders to start without a clear answer.", counters.unknownStarts);
+    if (input.evacuations)
+        page.gauges("plantainhold_evacuated_runs", "Runs that are left in a data centre that the operator has evacuated.", "data_centre", runsLeft(*input.scheduler, *input.evacuations));
     return page.text();
 }
 
--- a/plantainhold/jobs/ActiveExecutor.h
+++ b/plantainhold/jobs/ActiveExecutor.h
@@ -46,6 +46,8 @@
     std::vector<std::int64_t> formerIncarnations;
     // True while the executor is in the list of executors.
     bool isListed = false;
+    // The operator has evacuated its data centre: nothing is started here.
+    bool isEvacuated = false;
     Resources reserved;
     // Reserved resources that may be preempted, by the priority of the queue.
     static constexpr std::size_t s_priorities = 8;
--- a/plantainhold/jobs/Eligibility.cpp
+++ b/plantainhold/jobs/Eligibility.cpp
@@ -26,7 +26,7 @@
     const StepSpec& spec = *step.spec;
     const std::string& service = step.job().settings.service;
     return std::any_of(executors.begin(), executors.end(), [&](const ActiveExecutor* it) {
-        return it->isListed && it->entry.service == service && spec.reserved().fitsIn(it->entry.capacity) && hasLabel(*it, spec.requiredLabel);
+        return it->isListed && !it->isEvacuated && it->entry.service == service && spec.reserved().fitsIn(it->entry.capacity) && hasLabel(*it, spec.requiredLabel);
     });
 }
 
@@ -38,6 +38,8 @@
         return PlacementObstacle::Unconfirmed;
     if (executor.entry.isDraining)
         return PlacementObstacle::Draining;
+    if (executor.isEvacuated)
+        return PlacementObstacle::Evacuated;
     if (executor.failedCalls)
         return PlacementObstacle::Unreachable;
     return now < executor.avoidedUntil ? PlacementObstacle::Avoided : PlacementObstacle::None;
--- a/plantainhold/jobs/FleetLoad.cpp
+++ b/plantainhold/jobs/FleetLoad.cpp
@@ -38,6 +38,9 @@
         it.executors = it.secluded = 0;
     }
     for (const ActiveExecutor* it : executors) {
+        // Neither its room nor what goes on there counts for those that are placed elsewhere.
+        if (it->isEvacuated)
+            continue;
         ServiceLoad& load = m_services[it->entry.service];
         load.capacity += it->entry.capacity.millicores;
         load.reserved += it->reserved.millicores;
@@ -54,7 +57,7 @@
     for (auto& [name, it] : m_services)
         it.smoothDemand(now);
     for (const ActiveExecutor* it : executors) {
-        if (it->isListed)
+        if (it->isListed && !it->isEvacuated)
             add(*it);
     }
 }
--- a/plantainhold/jobs/FleetLoad.h
+++ b/plantainhold/jobs/FleetLoad.h
@@ -21,7 +21,7 @@
 
 class FleetLoad {
 public:
-    // Updates all sums and the smoothed demand. `steps` are the ready steps that some executor could run: the
+    // Updates all sums, of executors that are not evacuated, and the smoothed demand. `steps` are the ready steps that some executor could run: the
     // demand of others would keep capacity free that they cannot use. Call before each round of placement.
     // No method of this class is thread-safe.
     void update(std::span<ActiveExecutor* const> executors, std::span<ActiveStep* const> steps, TimePoint now);
--- a/plantainhold/jobs/JobCommands.cpp
+++ b/plantainhold/jobs/JobCommands.cpp
@@ -39,7 +39,7 @@
         return std::nullopt;
     // The capacity may have shrunk since the executor was chosen; what is being stopped still counts.
     bool hasRoom = executor.reserved.fitsIn(executor.entry.capacity);
-    bool mayWork = executor.isListed && !executor.entry.isDraining && executor.hasClock && !executor.mayTakeFormerCalls;
+    bool mayWork = executor.isListed && !executor.entry.isDraining && !executor.isEvacuated && executor.hasClock && !executor.mayTakeFormerCalls;
     if (task->run->isStopRequested || !mayWork || !hasRoom) {
         endRun(*task, now);
         return std::nullopt;
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -38,6 +38,7 @@
     executor.listedUnixMs = entry.startedUnixMs;
     executor.rack = rackOf(entry);
     executor.isListed = true;
+    executor.isEvacuated = m_evacuations.isEvacuated(entry.dataCentre);
     noteChange(executor);
     m_executorsVersion += hasChanged;
     m_needsPlacement = m_needsPlacement || hasChanged;
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -17,6 +17,7 @@
 #include "plantainhold/jobs/AdvicePort.h"
 #include "plantainhold/jobs/BestEffortPacer.h"
 #include "plantainhold/jobs/CrashEvidence.h"
+#include "plantainhold/jobs/EvacuationTable.h"
 #include "plantainhold/jobs/ExecutorCommand.h"
 #include "plantainhold/jobs/FleetLoad.h"
 #include "plantainhold/jobs/JobPrioritizer.h"
@@ -70,6 +71,8 @@
     void executorListed(const ExecutorEntry& entry, TimePoint now);
     // Processes the removal of an entry. Runs on the executor may continue until its lease expires.
     void executorUnlisted(std::string_view id, TimePoint now);
+    // Starts nothing more in data centres that are evacuated, from this call on. Runs there go on.
+    void evacuate(const EvacuationTable& table, TimePoint now);
 
     // True if nothing runs on the executor and all its ends are acknowledged, so that it need not
     // be polled until it is given work.
@@ -349,6 +352,7 @@
     TimePoint m_termRecordedAt {};
     std::unordered_map<std::string, TimePoint> m_recordedLeases;
     std::shared_ptr<const FleetConfig> m_config;
+    EvacuationTable m_evacuations;
     std::unordered_map<std::string, std::unique_ptr<ActiveJob>> m_jobs;
     // Ended jobs whose records are to be deleted, by time.
     std::multimap<TimePoint, std::string> m_finished;
--- a/plantainhold/jobs/PlacementObstacle.h
+++ b/plantainhold/jobs/PlacementObstacle.h
@@ -16,6 +16,8 @@
     // The executor has not confirmed the present fencing token, or its clock is not known.
     Unconfirmed,
     Draining,
+    // The operator has evacuated its data centre.
+    Evacuated,
     Unreachable,
     // The executor gets no tasks for a while, after failures or refusals.
     Avoided,
@@ -41,7 +43,7 @@
 
 constexpr std::string_view nameOf(PlacementObstacle obstacle)
 {
-    constexpr std::array<std::string_view, s_placementObstacles> s_names { "none", "other_service", "no_room", "unlisted", "unconfirmed", "draining", "unreachable", "avoided", "missing_label", "no_ticket", "advice_refused", "suspect_there", "not_alone", "too_many_of_step", "best_effort_load", "room_for_short_tasks", "pressure" };
+    constexpr std::array<std::string_view, s_placementObstacles> s_names { "none", "other_service", "no_room", "unlisted", "unconfirmed", "draining", "evacuated", "unreachable", "avoided", "missing_label", "no_ticket", "advice_refused", "suspect_there", "not_alone", "too_many_of_step", "best_effort_load", "room_for_short_tasks", "pressure" };
     return s_names[static_cast<std::size_t>(obstacle)];
 }
 
--- a/plantainhold/testing/entry/JobOwnerTest.cpp
+++ b/plantainhold/testing/entry/JobOwnerTest.cpp
@@ -30,6 +30,7 @@
     constexpr std::string_view s_job = "0123456789abcdef";
     constexpr std::string_view s_executorsTopic = "executors";
     constexpr std::string_view s_service = "plans";
+    constexpr std::string_view s_dataCentre = "d1";
     constexpr std::int64_t s_executorStartedUnixMs = 1'000;
     constexpr std::int64_t s_executorClockMs = 5'000;
 
@@ -49,6 +50,7 @@
         entry.id = key;
         entry.service = s_service;
         entry.address = "10.1.0.1:80";
+        entry.dataCentre = s_dataCentre;
         entry.capacity = { 32'000, 128'000, 0 };
         entry.startedUnixMs = s_executorStartedUnixMs;
         return entry;
@@ -176,6 +178,9 @@
         OwnershipManager ownership;
         std::shared_ptr<JobOwner> owner;
         std::size_t terms = 0;
+        // What is evacuated when a term begins, and whether that is known.
+        EvacuationTable evacuations;
+        bool isOperatorHeard = true;
 
     private:
         void lost()
@@ -220,9 +225,10 @@
 
         void gained(std::uint64_t generation)
         {
-            OwnerDependencies dependencies { store, executors, records, ownership, events, decodeEntry, s_executorsTopic, nullptr };
+            OwnerDependencies dependencies { store, executors, records, ownership, events, decodeEntry, s_executorsTopic, nullptr, [this]() { return isOperatorHeard; } };
             owner = std::make_shared<JobOwner>(context.get_executor(), settings, std::move(dependencies), generation);
             ++terms;
+            owner->evacuate(evacuations);
             owner->start(config(1));
         }
     };
@@ -271,6 +277,41 @@
     CHECK(isStarted());
 }
 
+// EVAC: a takeover must not forget what the operator has evacuated.
+TEST_CASE("a new owner starts nothing in a data centre that was evacuated before its term")
+{
+    constexpr const char* s_waiting = "0000000000000001";
+    Fixture fixture(1);
+    fixture.evacuations.apply(s_dataCentre, true, 1);
+    fixture.runFor(Milliseconds(200));
+    REQUIRE(fixture.owner);
+    REQUIRE(fixture.owner->isRestored());
+    fixture.submit(s_waiting);
+    fixture.runFor(Milliseconds(400));
+    CHECK(fixture.executors.startsOf(s_waiting) == 0);
+    fixture.evacuations.apply(s_dataCentre, false, 2);
+    fixture.owner->evacuate(fixture.evacuations);
+    fixture.runFor(Milliseconds(400));
+    CHECK(fixture.executors.startsOf(s_waiting) > 0);
+}
+
+// EVAC: an owner that cannot read the operator's topic does not know what has been evacuated since.
+TEST_CASE("no run is started while it is not known what the operator has evacuated")
+{
+    constexpr const char* s_waiting = "0000000000000001";
+    Fixture fixture(1);
+    fixture.isOperatorHeard = false;
+    fixture.runFor(Milliseconds(200));
+    REQUIRE(fixture.owner);
+    REQUIRE(fixture.owner->isRestored());
+    fixture.submit(s_waiting);
+    fixture.runFor(Milliseconds(400));
+    CHECK(fixture.executors.startsOf(s_waiting) == 0);
+    fixture.isOperatorHeard = true;
+    fixture.runFor(Milliseconds(400));
+    CHECK(fixture.executors.startsOf(s_waiting) > 0);
+}
+
 TEST_CASE("a cancelled run is stopped at once although starts wait for the list of executors")
 {
     Fixture fixture(1);
--- a/plantainhold/testing/jobs/FakeExecutor.cpp
+++ b/plantainhold/testing/jobs/FakeExecutor.cpp
@@ -152,6 +152,7 @@
     entry.id = m_incarnation.id;
     entry.service = "service";
     entry.address = m_incarnation.address;
+    entry.dataCentre = m_hardware.dataCentre;
     entry.capacity = m_hardware.capacity;
     entry.labels = { "a", "r1" };
     entry.startedUnixMs = m_incarnation.startedUnixMs;
--- a/plantainhold/testing/jobs/FakeExecutor.h
+++ b/plantainhold/testing/jobs/FakeExecutor.h
@@ -42,6 +42,7 @@
         // A longer lease is shortened to this.
         std::int64_t maxLeaseMs = 0;
         bool enforcesCapacity = true;
+        std::string dataCentre {};
     };
 
     // No method of this class is thread-safe.
--- a/plantainhold/testing/jobs/JobSimulation.cpp
+++ b/plantainhold/testing/jobs/JobSimulation.cpp
@@ -53,9 +53,12 @@
     , m_history(m_context, m_jobs)
     , m_fleet(m_context, m_history)
     , m_store(m_history, options)
+    , m_operator(m_context, m_history)
 {
     m_config = configOf(options, s_firstVersion, s_queue);
     m_jobs.acceptUnder(m_config->settingsFor(s_queue, {}));
+    if (options.faults.evacuationRate > 0)
+        m_context.schedule(options.faultsMs, [this]() { m_operator.takeAllBack(); });
     m_store.takes = [this](const KeyedRecord& it) { return takes(it); };
 }
 
@@ -101,6 +104,9 @@
     double rate = m_context.faults().configChangeRate;
     if (rate > 0 && m_context.chance(rate))
         changeConfig();
+    double evacuationRate = m_context.faults().evacuationRate;
+    if (evacuationRate > 0 && m_context.chance(evacuationRate))
+        m_operator.change();
     double groupLossRate = m_context.faults().groupLossRate;
     if (groupLossRate > 0 && m_context.chance(groupLossRate))
         beginGroupLosses();
@@ -175,7 +181,7 @@
 void JobSimulation::startOwner()
 {
     m_context.disturb(m_context.now());
-    m_owners.push_back(std::make_unique<SimulatedOwner>(SimulatedOwner::World { m_context, m_jobs, m_fleet, m_store, m_sentStops }, m_config));
+    m_owners.push_back(std::make_unique<SimulatedOwner>(SimulatedOwner::World { m_context, m_jobs, m_fleet, m_store, m_operator, m_sentStops }, m_config));
 }
 
 } // namespace plantainhold
--- a/plantainhold/testing/jobs/JobSimulation.h
+++ b/plantainhold/testing/jobs/JobSimulation.h
@@ -7,6 +7,7 @@
 #include "plantainhold/testing/jobs/RunHistory.h"
 #include "plantainhold/testing/jobs/SimulatedFleet.h"
 #include "plantainhold/testing/jobs/SimulatedJobs.h"
+#include "plantainhold/testing/jobs/SimulatedOperator.h"
 #include "plantainhold/testing/jobs/SimulatedStore.h"
 #include "plantainhold/testing/jobs/SimulationContext.h"
 #include "plantainhold/testing/jobs/SimulationOptions.h"
@@ -53,6 +54,7 @@
     RunHistory m_history;
     SimulatedFleet m_fleet;
     SimulatedStore m_store;
+    SimulatedOperator m_operator;
     std::shared_ptr<const FleetConfig> m_config;
     std::vector<std::unique_ptr<SimulatedOwner>> m_owners;
     std::set<std::string> m_sentStops;
--- a/plantainhold/testing/jobs/JobSimulationTest.cpp
+++ b/plantainhold/testing/jobs/JobSimulationTest.cpp
@@ -137,6 +137,17 @@
         return options;
     }
 
+    // Data centres are evacuated and taken back beside restarts, lagging lists and takeovers.
+    SimulationOptions withEvacuations()
+    {
+        SimulationOptions options = withFaults(SimulationFaults::all());
+        options.faults.evacuationRate = 0.005;
+        options.lastingJobs = 2;
+        options.lastingFromMs = 0;
+        options.bestEffortJobs = 2;
+        return options;
+    }
+
     struct SingleFault {
         std::string_view name;
         // Copies the fault from the other.
@@ -175,6 +186,7 @@
     constexpr std::string_view s_twice = "runs twice at once";
     constexpr std::string_view s_notEnded = "did not come to its end";
     constexpr std::string_view s_overCapacity = "is over its capacity";
+    constexpr std::string_view s_evacuated = "after its data centre was evacuated";
     constexpr std::string_view s_couldRun = "could run and doesn't";
     constexpr std::string_view s_afterEnd = "starts after its end was acknowledged";
 
@@ -442,4 +454,19 @@
     CHECK(countViolatingSeeds(options, s_twice) > 0);
 }
 
+// EVAC: placement, preemption and starts that were recorded before must all heed what the operator evacuates, also
+// after a takeover; and nothing is lost while all data centres are evacuated.
+TEST_CASE("no start is sent to an evacuated data centre and every job ends under all faults")
+{
+    checkNoViolations(withEvacuations(), s_seeds);
+}
+
+// Shows that tasks would be started there.
+TEST_CASE("control: owners that do not see evacuations are detected")
+{
+    SimulationOptions options = withEvacuations();
+    options.disabled.hidesEvacuations = true;
+    CHECK(countViolatingSeeds(options, s_evacuated) > 0);
+}
+
 } // namespace plantainhold
--- a/plantainhold/testing/jobs/RunHistory.cpp
+++ b/plantainhold/testing/jobs/RunHistory.cpp
@@ -128,6 +128,11 @@
     fail(executor + " is over its capacity after a start");
 }
 
+void RunHistory::startedInEvacuated(const std::string& executor)
+{
+    fail(executor + " is sent a start after its data centre was evacuated");
+}
+
 void RunHistory::checkCompleted(const std::string& job)
 {
     const JobSpec& spec = m_jobs.specs().at(job);
--- a/plantainhold/testing/jobs/RunHistory.h
+++ b/plantainhold/testing/jobs/RunHistory.h
@@ -39,6 +39,8 @@
     void crashed(std::size_t executor);
     // A start has brought the executor over its capacity, which its entry had shown for long enough.
     void exceeded(const std::string& executor);
+    // An owner has sent a start to an executor whose data centre is evacuated for too long.
+    void startedInEvacuated(const std::string& executor);
 
     // Checks that a job which is shown as completed has ended.
     void checkCompleted(const std::string& job);
--- a/plantainhold/testing/jobs/SchedulerFixture.h
+++ b/plantainhold/testing/jobs/SchedulerFixture.h
@@ -53,12 +53,13 @@
     void configure(std::shared_ptr<const FleetConfig> config) { m_scheduler.configure(std::move(config)); }
 
     // Lists an executor, or another incarnation of it, without a report.
-    void list(const std::string& id, std::int64_t millicores, std::int64_t startedUnixMs, std::string_view address = s_address)
+    void list(const std::string& id, std::int64_t millicores, std::int64_t startedUnixMs, std::string_view address = s_address, std::string_view dataCentre = {})
     {
         ExecutorEntry entry;
         entry.id = id;
         entry.service = "service";
         entry.address = address;
+        entry.dataCentre = dataCentre;
         entry.capacity = { millicores, 64'000, 0 };
         entry.labels = { "a", "r1" };
         entry.startedUnixMs = startedUnixMs;
@@ -66,9 +67,9 @@
     }
 
     // Lists an executor in its first incarnation, which reports.
-    void addExecutor(const std::string& id, std::int64_t millicores)
+    void addExecutor(const std::string& id, std::int64_t millicores, std::string_view dataCentre = {})
     {
-        list(id, millicores, 1);
+        list(id, millicores, 1, s_address, dataCentre);
         report(id, {}, {});
     }
 
--- a/plantainhold/testing/jobs/SimulatedFleet.cpp
+++ b/plantainhold/testing/jobs/SimulatedFleet.cpp
@@ -2,6 +2,7 @@
 
 #include "plantainhold/testing/jobs/RunHistory.h"
 #include "plantainhold/testing/jobs/SimulatedJobs.h"
+#include "plantainhold/testing/jobs/SimulatedOperator.h"
 #include "plantainhold/testing/jobs/SimulationContext.h"
 
 #include <algorithm>
@@ -56,7 +57,7 @@
     for (std::size_t i = 0; i < m_slots.size(); ++i) {
         std::string id = "x" + std::to_string(m_nextId++);
         double drift = s_maxClockDrift * static_cast<double>(context.random(0, 10)) / 10;
-        FakeExecutor::Hardware hardware { s_capacity, 1 - drift, context.options().maxLeaseMs, context.options().enforcesCapacity };
+        FakeExecutor::Hardware hardware { s_capacity, 1 - drift, context.options().maxLeaseMs, context.options().enforcesCapacity, SimulatedOperator::dataCentres()[i % SimulatedOperator::dataCentres().size()] };
         auto executor = std::make_unique<FakeExecutor>(FakeExecutor::Incarnation { id, chooseAddress(), s_firstStartUnixMs, context.random(0, s_maxClockStartMs) }, hardware);
         executor->onStart = [this, i](const FakeExecutor::Running& it) { runStarted(i, it); };
         executor->onEnd = [this, i](const FakeExecutor::Running& it, EndKind kind) { m_history.ended(i, it, kind); };
--- a/plantainhold/testing/jobs/SimulatedOwner.cpp
+++ b/plantainhold/testing/jobs/SimulatedOwner.cpp
@@ -3,6 +3,7 @@
 #include "plantainhold/testing/jobs/FakeExecutor.h"
 #include "plantainhold/testing/jobs/SimulatedFleet.h"
 #include "plantainhold/testing/jobs/SimulatedJobs.h"
+#include "plantainhold/testing/jobs/SimulatedOperator.h"
 #include "plantainhold/testing/jobs/SimulatedStore.h"
 #include "plantainhold/testing/jobs/SimulationContext.h"
 
@@ -73,6 +74,7 @@
     m_scheduler = std::make_unique<JobScheduler>(m_context.options().limits, m_disabled.ignoresFencing ? 1 : m_generation, former, m_context.trace(), m_evidence.claimTime(m_context.timePoint()));
     m_scheduler->configure(std::move(config));
     readNewestEntries();
+    readEvacuations();
     for (const auto& [id, job] : m_world.store.table().jobs())
         m_scheduler->submit(id, job, m_context.timePoint());
     m_confirmedUntil = m_context.now() + s_membershipMs;
@@ -191,6 +193,7 @@
     if (m_context.now() < m_listLagsUntil)
         return;
     m_listReadAt = m_context.now();
+    readEvacuations();
     const std::vector<SimulatedFleet::ListRecord>& list = m_world.fleet.list();
     for (; m_listPosition < list.size(); ++m_listPosition) {
         const SimulatedFleet::ListRecord& it = list[m_listPosition];
@@ -205,6 +208,15 @@
     }
 }
 
+// The operator's topic lags whenever the list does.
+void SimulatedOwner::readEvacuations()
+{
+    std::size_t position = m_world.operators.read(m_evacuations, m_evacuationPosition);
+    if (position == std::exchange(m_evacuationPosition, position) || m_disabled.hidesEvacuations)
+        return;
+    m_scheduler->evacuate(m_evacuations, m_context.timePoint());
+}
+
 void SimulatedOwner::readJobs()
 {
     for (const auto& [id, job] : m_world.store.table().jobs()) {
@@ -374,6 +386,9 @@
     std::optional<JobScheduler::SendParameters> parameters = m_scheduler->prepareSend(command, m_context.timePoint());
     if (!parameters)
         return true;
+    const FakeExecutor* executor = m_world.fleet.at(address->second);
+    if (command.kind == CommandKind::Start && executor && executor->incarnation().id == command.executor)
+        m_world.operators.startSent(command.executor, executor->entry().dataCentre);
     bool isRepeatedStop = command.kind == CommandKind::Stop && !m_world.sentStops.insert(command.task.text() + "/" + std::to_string(command.run)).second;
     if (isRepeatedStop && m_disabled.sendsStopsOnlyOnce)
         return true;
--- a/plantainhold/testing/jobs/SimulatedOwner.h
+++ b/plantainhold/testing/jobs/SimulatedOwner.h
@@ -25,6 +25,7 @@
 class FakeExecutor;
 class SimulatedFleet;
 class SimulatedJobs;
+class SimulatedOperator;
 class SimulatedStore;
 class SimulationContext;
 
@@ -36,6 +37,7 @@
         const SimulatedJobs& jobs;
         SimulatedFleet& fleet;
         SimulatedStore& store;
+        SimulatedOperator& operators;
         // Names of runs for which any owner has sent a stop.
         std::set<std::string>& sentStops;
     };
@@ -65,6 +67,7 @@
 
     void readNewestEntries();
     void readList();
+    void readEvacuations();
     bool hasHeard(const std::string& executor) const;
     void readJobs();
     bool renewMembership();
@@ -120,6 +123,8 @@
     std::size_t m_listPosition = 0;
     std::int64_t m_listLagsUntil = 0;
     std::int64_t m_listReadAt = 0;
+    EvacuationTable m_evacuations;
+    std::size_t m_evacuationPosition = 0;
     std::map<std::string, std::string> m_addresses;
     std::map<std::string, std::int64_t> m_nextReport;
     std::set<std::string> m_reporting;
--- a/plantainhold/testing/jobs/SimulationOptions.h
+++ b/plantainhold/testing/jobs/SimulationOptions.h
@@ -69,6 +69,8 @@
     double refusedJobFraction = 0;
     // Rate of configurations that remove the queue of all jobs, rename it, or add it again.
     double configChangeRate = 0;
+    // Rate at which the operator evacuates data centres or takes them back.
+    double evacuationRate = 0;
 
     static SimulationFaults all();
 };
@@ -95,6 +97,8 @@
     bool ignoresRefusedRecords = false;
     // Owners see the capacity of an executor that it had first.
     bool hidesCapacityChanges = false;
+    // Owners do not see what the operator has evacuated.
+    bool hidesEvacuations = false;
     // How long before their claim owners begin to count the leases of the former owner.
     std::int64_t claimTakenEarlyMs = 0;
 };
--- a/plantainhold/testing/platform/DecodersTest.cpp
+++ b/plantainhold/testing/platform/DecodersTest.cpp
@@ -244,4 +244,23 @@
     SUCCEED();
 }
 
+TEST_CASE("a record of an evacuation names its data centre, and a malformed one its fault")
+{
+    std::optional<EvacuationRecord> record = platform::decodeEvacuation("evacuate/d-1", "{}");
+    REQUIRE(record);
+    CHECK(record->dataCentre == "d-1");
+    CHECK(record->isEvacuated);
+    CHECK(record->fault.empty());
+    record = platform::decodeEvacuation("evacuate/d-1", {});
+    REQUIRE(record);
+    CHECK_FALSE(record->isEvacuated);
+    CHECK(record->fault.empty());
+    CHECK_FALSE(platform::decodeEvacuation("config", "{}"));
+    CHECK_FALSE(platform::decodeEvacuation("evacuate", "{}"));
+    for (const char* it : { "[]", "1", "null", "{", "\x01", "{}{}" })
+        CHECK_FALSE(platform::decodeEvacuation("evacuate/d-1", it)->fault.empty());
+    for (const std::string& it : { std::string(), std::string("a b"), std::string("\n"), std::string(300, 'd') })
+        CHECK_FALSE(platform::decodeEvacuation("evacuate/" + it, "{}")->fault.empty());
+}
+
 } // namespace plantainhold
