Mend what a review of evacuations and of waits for a rack found

Cause: a starved task could still pass over room; one lost response of the operator's topic held all starts back for 0.6 s; an evacuation during a takeover was logged as of an unknown data centre; a member of a gang that has to wait cost a search for a rack; a changed rack or data centre of an executor woke nobody. Change: each of these; evacuate() is divided, and takes starts back in a fixed order.

--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -20,8 +20,9 @@
     constexpr std::uint32_t s_partition = 0;
     constexpr Milliseconds s_configWait { 1'000 };
     constexpr Milliseconds s_storeTimeout { 1'000 };
-    // No start is sent if the operator's topic was last read longer ago. It leaves time for a read that waits, and
-    // together with the time of a call it is within what the platform allows from an evacuation to the last start.
+    // No start is sent if the operator's topic was last read longer ago: a read that waits (s_configWait) and one that
+    // fails (s_storeTimeout) fit into it. With the 1 s of a call it is within what the platform allows from an evacuation
+    // to the last start.
     constexpr Milliseconds s_maxOperatorAge { 2'500 };
     constexpr Milliseconds s_storeRetryDelay { 100 };
     // How often the successor catches up with the records, so that it can take over quickly.
@@ -104,8 +105,10 @@
 
 asio::awaitable<void> EntryInstance::followConfig()
 {
-    for (;;) {
-        StoreStatus status = co_await m_configTail.poll(s_configWait, s_storeTimeout);
+    for (Milliseconds wait = s_configWait;;) {
+        StoreStatus status = co_await m_configTail.poll(wait, s_storeTimeout);
+        // After a failure it matters first what is current now, because starts wait for that.
+        wait = status == StoreStatus::Ok ? s_configWait : Milliseconds(0);
         if (status != StoreStatus::Ok)
             co_await sleepFor(m_context.get_executor(), s_storeRetryDelay);
     }
@@ -182,9 +185,14 @@
     return m_owner && m_owner->isRestored() && m_ownership.isConfirmed(BootClock::now());
 }
 
+bool EntryInstance::isOperatorHeard() const
+{
+    return m_configTail.isComplete() && BootClock::now() < m_configTail.currentAsOf() + s_maxOperatorAge;
+}
+
 void EntryInstance::onOwnershipGained(std::uint64_t generation)
 {
-    OwnerDependencies dependencies { m_adapters.store, m_adapters.executors, m_records, m_ownership, m_log, m_adapters.decodeExecutor, m_adapters.executorsTopic, m_adapters.advice, [this]() { return BootClock::now() < m_configTail.currentAsOf() + s_maxOperatorAge; } };
+    OwnerDependencies dependencies { m_adapters.store, m_adapters.executors, m_records, m_ownership, m_log, m_adapters.decodeExecutor, m_adapters.executorsTopic, m_adapters.advice, [this]() { return isOperatorHeard(); } };
     m_owner = std::make_shared<JobOwner>(m_context.get_executor(), m_settings, std::move(dependencies), generation);
     m_owner->evacuate(m_evacuations);
     m_owner->start(m_config);
--- a/plantainhold/entry/EntryInstance.h
+++ b/plantainhold/entry/EntryInstance.h
@@ -65,6 +65,8 @@
     boost::asio::awaitable<HttpResponse> readinessResponse();
     boost::asio::awaitable<HttpResponse> metricsResponse();
     bool isAuthoritative() const;
+    // Returns whether the operator's topic was read lately, so that it is known what is evacuated.
+    bool isOperatorHeard() const;
     void applyOperatorRecord(const StoredRecord& record);
     void applyConfig(const StoredRecord& record);
     void applyEvacuation(const EvacuationRecord& evacuation, const StoredRecord& record);
--- a/plantainhold/entry/JobOwner.cpp
+++ b/plantainhold/entry/JobOwner.cpp
@@ -188,8 +188,10 @@
 void JobOwner::evacuate(const EvacuationTable& table)
 {
     m_evacuations = table;
-    if (m_scheduler)
-        m_scheduler->evacuate(m_evacuations, BootClock::now());
+    // Before that takeOver() applies it, when the executors are known too.
+    if (!m_isRestored)
+        return;
+    m_scheduler->evacuate(m_evacuations, BootClock::now());
     scheduleRound();
 }
 
--- a/plantainhold/jobs/Eligibility.h
+++ b/plantainhold/jobs/Eligibility.h
@@ -17,8 +17,8 @@
 // empty label.
 bool hasLabel(const ActiveExecutor& executor, std::string_view label);
 std::uint32_t tasksOn(const ActiveExecutor& executor, const ActiveStep& step);
-// True if an executor that is listed, in a data centre that is not evacuated, has the service, the label and, when empty, the capacity for a task of the
-// step. Whether it accepts work now does not count.
+// True if an executor that is listed, in a data centre that is not evacuated, has the service, the label and, when
+// empty, the capacity for a task of the step. Whether it accepts work now does not count.
 bool canRunSomewhere(const ActiveStep& step, std::span<ActiveExecutor* const> executors);
 // Returns why the executor accepts no work; None if it does.
 PlacementObstacle workObstacle(const ActiveExecutor& executor, TimePoint now);
--- a/plantainhold/jobs/FleetLoad.h
+++ b/plantainhold/jobs/FleetLoad.h
@@ -21,8 +21,9 @@
 
 class FleetLoad {
 public:
-    // Updates all sums, of executors that are not evacuated, and the smoothed demand. `steps` are the ready steps that some executor could run: the
-    // demand of others would keep capacity free that they cannot use. Call before each round of placement.
+    // Updates all sums, of executors that are not evacuated, and the smoothed demand. `steps` are the ready steps that
+    // some executor could run: the demand of others would keep capacity free that they cannot use. Call before each
+    // round of placement.
     // No method of this class is thread-safe.
     void update(std::span<ActiveExecutor* const> executors, std::span<ActiveStep* const> steps, TimePoint now);
     // True if most of the millicores of the service's executors are reserved.
--- a/plantainhold/jobs/JobEvacuation.cpp
+++ b/plantainhold/jobs/JobEvacuation.cpp
@@ -3,11 +3,10 @@
 
 #include "plantainhold/jobs/JobScheduler.h"
 
-#include <algorithm>
-#include <iterator>
 #include <set>
 #include <span>
 #include <string>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -64,6 +63,43 @@
         return extent;
     }
 
+    // Returns the tasks whose starts on executors that are evacuated have not been sent, and those bound to them, each once.
+    std::vector<ActiveTask*> unsentOn(std::span<ActiveExecutor* const> executors)
+    {
+        std::vector<ActiveTask*> unsent;
+        std::unordered_set<const ActiveTask*> known;
+        for (const ActiveExecutor* executor : executors) {
+            if (!executor->isEvacuated)
+                continue;
+            for (const ActiveRun* run : executor->runs) {
+                if (!isUnsent(*run->task))
+                    continue;
+                for (ActiveTask* it : tasksBoundTo(*run->task)) {
+                    if (isUnsent(*it) && known.insert(it).second)
+                        unsent.push_back(it);
+                }
+            }
+        }
+        return unsent;
+    }
+
+    // Logs what has changed between the two tables.
+    void noteEvacuations(const EvacuationTable& former, const EvacuationTable& table, std::span<ActiveExecutor* const> executors, std::size_t takenBack, EventSink& events)
+    {
+        for (const std::string& it : table.evacuated()) {
+            if (former.isEvacuated(it))
+                continue;
+            Extent extent = extentOf(it, executors);
+            events.note(EventId::EvacuationInForce, { { "data_centre", it }, { "offset", table.offsetOf(it) }, { "executors", extent.executors }, { "runs", extent.runs }, { "taken_back_starts", takenBack }, { "emptied_services", extent.emptiedServices } });
+            if (!extent.executors)
+                events.note(EventId::EvacuationRejected, { { "data_centre", it }, { "offset", table.offsetOf(it) }, { "fault", "no executor of this data centre is listed; it stays evacuated" } });
+        }
+        for (const std::string& it : former.evacuated()) {
+            if (!table.isEvacuated(it))
+                events.note(EventId::EvacuationEnded, { { "data_centre", it }, { "offset", table.offsetOf(it) } });
+        }
+    }
+
 } // namespace
 
 void JobScheduler::evacuate(const EvacuationTable& table, TimePoint now)
@@ -79,34 +115,13 @@
         if (it->nominated->isEvacuated)
             clearNomination(*it);
     }
-    std::set<ActiveTask*> unsent;
-    for (const ActiveExecutor* executor : m_executorList) {
-        if (!executor->isEvacuated)
-            continue;
-        for (const ActiveRun* run : executor->runs) {
-            if (!isUnsent(*run->task))
-                continue;
-            std::vector<ActiveTask*> bound = tasksBoundTo(*run->task);
-            std::copy_if(bound.begin(), bound.end(), std::inserter(unsent, unsent.end()), [](const ActiveTask* it) { return isUnsent(*it); });
-        }
-    }
     // Neither a record that is being written nor a command that is queued starts a run that is over.
+    std::vector<ActiveTask*> unsent = unsentOn(m_executorList);
     for (ActiveTask* it : unsent) {
         std::erase_if(m_starts, [&](const CommitBatch::Start& start) { return start.task == it->name(); });
         endRun(*it, now);
     }
-    for (const std::string& it : m_evacuations.evacuated()) {
-        if (former.isEvacuated(it))
-            continue;
-        Extent extent = extentOf(it, m_executorList);
-        m_events.note(EventId::EvacuationInForce, { { "data_centre", it }, { "offset", m_evacuations.offsetOf(it) }, { "executors", extent.executors }, { "runs", extent.runs }, { "taken_back_starts", unsent.size() }, { "emptied_services", extent.emptiedServices } });
-        if (!extent.executors)
-            m_events.note(EventId::EvacuationRejected, { { "data_centre", it }, { "offset", m_evacuations.offsetOf(it) }, { "fault", "no executor of this data centre is listed; it stays evacuated" } });
-    }
-    for (const std::string& it : former.evacuated()) {
-        if (!m_evacuations.isEvacuated(it))
-            m_events.note(EventId::EvacuationEnded, { { "data_centre", it }, { "offset", m_evacuations.offsetOf(it) } });
-    }
+    noteEvacuations(former, m_evacuations, m_executorList, unsent.size(), m_events);
 }
 
 } // namespace plantainhold
--- a/plantainhold/jobs/JobPlacement.cpp
+++ b/plantainhold/jobs/JobPlacement.cpp
@@ -136,9 +136,11 @@
         it.lastRun = run;
         it.checkpoint = checkpoint;
     }
+    if (std::any_of(step.tasks.begin(), step.tasks.end(), [&](const ActiveTask& it) { return it.notBefore > now; }))
+        return;
     m_locality.chooseRack(step, now);
     for (ActiveTask& it : step.tasks) {
-        if (it.notBefore <= now && assignExecutor(it, now))
+        if (assignExecutor(it, now))
             continue;
         for (ActiveTask& assigned : step.tasks) {
             if (!assigned.run)
@@ -289,7 +291,8 @@
             m_round.reject(task, PlacementRound::Means::FreeCapacity);
         return false;
     }
-    if (m_locality.passesOver(task, *best, now))
+    // A starved task has waited long enough: room elsewhere now is better than near room later.
+    if (!isStarved && m_locality.passesOver(task, *best, now))
         return false;
     // The capacity held for the task becomes available to other tasks of its step.
     if (task.nominated)
--- a/plantainhold/jobs/JobReports.cpp
+++ b/plantainhold/jobs/JobReports.cpp
@@ -29,7 +29,7 @@
     }
     if (entry.startedUnixMs != executor.entry.startedUnixMs)
         handleRestart(executor, entry.startedUnixMs, RestartSource::List, now);
-    bool hasChanged = !executor.isListed || executor.entry.isDraining != entry.isDraining || executor.entry.capacity != entry.capacity || executor.entry.address != entry.address;
+    bool hasChanged = !executor.isListed || executor.entry.isDraining != entry.isDraining || executor.entry.capacity != entry.capacity || executor.entry.address != entry.address || executor.entry.dataCentre != entry.dataCentre || executor.entry.labels != entry.labels;
     if (entry.isDraining && (!executor.entry.isDraining || !executor.isListed))
         executor.drainsUntil = now + Milliseconds(entry.remainingMs);
     if (hasChanged)
--- a/plantainhold/jobs/JobScheduler.h
+++ b/plantainhold/jobs/JobScheduler.h
@@ -60,8 +60,7 @@
     // Key, among the progress records, of the learned state. takeBatch() adds the record from time to time.
     static constexpr std::string_view s_learnedKey = "@learned";
     void restoreLearned(const LearnedState& state);
-    // Sets the queues and services in force. Jobs of a queue that it does not name keep the settings that they
-    // have.
+    // Sets the queues and services in force. Jobs of a queue that it does not name keep their settings.
     void configure(std::shared_ptr<const FleetConfig> config);
     // Adds a job that was read from the store, with its progress, if any. Repeated calls have no effect.
     void submit(std::string_view id, const StoredJob& job, TimePoint now);
@@ -98,8 +97,8 @@
 
     // Returns what the next owner needs to know, provided that this one does nothing afterwards.
     OwnerTerm release(TimePoint now);
-    // Returns the record of this term as it is now, which is to be stored: at its beginning, to hand on what the
-    // former owner's record says. takeBatch() adds it when leases that last longer than usual begin or end.
+    // Returns the record of this term as it is now, to be stored at its beginning, as it hands on what the former
+    // owner's record says. takeBatch() adds it when leases that last longer than usual begin or end.
     OwnerTerm recordTerm(TimePoint now);
 
     // To be called when the record that begins this term is stored. Before that no lease is extended,
@@ -118,7 +117,7 @@
     std::vector<std::string> takeSubmittedAgain();
     // Returns the advice requests since the last call. Each must be followed by adviceReceived().
     std::vector<AdviceRequest> adviceRequests();
-    // False if no task of the step waits any more, so that the call need not be made.
+    // False if no task of the step waits any more.
     bool isAdviceWanted(const AdviceRequest& request);
     void adviceReceived(const AdviceRequest& request, const Advice& advice, TimePoint now);
     // Returns the commands since the last call.
@@ -391,8 +390,7 @@
     TimePoint m_wakeAt {};
     bool m_needsPlacement = true;
     TimePoint m_placedAt {};
-    // When the last round was that looked at all executors for all tasks.
-    TimePoint m_placedAllAt {};
+    TimePoint m_placedAllAt {}; // All executors were looked at for all tasks.
     // When a waiting task may be placed under relaxed conditions; max() if never.
     TimePoint m_placeAgainAt = TimePoint::max();
     TimePoint m_learnedStoredAt {};
