--- a/bench/JobsBench.cpp
+++ b/bench/JobsBench.cpp
@@ -31,7 +31,7 @@
             decimal(it.judged[1] ? it.jobSeconds[1] / static_cast<double>(it.judged[1]) : 0, 2),
             decimal(it.servingSeconds ? it.servingOverSeconds / it.servingSeconds : 0, 4),
             decimal(it.judged[0] ? it.jobSeconds[0] / static_cast<double>(it.judged[0]) : 0, 3),
-            std::to_string(it.counters.rackRuns), std::to_string(it.counters.remoteRuns), std::to_string(it.counters.rackWaits), std::to_string(it.counters.rackWaitMs),
+            std::to_string(it.counters.rackRuns), std::to_string(it.counters.remoteRuns), std::to_string(it.counters.rackWaits), std::to_string(it.counters.rackWaitMs), std::to_string(it.counters.rackWaitsInVain),
             decimal(it.fillingSamples ? it.fillingPaceSum / static_cast<double>(it.fillingSamples) : 100, 1) });
         report.addTargetAtMost("cores for scheduling with " + std::to_string(executors) + " executors", all / seconds, s_coreLimit);
     }
@@ -50,7 +50,7 @@
         if (sizes.empty())
             sizes = { 50, 150, 350 };
         BenchReport report("jobs", options.seed());
-        report.setColumns({ "executors", "starts/s", "cores", "placing", "reports", "storing", "orders", "longest ms", "kB/s stored", "short in time", "filling in time", "filling s", "serving over", "short s", "rack runs", "remote runs", "rack waits", "rack wait ms", "mean pace" });
+        report.setColumns({ "executors", "starts/s", "cores", "placing", "reports", "storing", "orders", "longest ms", "kB/s stored", "short in time", "filling in time", "filling s", "serving over", "short s", "rack runs", "remote runs", "rack waits", "rack wait ms", "in vain", "mean pace" });
         for (std::size_t it : sizes) {
             JobFleetOptions fleet = JobFleetOptions::forExecutors(it, options.seed());
             fleet.seconds = seconds.getValue();
--- a/plantainhold/entry/MetricsPage.cpp
+++ b/plantainhold/entry/MetricsPage.cpp
@@ -61,6 +61,7 @@
     page.counter("plantainhold_remote_runs_total", "Runs away from the rack of their data.", counters.remoteRuns);
     page.counter("plantainhold_rack_waits_total", "Runs that passed over room elsewhere to wait for that rack.", counters.rackWaits);
     page.counter("plantainhold_rack_wait_ms_total", "Milliseconds that they waited for it.", counters.rackWaitMs);
+    page.counter("plantainhold_rack_waits_in_vain_total", "Those of them that started on another rack all the same.", counters.rackWaitsInVain);
     page.counter("plantainhold_starts_rejected_total", "Orders to start that were rejected.", counters.rejectedStarts);
     page.counter("plantainhold_starts_unknown_total", "Orders to start without a clear answer.", counters.unknownStarts);
     return page.text();
--- a/plantainhold/jobs/LocalityGate.cpp
+++ b/plantainhold/jobs/LocalityGate.cpp
@@ -154,10 +154,12 @@
     if (spec.dataRack.empty())
         return;
     ++counters.rackRuns;
-    counters.remoteRuns += task.run->executor->rack != spec.dataRack;
+    bool isRemote = task.run->executor->rack != spec.dataRack;
+    counters.remoteRuns += isRemote;
     if (task.passesOverSince == TimePoint {})
         return;
     ++counters.rackWaits;
+    counters.rackWaitsInVain += isRemote;
     counters.rackWaitMs += static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now - task.passesOverSince).count());
     task.passesOverSince = {};
     task.passesOverUntil = {};
--- a/plantainhold/jobs/SchedulerCounters.h
+++ b/plantainhold/jobs/SchedulerCounters.h
@@ -18,6 +18,8 @@
     // Those that passed over room elsewhere before, and for how long in all.
     std::uint64_t rackWaits = 0;
     std::uint64_t rackWaitMs = 0;
+    // Those that waited and started on another rack all the same.
+    std::uint64_t rackWaitsInVain = 0;
 };
 
 } // namespace plantainhold
