--- a/plantainhold/http/ConnectionBudget.cpp
+++ b/plantainhold/http/ConnectionBudget.cpp
@@ -14,8 +14,9 @@
     constexpr std::int64_t s_callerDenominator = 4;
     // Parts of the descriptors in percent. What remains is for the connections that the process opens itself.
     constexpr std::size_t s_percent = 100;
+    constexpr std::size_t s_totalPercent = 75;
     constexpr std::size_t s_callersPercent = 60;
-    constexpr std::size_t s_peersPercent = 10;
+    constexpr std::size_t s_peersPercent = 60;
     constexpr std::size_t s_servicePercent = 2;
     constexpr std::size_t s_minServiceConnections = 8;
     constexpr std::size_t s_maxServiceConnections = 64;
@@ -32,6 +33,7 @@
     ConnectionLimits limits;
     limits.bytes = static_cast<std::int64_t>(memoryBytes / s_memoryShare);
     limits.connections = { maxDescriptors * s_callersPercent / s_percent, service, service, maxDescriptors * s_peersPercent / s_percent };
+    limits.totalConnections = maxDescriptors * s_totalPercent / s_percent;
     return limits;
 }
 
@@ -54,8 +56,9 @@
 bool ConnectionBudget::admit(ListenerKind listener)
 {
     std::size_t& open = m_open[static_cast<std::size_t>(listener)];
-    if (open >= m_limits.connections[static_cast<std::size_t>(listener)]) {
-        ConnectionAccount* oldest = oldestOf(ordersOf(listener));
+    bool isListenerFull = open >= m_limits.connections[static_cast<std::size_t>(listener)];
+    if (isListenerFull || m_totalOpen >= m_limits.totalConnections) {
+        ConnectionAccount* oldest = isListenerFull ? oldestOf(ordersOf(listener)) : oldestOfAll(listener == ListenerKind::Peers);
         if (!oldest) {
             m_counters.add(listener, RefusalReason::Connections);
             return false;
@@ -63,23 +66,29 @@
         oldest->giveWay(RefusalReason::Connections);
     }
     ++open;
+    ++m_totalOpen;
     return true;
 }
 
 void ConnectionBudget::remove(ListenerKind listener)
 {
     --m_open[static_cast<std::size_t>(listener)];
+    --m_totalOpen;
 }
 
-void ConnectionBudget::freeDescriptor()
+ConnectionAccount* ConnectionBudget::oldestOfAll(bool includesPeers)
 {
-    for (ListenerKind it : { ListenerKind::Callers, ListenerKind::Metrics, ListenerKind::Readiness, ListenerKind::Peers }) {
-        ConnectionAccount* oldest = oldestOf(ordersOf(it));
-        if (oldest) {
-            oldest->giveWay(RefusalReason::Connections);
-            return;
-        }
+    for (ListenerKind it : { ListenerKind::Callers, ListenerKind::Metrics, ListenerKind::Readiness }) {
+        if (ConnectionAccount* oldest = oldestOf(ordersOf(it)))
+            return oldest;
     }
+    return includesPeers ? oldestOf(ordersOf(ListenerKind::Peers)) : nullptr;
+}
+
+void ConnectionBudget::freeDescriptor()
+{
+    if (ConnectionAccount* oldest = oldestOfAll(true))
+        oldest->giveWay(RefusalReason::Connections);
 }
 
 bool ConnectionBudget::tryReserve(ListenerKind listener, std::int64_t bytes)
--- a/plantainhold/http/ConnectionBudget.h
+++ b/plantainhold/http/ConnectionBudget.h
@@ -21,6 +21,8 @@
     std::int64_t bytes = 0;
     // Most connections of each listener.
     std::array<std::size_t, s_listenerKinds> connections {};
+    // Most connections of all listeners.
+    std::size_t totalConnections = 0;
 
     // Derives the limits from what the machine gives the process. Thread-safe.
     static ConnectionLimits forMachine(std::size_t memoryBytes, std::size_t maxDescriptors);
@@ -29,7 +31,7 @@
 class ConnectionBudget {
 public:
     // Bytes that a connection costs by itself.
-    static constexpr std::int64_t s_connectionBytes = 8'192;
+    static constexpr std::int64_t s_connectionBytes = 10'240;
 
     // The class is not thread-safe.
     explicit ConnectionBudget(const ConnectionLimits& limits);
@@ -52,7 +54,7 @@
         Order idle;
     };
 
-    // Returns whether there is room for the connection, after another one of the listener gave way if necessary.
+    // Returns whether there is room for the connection, after another one gave way if necessary.
     bool admit(ListenerKind listener);
     void remove(ListenerKind listener);
     // Returns whether the account has the bytes now, after others gave way if necessary.
@@ -61,7 +63,10 @@
     void release(ListenerKind listener, std::int64_t bytes);
     // Returns null if nobody can give way to this account.
     ConnectionAccount* victimFor(const ConnectionAccount& account);
+    // Returns null if nobody can give way, like the next one.
     ConnectionAccount* oldestOf(const Orders& orders) const;
+    // The first of callers, metrics, readiness, and of peers if they are asked too, that has one.
+    ConnectionAccount* oldestOfAll(bool includesPeers);
     Orders& ordersOf(ListenerKind listener) { return m_orders[static_cast<std::size_t>(listener)]; }
 
     ConnectionLimits m_limits;
@@ -70,6 +75,7 @@
     ByteBudget m_callerBytes;
     std::array<Orders, s_listenerKinds> m_orders;
     std::array<std::size_t, s_listenerKinds> m_open {};
+    std::size_t m_totalOpen = 0;
     ConnectionCounters m_counters;
     std::uint64_t m_lastStep = 0;
 };
--- a/plantainhold/http/HttpConnection.cpp
+++ b/plantainhold/http/HttpConnection.cpp
@@ -170,6 +170,7 @@
 asio::awaitable<bool> HttpConnection::readHead()
 {
     boost::system::error_code ec;
+    m_stream.expires_after(Milliseconds(m_listener.limits.headerTimeoutMs));
     while (!headLength()) {
         if (m_buf.size() > m_listener.limits.maxHeaderBytes) {
             refuse(431, RefusalReason::HeadTooLarge);
@@ -208,17 +209,18 @@
         m_buf.commit(n);
     }
     m_account.enter(ConnectionPhase::Busy);
-    m_stream.expires_after(Milliseconds(m_listener.limits.headerTimeoutMs));
-    bool isComplete = co_await readHead();
-    if (!isComplete)
-        co_return std::nullopt;
     std::size_t headBytes = headLength();
+    if (!headBytes) {
+        bool isComplete = co_await readHead();
+        if (!isComplete)
+            co_return std::nullopt;
+        headBytes = headLength();
+    }
     if (hasTooManyFields(headBytes)) {
         refuse(431, RefusalReason::HeadTooLarge);
         co_return std::nullopt;
     }
     m_isHeadRead = true;
-    m_stream.expires_after(bodyTimeout(m_listener.limits));
     co_return co_await readBody(headBytes);
 }
 
@@ -237,7 +239,15 @@
         onRequestFailed(MeteredBody::s_noRoom);
         co_return std::nullopt;
     }
-    co_await http::async_read(m_stream, m_buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+    // Most requests are complete with their first bytes and need no further reading.
+    parser.eager(true);
+    m_buf.consume(parser.put(m_buf.data(), ec));
+    if (ec == http::error::need_more)
+        ec = {};
+    if (!ec && !parser.is_done()) {
+        m_stream.expires_after(bodyTimeout(m_listener.limits));
+        co_await http::async_read(m_stream, m_buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+    }
     if (m_account.isOver())
         co_return std::nullopt;
     if (ec) {
--- a/plantainhold/http/MeteredBody.h
+++ b/plantainhold/http/MeteredBody.h
@@ -14,12 +14,12 @@
 
 namespace plantainhold {
 
-// The body type's parts have the names that the HTTP library asks for. Not thread-safe.
+// The HTTP library asks for the two names at its end. Not thread-safe.
 struct MeteredBody {
     // Reports that the account has no room.
     static constexpr boost::beast::http::error s_noRoom = boost::beast::http::error::bad_alloc;
 
-    struct value_type {
+    struct Value {
         std::string text;
         // Must be set before the body is read, and outlive the reader.
         ConnectionAccount* account = nullptr;
@@ -27,10 +27,10 @@
         std::int64_t headBytes = 0;
     };
 
-    class reader {
+    class Reader {
     public:
         template <bool isRequest, class Fields>
-        reader(boost::beast::http::header<isRequest, Fields>&, value_type& value)
+        Reader(boost::beast::http::header<isRequest, Fields>&, Value& value)
             : m_value(value)
         {
         }
@@ -54,8 +54,11 @@
         void finish(boost::system::error_code& ec) { ec = {}; }
 
     private:
-        value_type& m_value;
+        Value& m_value;
     };
+
+    using value_type = Value;
+    using reader = Reader;
 };
 
 } // namespace plantainhold
--- a/plantainhold/testing/entry/ConnectionBudgetTest.cpp
+++ b/plantainhold/testing/entry/ConnectionBudgetTest.cpp
@@ -14,10 +14,11 @@
     constexpr std::int64_t s_budgetBytes = 400'000;
     constexpr std::int64_t s_callerBytes = s_budgetBytes * 3 / 4;
     constexpr std::size_t s_callers = 20;
+    constexpr std::size_t s_connections = 22;
 
     ConnectionLimits limits()
     {
-        return { s_budgetBytes, { s_callers, 2, 2, 4 } };
+        return { s_budgetBytes, { s_callers, 2, 2, 4 }, s_connections };
     }
 
     struct Client {
@@ -127,6 +128,24 @@
     CHECK(busy.gaveWayFor == RefusalReason::Connections);
 }
 
+TEST_CASE("a crowd of callers that takes all connections makes room for peers, and peers never for callers")
+{
+    ConnectionBudget budget(limits());
+    std::vector<std::unique_ptr<Client>> callers;
+    for (std::size_t i = 0; i < s_callers; ++i)
+        callers.push_back(std::make_unique<Client>(budget, ListenerKind::Callers));
+    std::vector<std::unique_ptr<Client>> peers;
+    for (int i = 0; i < 4; ++i)
+        peers.push_back(std::make_unique<Client>(budget, ListenerKind::Peers));
+    CHECK(callers[0]->gaveWayFor == RefusalReason::Connections);
+    CHECK(callers[1]->gaveWayFor == RefusalReason::Connections);
+    CHECK(!callers[2]->gaveWayFor);
+    Client next(budget, ListenerKind::Callers);
+    CHECK(callers[2]->gaveWayFor == RefusalReason::Connections);
+    for (const auto& it : peers)
+        CHECK(!it->gaveWayFor);
+}
+
 TEST_CASE("a connection that is over or closed holds nothing")
 {
     ConnectionBudget budget(limits());
@@ -150,11 +169,8 @@
     constexpr std::size_t s_smallestMemory = 160 << 20;
     constexpr std::size_t s_descriptors = 4'100;
     ConnectionLimits machine = ConnectionLimits::forMachine(s_smallestMemory, s_descriptors);
-    std::size_t connections = 0;
-    for (std::size_t it : machine.connections)
-        connections += it;
     CHECK(machine.bytes == s_smallestMemory / 4);
-    CHECK(connections < s_descriptors * 3 / 4);
+    CHECK(machine.totalConnections <= s_descriptors * 3 / 4);
 }
 
 } // namespace plantainhold
