Mend what a review of the crowds' limits and of the circuit found

Change: callers, peers, and readiness with metrics have a share of the bytes each. 'callers give way before peers' asserted the fault: in its place stand three cases, that each kind presses on its own only, that peers leave the others their part, and that readiness is taken. The largest request is now checked on the smallest machine. Probes back off to 800 ms.

--- a/plantainhold/http/ConnectionBudget.cpp
+++ b/plantainhold/http/ConnectionBudget.cpp
@@ -8,10 +8,14 @@
 
 namespace {
 
-    // Connections take at most this part of the memory, and callers at most this part of that.
+    // Connections take at most this part of the memory.
     constexpr std::size_t s_memoryShare = 4;
-    constexpr std::int64_t s_callerNumerator = 3;
-    constexpr std::int64_t s_callerDenominator = 4;
+    // Parts of that for callers, for peers, and for readiness and metrics together: a crowd at one of them leaves the
+    // others theirs.
+    constexpr std::int64_t s_sixteenths = 16;
+    constexpr std::int64_t s_callerShare = 12;
+    constexpr std::int64_t s_peerShare = 3;
+    constexpr std::int64_t s_serviceShare = s_sixteenths - s_callerShare - s_peerShare;
     // Parts of the descriptors in percent. What remains is for the connections that the process opens itself.
     constexpr std::size_t s_percent = 100;
     constexpr std::size_t s_totalPercent = 75;
@@ -39,11 +43,29 @@
 
 ConnectionBudget::ConnectionBudget(const ConnectionLimits& limits)
     : m_limits(limits)
-    , m_bytes(limits.bytes)
-    , m_callerBytes(limits.bytes * s_callerNumerator / s_callerDenominator)
+    , m_callerBytes(limits.bytes * s_callerShare / s_sixteenths)
+    , m_peerBytes(limits.bytes * s_peerShare / s_sixteenths)
+    , m_serviceBytes(limits.bytes * s_serviceShare / s_sixteenths)
 {
 }
 
+bool ConnectionBudget::isService(ListenerKind listener)
+{
+    return listener == ListenerKind::Readiness || listener == ListenerKind::Metrics;
+}
+
+ByteBudget& ConnectionBudget::bytesOf(ListenerKind listener)
+{
+    if (isService(listener))
+        return m_serviceBytes;
+    return listener == ListenerKind::Peers ? m_peerBytes : m_callerBytes;
+}
+
+std::int64_t ConnectionBudget::usedBytes() const
+{
+    return m_callerBytes.used() + m_peerBytes.used() + m_serviceBytes.used();
+}
+
 ConnectionAccount* ConnectionBudget::oldestOf(const Orders& orders) const
 {
     ConnectionAccount* busy = orders.busy.empty() ? nullptr : orders.busy.front();
@@ -57,7 +79,9 @@
 {
     std::size_t& open = m_open[static_cast<std::size_t>(listener)];
     bool isListenerFull = open >= m_limits.connections[static_cast<std::size_t>(listener)];
-    if (isListenerFull || m_totalOpen >= m_limits.totalConnections) {
+    // Readiness and metrics have few connections, and are answered whoever holds the others.
+    bool isTotalFull = !isService(listener) && m_totalOpen >= m_limits.totalConnections;
+    if (isListenerFull || isTotalFull) {
         ConnectionAccount* oldest = isListenerFull ? oldestOf(ordersOf(listener)) : oldestOfAll(listener == ListenerKind::Peers);
         if (!oldest) {
             m_counters.add(listener, RefusalReason::Connections);
@@ -91,26 +115,14 @@
         oldest->giveWay(RefusalReason::Connections);
 }
 
-bool ConnectionBudget::tryReserve(ListenerKind listener, std::int64_t bytes)
-{
-    if (!m_bytes.tryReserve(bytes))
-        return false;
-    if (listener != ListenerKind::Callers || m_callerBytes.tryReserve(bytes))
-        return true;
-    m_bytes.release(bytes);
-    return false;
-}
-
 void ConnectionBudget::release(ListenerKind listener, std::int64_t bytes)
 {
-    m_bytes.release(bytes);
-    if (listener == ListenerKind::Callers)
-        m_callerBytes.release(bytes);
+    bytesOf(listener).release(bytes);
 }
 
 bool ConnectionBudget::reserve(const ConnectionAccount& account, std::int64_t bytes)
 {
-    while (!tryReserve(account.listener(), bytes)) {
+    while (!bytesOf(account.listener()).tryReserve(bytes)) {
         ConnectionAccount* victim = victimFor(account);
         if (!victim)
             return false;
@@ -121,16 +133,14 @@
 
 ConnectionAccount* ConnectionBudget::victimFor(const ConnectionAccount& account)
 {
-    // Callers cannot gain by what the others hold: that part is not theirs.
+    // Nobody gains by what the listeners of another share hold.
     std::array<const Order*, 2 * s_listenerKinds> orders {};
     std::size_t n = 0;
-    orders[n++] = &ordersOf(ListenerKind::Callers).busy;
-    orders[n++] = &ordersOf(ListenerKind::Callers).idle;
-    if (account.listener() != ListenerKind::Callers) {
-        for (ListenerKind it : { ListenerKind::Metrics, ListenerKind::Readiness, ListenerKind::Peers }) {
-            orders[n++] = &ordersOf(it).busy;
-            orders[n++] = &ordersOf(it).idle;
-        }
+    for (ListenerKind it : { ListenerKind::Callers, ListenerKind::Metrics, ListenerKind::Readiness, ListenerKind::Peers }) {
+        if (&bytesOf(it) != &bytesOf(account.listener()))
+            continue;
+        orders[n++] = &ordersOf(it).busy;
+        orders[n++] = &ordersOf(it).idle;
     }
     for (std::size_t i = 0; i < n; ++i) {
         ConnectionAccount* victim = nullptr;
--- a/plantainhold/http/ConnectionBudget.h
+++ b/plantainhold/http/ConnectionBudget.h
@@ -1,7 +1,7 @@
 // ConnectionBudget limits what all connections of a process hold together, and decides who gives way when that is not
-// enough: the connection that has been longest without progress, and the largest among the next few; callers',
-// readiness and metrics connections before those of peers. A connection whose request was passed to the handler never
-// gives way. Needs no network and no clock.
+// enough: the connection that has been longest without progress, and the largest among the next few. Callers, peers, and
+// readiness with metrics have a share of the bytes each, so that a crowd at one address leaves the others theirs. A
+// connection whose request was passed to the handler never gives way. Needs no network and no clock.
 #pragma once
 
 #include "plantainhold/http/ConnectionCounters.h"
@@ -38,7 +38,7 @@
 
     const ConnectionCounters& counters() const { return m_counters; }
     ConnectionCounters& counters() { return m_counters; }
-    std::int64_t usedBytes() const { return m_bytes.used(); }
+    std::int64_t usedBytes() const;
     std::size_t connections(ListenerKind listener) const { return m_open[static_cast<std::size_t>(listener)]; }
     // One connection gives way because the process has no descriptor left. Does nothing if none can.
     void freeDescriptor();
@@ -59,20 +59,23 @@
     void remove(ListenerKind listener);
     // Returns whether the account has the bytes now, after others gave way if necessary.
     bool reserve(const ConnectionAccount& account, std::int64_t bytes);
-    bool tryReserve(ListenerKind listener, std::int64_t bytes);
     void release(ListenerKind listener, std::int64_t bytes);
     // Returns null if nobody can give way to this account.
     ConnectionAccount* victimFor(const ConnectionAccount& account);
-    // Returns null if nobody can give way, like the next one.
+    static bool isService(ListenerKind listener);
+    // Returns the share of the bytes that the listener's connections hold theirs of.
+    ByteBudget& bytesOf(ListenerKind listener);
+    // Returns null if nobody can give way; so does oldestOfAll().
     ConnectionAccount* oldestOf(const Orders& orders) const;
     // The first of callers, metrics, readiness, and of peers if they are asked too, that has one.
     ConnectionAccount* oldestOfAll(bool includesPeers);
     Orders& ordersOf(ListenerKind listener) { return m_orders[static_cast<std::size_t>(listener)]; }
 
     ConnectionLimits m_limits;
-    ByteBudget m_bytes;
-    // The part of the bytes that callers may take, so that there is always some for the other listeners.
     ByteBudget m_callerBytes;
+    ByteBudget m_peerBytes;
+    // Of readiness and metrics.
+    ByteBudget m_serviceBytes;
     std::array<Orders, s_listenerKinds> m_orders;
     std::array<std::size_t, s_listenerKinds> m_open {};
     std::size_t m_totalOpen = 0;
--- a/plantainhold/http/HttpConnection.cpp
+++ b/plantainhold/http/HttpConnection.cpp
@@ -246,7 +246,9 @@
         ec = {};
     if (!ec && !parser.is_done()) {
         m_stream.expires_after(bodyTimeout(m_listener.limits));
-        co_await http::async_read(m_stream, m_buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+        // Cancelling does nothing for a read that has just ended, so each one looks whether the connection gave way.
+        while (!ec && !parser.is_done() && !m_account.isOver())
+            co_await http::async_read_some(m_stream, m_buf, parser, asio::redirect_error(asio::use_awaitable, ec));
     }
     if (m_account.isOver())
         co_return std::nullopt;
--- a/plantainhold/http/HttpServer.cpp
+++ b/plantainhold/http/HttpServer.cpp
@@ -47,7 +47,9 @@
         if (ec == asio::error::operation_aborted)
             co_return;
         if (ec) {
-            m_budget.freeDescriptor();
+            bool isOutOfDescriptors = ec == asio::error::no_descriptors || ec == boost::system::errc::too_many_files_open_in_system;
+            if (isOutOfDescriptors)
+                m_budget.freeDescriptor();
             co_await sleepFor(m_executor, s_acceptRetryDelay);
             continue;
         }
--- a/plantainhold/store/GroupCommit.cpp
+++ b/plantainhold/store/GroupCommit.cpp
@@ -151,6 +151,7 @@
         ++refused;
     }
     std::erase_if(m_queue, isUnsent);
+    m_singles = std::min(m_singles, m_queue.size());
     m_gate.countRefused(refused);
 }
 
--- a/plantainhold/store/StoreCircuit.cpp
+++ b/plantainhold/store/StoreCircuit.cpp
@@ -23,6 +23,8 @@
     // While the store is away, short timeouts find it soon after its return; the longer ones find a store that is slow.
     constexpr std::array<Milliseconds, 4> s_probeTimeouts { Milliseconds(400), Milliseconds(800), Milliseconds(400), Milliseconds(1'600) };
     constexpr Milliseconds s_probeDelay { 100 };
+    // Refusals come at once, so the delay doubles up to this: all instances probe the store's one limit of calls.
+    constexpr Milliseconds s_maxProbeDelay { 800 };
 
 } // namespace
 
@@ -127,7 +129,8 @@
         return;
     m_isOpen = true;
     m_openedAt = now;
-    m_nextProbeAt = now + s_probeDelay;
+    m_probeDelay = s_probeDelay;
+    m_nextProbeAt = now + m_probeDelay;
     m_probesOfOpening = 0;
     ++m_counters.openings;
 }
@@ -145,10 +148,11 @@
     return m_isOpen ? s_probeTimeouts[m_probesOfOpening++ % s_probeTimeouts.size()] : s_heldProbeTimeout;
 }
 
-void StoreCircuit::endProbe(TimePoint now)
+void StoreCircuit::endProbe(ProbeEnd end, TimePoint now)
 {
     m_isProbing = false;
-    m_nextProbeAt = now + s_probeDelay;
+    m_probeDelay = end == ProbeEnd::Refused ? std::min(2 * m_probeDelay, s_maxProbeDelay) : s_probeDelay;
+    m_nextProbeAt = now + m_probeDelay;
 }
 
 } // namespace plantainhold
--- a/plantainhold/store/StoreCircuit.h
+++ b/plantainhold/store/StoreCircuit.h
@@ -15,6 +15,7 @@
 #include "plantainhold/ports/Clock.h"
 #include "plantainhold/store/AdaptiveTimeout.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -55,8 +56,10 @@
     bool isProbeDue(TimePoint now) const;
     // Counts the probe as sent and returns its timeout. Precondition: isProbeDue().
     Milliseconds startProbe(TimePoint now);
-    // The probe has ended, and its end was recorded like that of an append.
-    void endProbe(TimePoint now);
+    // Records that the probe has ended, as an append's end is recorded beside it: the store refused it, or not.
+    enum class ProbeEnd : std::uint8_t { Refused,
+        Other };
+    void endProbe(ProbeEnd end, TimePoint now);
 
     // Since when the circuit has been open, or was the last time.
     TimePoint openedAt() const { return m_openedAt; }
@@ -84,6 +87,7 @@
     TimePoint m_openedAt {};
     TimePoint m_closedAt {};
     TimePoint m_nextProbeAt {};
+    Milliseconds m_probeDelay { 100 };
     // Weight of the failures since the last response that showed the store at work.
     int m_score = 0;
     // Whether one of them was an append without a response.
--- a/plantainhold/store/StoreGate.cpp
+++ b/plantainhold/store/StoreGate.cpp
@@ -98,7 +98,7 @@
     Milliseconds timeout = m_circuit.startProbe(sentAt);
     m_probedPartition = (m_probedPartition + 1) % m_partitions;
     AppendResult result = co_await resultOr(m_store.append({ m_topic, m_probedPartition }, {}, std::nullopt, timeout), AppendResult {}, m_events, "probe of the store");
-    m_circuit.endProbe(BootClock::now());
+    m_circuit.endProbe(result.status == StoreStatus::Refused ? StoreCircuit::ProbeEnd::Refused : StoreCircuit::ProbeEnd::Other, BootClock::now());
     record(result, sentAt, timeout);
 }
 
--- a/plantainhold/testing/entry/ConnectionBudgetTest.cpp
+++ b/plantainhold/testing/entry/ConnectionBudgetTest.cpp
@@ -97,23 +97,50 @@
     CHECK(peer.send(50'000));
 }
 
-TEST_CASE("callers give way before peers, and callers never make peers give way")
+TEST_CASE("a crowd of callers and one of peers press on their own kind only")
 {
     ConnectionBudget budget(limits());
     Client peer(budget, ListenerKind::Peers);
     Client caller(budget, ListenerKind::Callers);
+    CHECK(peer.send(40'000));
+    CHECK(caller.send(s_callerBytes - 2 * ConnectionBudget::s_connectionBytes));
     Client otherPeer(budget, ListenerKind::Peers);
-    CHECK(peer.send(100'000));
-    CHECK(caller.send(200'000));
-    CHECK(otherPeer.send(200'000));
+    CHECK(otherPeer.send(40'000));
+    CHECK(peer.gaveWayFor == RefusalReason::Memory);
+    CHECK(!caller.gaveWayFor);
+    Client otherCaller(budget, ListenerKind::Callers);
+    CHECK(otherCaller.send(100'000));
     CHECK(caller.gaveWayFor == RefusalReason::Memory);
-    CHECK(!peer.gaveWayFor);
-    Client next(budget, ListenerKind::Callers);
-    CHECK(!next.send(s_callerBytes - ConnectionBudget::s_connectionBytes));
-    CHECK(!peer.gaveWayFor);
     CHECK(!otherPeer.gaveWayFor);
 }
 
+TEST_CASE("peers that hold all that they may leave callers and readiness their part")
+{
+    ConnectionBudget budget(limits());
+    Client stored(budget, ListenerKind::Peers);
+    CHECK(stored.send(60'000));
+    stored.account.enter(ConnectionPhase::Handled);
+    Client next(budget, ListenerKind::Peers);
+    CHECK(!next.send(60'000));
+    Client caller(budget, ListenerKind::Callers);
+    Client readiness(budget, ListenerKind::Readiness);
+    CHECK(caller.send(s_callerBytes - ConnectionBudget::s_connectionBytes));
+    CHECK(readiness.send(1'000));
+    CHECK(budget.usedBytes() <= s_budgetBytes);
+}
+
+TEST_CASE("readiness is taken while callers that are handled hold all connections")
+{
+    ConnectionBudget budget({ s_budgetBytes, { 4, 2, 2, 4 }, 4 });
+    std::vector<std::unique_ptr<Client>> callers;
+    for (int i = 0; i < 4; ++i)
+        callers.emplace_back(std::make_unique<Client>(budget, ListenerKind::Callers))->account.enter(ConnectionPhase::Handled);
+    Client peer(budget, ListenerKind::Peers);
+    CHECK(peer.account.isOver());
+    Client readiness(budget, ListenerKind::Readiness);
+    CHECK(!readiness.account.isOver());
+}
+
 TEST_CASE("a crowd of more connections than a listener takes closes its oldest ones")
 {
     ConnectionBudget budget(limits());
@@ -171,6 +198,15 @@
     ConnectionLimits machine = ConnectionLimits::forMachine(s_smallestMemory, s_descriptors);
     CHECK(machine.bytes == s_smallestMemory / 4);
     CHECK(machine.totalConnections <= s_descriptors * 3 / 4);
+    constexpr std::int64_t s_largestBody = 262'144;
+    constexpr std::int64_t s_largestHead = 16'384;
+    ConnectionBudget budget(machine);
+    for (ListenerKind it : { ListenerKind::Callers, ListenerKind::Peers }) {
+        Client client(budget, it);
+        CHECK(client.send(s_largestBody + s_largestHead));
+        client.account.enter(ConnectionPhase::Handled);
+        CHECK(client.account.hold(3 * s_largestBody + s_largestHead));
+    }
 }
 
 } // namespace plantainhold
--- a/plantainhold/testing/store/StoreCircuitTest.cpp
+++ b/plantainhold/testing/store/StoreCircuitTest.cpp
@@ -182,17 +182,35 @@
         REQUIRE(it.circuit.isProbeDue(it.at(now)));
         Milliseconds timeout = it.circuit.startProbe(it.at(now));
         CHECK_FALSE(it.circuit.isProbeDue(it.at(now + 10'000)));
-        it.circuit.endProbe(it.at(now) + timeout);
+        it.circuit.endProbe(StoreCircuit::ProbeEnd::Other, it.at(now) + timeout);
         it.circuit.recordUnanswered(it.at(now), timeout, it.at(now) + timeout);
         CHECK(it.state(now + 1'600) == CircuitState::Open);
     }
     it.circuit.startProbe(it.at(50'000));
-    it.circuit.endProbe(it.at(50'020));
+    it.circuit.endProbe(StoreCircuit::ProbeEnd::Other, it.at(50'020));
     it.answer(50'000, 50'020);
     CHECK(it.state(50'020) == CircuitState::Closed);
     CHECK_FALSE(it.circuit.isProbeDue(it.at(51'000)));
 }
 
+TEST_CASE("circuit, store that refuses at once: probes come less often, and at first again after another outage")
+{
+    Script it;
+    it.open(1'000);
+    int now = 2'000;
+    for (int delay : { 200, 400, 800, 800 }) {
+        REQUIRE(it.circuit.isProbeDue(it.at(now)));
+        it.circuit.startProbe(it.at(now));
+        it.circuit.recordRefused(it.at(now));
+        it.circuit.endProbe(StoreCircuit::ProbeEnd::Refused, it.at(now));
+        CHECK_FALSE(it.circuit.isProbeDue(it.at(now + delay - 1)));
+        now += delay;
+    }
+    it.circuit.startProbe(it.at(now));
+    it.circuit.endProbe(StoreCircuit::ProbeEnd::Other, it.at(now));
+    CHECK(it.circuit.isProbeDue(it.at(now + 100)));
+}
+
 TEST_CASE("circuit, process stopped: timeouts that fire after a pause are no evidence, and a probe is due at once if it was open")
 {
     Script it;
--- a/plantainhold/testing/store/StoreTest.cpp
+++ b/plantainhold/testing/store/StoreTest.cpp
@@ -73,8 +73,9 @@
             context, [&]() -> asio::awaitable<void> {
         KeyedRecord record { "k", "v" };
         status = co_await commit.put(std::move(record), deadline);
-        // The gate's probes may go on.
-        context.stop(); }, asio::detached);
+        // While the store is away, the gate's probes go on for ever.
+        if (gate.state() != CircuitState::Closed)
+            context.stop(); }, asio::detached);
         context.run();
         return status;
     }
