--- a/bench/JobFleet.h
+++ b/bench/JobFleet.h
@@ -47,6 +47,12 @@
     // How many times as long their tasks take on another rack, and whether the scheduler knows that.
     double remoteFactor = 1;
     bool waitsForRacks = true;
+    // Share of the pairs of images that press hard, and the utilization that one core then adds.
+    double heavyShare = 0.4;
+    double heavyEffect = 0.06;
+    // Mean load of a serving image, and by how much images differ in it: fractions of their capacity.
+    double load = 0.44;
+    double loadSpread = 0;
 
     // A load like the users' for so many executors of 32 to 48 cores.
     static JobFleetOptions forExecutors(std::size_t executors, std::uint64_t seed);
@@ -73,6 +79,9 @@
     double servingOverSeconds = 0;
     // What the scheduler counted of tasks that name a rack.
     SchedulerCounters counters;
+    // Stops of filling tasks, and the most of one task.
+    std::uint64_t fillingStops = 0;
+    std::uint64_t mostStopsOfTask = 0;
     double fillingPaceSum = 0;
     std::uint64_t fillingSamples = 0;
 };
@@ -116,6 +125,9 @@
     std::map<std::string, Job> m_jobs;
     std::vector<std::vector<double>> m_effects;
     std::deque<std::pair<std::int64_t, CommitBatch>> m_commits;
+    std::map<std::string, std::uint64_t> m_stops;
+    // By serving image.
+    std::vector<double> m_imageLoads;
     std::array<double, 3> m_due {};
     std::uint64_t m_nextJob = 1;
     JobFleetFigures m_figures;
--- a/bench/JobsBench.cpp
+++ b/bench/JobsBench.cpp
@@ -32,7 +32,8 @@
             decimal(it.servingSeconds ? it.servingOverSeconds / it.servingSeconds : 0, 4),
             decimal(it.judged[0] ? it.jobSeconds[0] / static_cast<double>(it.judged[0]) : 0, 3),
             std::to_string(it.counters.rackRuns), std::to_string(it.counters.remoteRuns), std::to_string(it.counters.rackWaits), std::to_string(it.counters.rackWaitMs), std::to_string(it.counters.rackWaitsInVain),
-            decimal(it.fillingSamples ? it.fillingPaceSum / static_cast<double>(it.fillingSamples) : 100, 1) });
+            decimal(it.fillingSamples ? it.fillingPaceSum / static_cast<double>(it.fillingSamples) : 100, 1),
+            std::to_string(it.fillingStops), std::to_string(it.mostStopsOfTask) });
         report.addTargetAtMost("cores for scheduling with " + std::to_string(executors) + " executors", all / seconds, s_coreLimit);
     }
 
@@ -45,12 +46,14 @@
         TCLAP::ValueArg<double> hot("", "hot", "share of these for which it is the first rack", false, 0, "share", options.line());
         TCLAP::ValueArg<double> factor("", "remote-factor", "how many times as long their tasks take on another rack", false, 1, "factor", options.line());
         TCLAP::SwitchArg noWait("", "no-wait", "the scheduler does not know that factor", options.line());
+        TCLAP::ValueArg<double> heavyShare("", "heavy-share", "share of the pairs of images that press hard", false, 0.4, "share", options.line());
+        TCLAP::ValueArg<double> heavyEffect("", "heavy-effect", "utilization that a core of them adds", false, 0.06, "share", options.line());
         options.parse(argc, argv);
         std::vector<std::size_t> sizes = executors.getValue();
         if (sizes.empty())
             sizes = { 50, 150, 350 };
         BenchReport report("jobs", options.seed());
-        report.setColumns({ "executors", "starts/s", "cores", "placing", "reports", "storing", "orders", "longest ms", "kB/s stored", "short in time", "filling in time", "filling s", "serving over", "short s", "rack runs", "remote runs", "rack waits", "rack wait ms", "in vain", "mean pace" });
+        report.setColumns({ "executors", "starts/s", "cores", "placing", "reports", "storing", "orders", "longest ms", "kB/s stored", "short in time", "filling in time", "filling s", "serving over", "short s", "rack runs", "remote runs", "rack waits", "rack wait ms", "in vain", "mean pace", "filling stops", "most of a task" });
         for (std::size_t it : sizes) {
             JobFleetOptions fleet = JobFleetOptions::forExecutors(it, options.seed());
             fleet.seconds = seconds.getValue();
@@ -58,6 +61,8 @@
             fleet.hotShare = hot.getValue();
             fleet.remoteFactor = factor.getValue();
             fleet.waitsForRacks = !noWait.getValue();
+            fleet.heavyShare = heavyShare.getValue();
+            fleet.heavyEffect = heavyEffect.getValue();
             addRow(report, it, static_cast<double>(fleet.seconds), JobFleet(fleet).run());
         }
         options.print(report);
