--- a/plantainhold/jobs/BestEffortPacer.cpp
+++ b/plantainhold/jobs/BestEffortPacer.cpp
@@ -18,8 +18,6 @@
     constexpr double s_recoveredRatio = 0.8;
     // A reported tail is that of the last half second; its middle counts.
     constexpr Milliseconds s_measurementAge { 250 };
-    // The tail follows later what runs beside a task: for so long after a start or another pace it teaches nothing.
-    constexpr Milliseconds s_settlingTime { 400 };
     // From the choice of a pace until it takes effect, and until the next choice.
     constexpr Milliseconds s_paceDelay { 150 };
     constexpr Milliseconds s_paceLifetime { 300 };
@@ -52,11 +50,6 @@
         return run.phase == RunPhase::Running && run.task->step->spec->isBestEffort();
     }
 
-    bool isSettled(const ActiveRun& bestEffort, TimePoint now)
-    {
-        return now >= std::max(bestEffort.assignedAt, bestEffort.pacedAt) + s_settlingTime;
-    }
-
     // Returns the headroom that the task can be counted on to have without neighbours, until a pace
     // chosen now can be corrected by the next one.
     double expectedHeadroom(const ActiveRun& latencyCritical, TimePoint now)
@@ -84,17 +77,14 @@
 void BestEffortPacer::learn(ActiveExecutor& executor, TimePoint now)
 {
     std::vector<InterferenceTable::Neighbour> neighbours;
-    bool areSettled = true;
     for (ActiveRun* it : executor.runs) {
         const StepSpec& spec = *it->task->step->spec;
         if (it->image == ActiveRun::s_noImage)
             it->image = m_table.idOf(spec.image);
         if (spec.isLatencyCritical() && std::find(m_latencyCriticalImages.begin(), m_latencyCriticalImages.end(), it->image) == m_latencyCriticalImages.end())
             m_latencyCriticalImages.push_back(it->image);
-        if (!isRunningBestEffort(*it))
-            continue;
-        neighbours.push_back({ it->image, it->measurement / s_milli });
-        areSettled &= isSettled(*it, now);
+        if (isRunningBestEffort(*it))
+            neighbours.push_back({ it->image, it->measurement / s_milli });
     }
     executor.worstTailRatio = 0;
     for (ActiveRun* it : executor.runs) {
@@ -107,7 +97,7 @@
         else if (ratio > 1 && it->missedSince == TimePoint::max())
             it->missedSince = std::max(executor.pacesUpdatedAt, it->assignedAt);
         executor.worstTailRatio = std::max(executor.worstTailRatio, ratio);
-        if (areSettled && it->percent >= s_fullPace)
+        if (it->percent >= s_fullPace)
             m_table.learn(it->image, it->task->step->headroom, { it->measurement, it->task->step->spec->targetTailMs, now - s_measurementAge }, neighbours);
     }
 }
@@ -176,8 +166,8 @@
         std::uint32_t current = it->sentPace;
         bool isLower = it->targetPace + s_minDecrease <= current || (it->targetPace == 0 && current > 0);
         bool isHigher = it->targetPace >= current + s_minIncrease || (it->targetPace == s_fullPace && current < s_fullPace);
-        bool mayIncrease = now - it->pacedAt >= s_increaseInterval;
-        if (!isLower && !(isHigher && mayIncrease))
+        bool isSettled = now - it->pacedAt >= s_increaseInterval;
+        if (!isLower && !(isHigher && isSettled))
             it->targetPace = current;
     }
 }
