Limit what all clients together take of a process

Cause: each address took 3,000 connections and 256 KB on each; a body's announced length was reserved at once, a head's fields were not counted, and nothing was counted over all connections.

Change: one ConnectionBudget a process, a quarter of limits.memory_mb, over all connections and addresses. Who has been longest without progress gives way, never what was passed on to be stored; a refusal with status 503 has not run. Connections an address come from limits.max_fds; readiness and metrics take no body. Bodies take memory as they arrive. Refusals are counted by listener and reason, and logged (673). The servers move from EntryInstance to InstanceServers, a connection from HttpServer to HttpConnection; ByteBudget moves to util, so that both daemons use it.

Not run: the other entry tests, platform, routing, store and soak tests, the whole build.

--- a/plantainhold/adapters/HttpTypes.h
+++ b/plantainhold/adapters/HttpTypes.h
@@ -2,7 +2,7 @@
 // the adapters: no header outside this folder includes it.
 #pragma once
 
-#include "plantainhold/routing/ByteBudget.h"
+#include "plantainhold/util/ByteBudget.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -33,8 +33,6 @@
     // Time to store the last record of a term and to leave the owners' group.
     constexpr Milliseconds s_handOverTime { 1'200 };
     constexpr Milliseconds s_stopPollInterval { 50 };
-    // Most bytes of a message between instances apart from the record that it carries.
-    constexpr std::uint32_t s_peerMessageBytes = 1'024;
     constexpr Milliseconds s_minOwnershipTimeToLive { 1'200 };
 
     OwnershipOptions ownershipOptions(const EntrySettings& settings)
@@ -74,19 +72,12 @@
 void EntryInstance::start()
 {
     auto executor = m_context.get_executor();
-    m_callerServer = std::make_unique<HttpServer>(
-        executor, m_settings.callersAddress, [this](HttpRequest it) { return m_adapters.handleRequest(m_service, std::move(it), m_config); }, m_log);
-    m_readinessServer = std::make_unique<HttpServer>(
-        executor, m_settings.readinessAddress, [this](HttpRequest) { return readinessResponse(); }, m_log);
-    if (!m_settings.metricsAddress.empty())
-        m_metricsServer = std::make_unique<HttpServer>(
-            executor, m_settings.metricsAddress, [this](HttpRequest) { return metricsResponse(); }, m_log);
-    m_peerServer = std::make_unique<HttpServer>(
-        executor, m_settings.peersAddress, [this](HttpRequest it) { return handlePeerRequest(m_ownerDirectory, std::move(it)); }, m_log);
-    // A question of another instance may carry a record.
-    HttpLimits peerLimits;
-    peerLimits.maxBodyBytes = std::max<std::uint32_t>(peerLimits.maxBodyBytes, static_cast<std::uint32_t>(m_settings.storeLimits.recordBytes) + s_peerMessageBytes);
-    m_peerServer->setLimits(peerLimits);
+    InstanceServers::Handlers handlers;
+    handlers.callers = [this](HttpRequest it) { return m_adapters.handleRequest(m_service, std::move(it), m_config); };
+    handlers.readiness = [this](HttpRequest) { return readinessResponse(); };
+    handlers.metrics = [this](HttpRequest) { return metricsResponse(); };
+    handlers.peers = [this](HttpRequest it) { return handlePeerRequest(m_ownerDirectory, std::move(it)); };
+    m_servers = std::make_unique<InstanceServers>(executor, m_settings, std::move(handlers), m_log);
     m_records.setSubmissionListener([this](std::string_view id) {
         if (m_owner)
             m_owner->onSubmissionRead(id);
@@ -129,7 +120,7 @@
     if (m_config && config->version() <= m_config->version())
         return;
     m_config = std::make_shared<const FleetConfig>(std::move(*config));
-    m_callerServer->setLimits(m_config->limits);
+    m_servers->setCallerLimits(m_config->limits);
     m_log.note(EventId::QueuesInForce, { { "version", m_config->version() }, { "queues", m_config->queues().size() }, { "offset", record.offset } });
     if (m_owner)
         m_owner->configure(m_config);
@@ -191,7 +182,7 @@
 
 asio::awaitable<HttpResponse> EntryInstance::metricsResponse()
 {
-    MetricsInput input { m_service.counters(), m_records.table().size(), m_owner && m_owner->scheduler() ? m_owner->scheduler() : nullptr, m_owner ? m_owner->queuedCommands() : 0, m_config ? m_config->version() : 0, m_log.droppedLines(), m_owner ? m_owner->refusedRecords() : 0 };
+    MetricsInput input { m_service.counters(), m_records.table().size(), m_owner && m_owner->scheduler() ? m_owner->scheduler() : nullptr, m_owner ? m_owner->queuedCommands() : 0, m_config ? m_config->version() : 0, m_log.droppedLines(), m_owner ? m_owner->refusedRecords() : 0, m_servers->budget() };
     co_return HttpResponse { 200, renderMetrics(input), "text/plain; version=0.0.4" };
 }
 
@@ -226,18 +217,18 @@
 asio::awaitable<void> EntryInstance::stop()
 {
     TimePoint startedAt = std::chrono::steady_clock::now();
-    m_log.note(EventId::ProcessStopping, { { "open_requests", m_callerServer->openRequests() }, { "owner", m_ownership.isOwner() } });
-    m_callerServer->drain();
+    m_log.note(EventId::ProcessStopping, { { "open_requests", m_servers->openRequests() }, { "owner", m_ownership.isOwner() } });
+    m_servers->drain();
     Milliseconds timeLeft = m_settings.stopGrace - s_stopReserve;
     co_await m_ownership.leave("this instance is shutting down", std::max(Milliseconds(0), timeLeft - s_handOverTime));
     TimePoint deadline = startedAt + timeLeft;
     while (std::chrono::steady_clock::now() < deadline) {
         bool isReadinessSeen = std::chrono::steady_clock::now() >= startedAt + s_readinessDelay;
-        if (isReadinessSeen && !m_callerServer->openRequests())
+        if (isReadinessSeen && !m_servers->openRequests())
             break;
         co_await sleepFor(m_context.get_executor(), s_stopPollInterval);
     }
-    m_log.note(EventId::ProcessStopped, { { "open_requests", m_callerServer->openRequests() } });
+    m_log.note(EventId::ProcessStopped, { { "open_requests", m_servers->openRequests() } });
 }
 
 } // namespace plantainhold
--- a/plantainhold/entry/EntryInstance.h
+++ b/plantainhold/entry/EntryInstance.h
@@ -7,6 +7,7 @@
 #include "plantainhold/entry/EntrySettings.h"
 #include "plantainhold/entry/EventLog.h"
 #include "plantainhold/entry/HttpPeers.h"
+#include "plantainhold/entry/InstanceServers.h"
 #include "plantainhold/entry/JobOwner.h"
 #include "plantainhold/entry/JobRecords.h"
 #include "plantainhold/entry/JobService.h"
@@ -14,7 +15,6 @@
 #include "plantainhold/entry/OwnershipManager.h"
 #include "plantainhold/entry/PeerDirectory.h"
 #include "plantainhold/entry/SubmissionWriter.h"
-#include "plantainhold/http/HttpServer.h"
 #include "plantainhold/store/TopicTail.h"
 
 #include <boost/asio/io_context.hpp>
@@ -84,10 +84,7 @@
     std::shared_ptr<JobOwner> m_owner;
     // The owner of the previous term, until its final record is stored.
     std::shared_ptr<JobOwner> m_releasingOwner;
-    std::unique_ptr<HttpServer> m_callerServer;
-    std::unique_ptr<HttpServer> m_readinessServer;
-    std::unique_ptr<HttpServer> m_metricsServer;
-    std::unique_ptr<HttpServer> m_peerServer;
+    std::unique_ptr<InstanceServers> m_servers;
     boost::asio::signal_set m_signals;
     bool m_isStopping = false;
 };
--- a/plantainhold/entry/EntrySettings.cpp
+++ b/plantainhold/entry/EntrySettings.cpp
@@ -74,6 +74,10 @@
     constexpr StoreLimits s_defaultLimits;
     // The progress of one task without its checkpoint fits with room to spare.
     constexpr double s_minRecordBytes = 1'024;
+    // Below these, one request inside the limits could not be served.
+    constexpr double s_minMemoryMb = 16;
+    constexpr double s_minDescriptors = 64;
+    constexpr double s_maxLimit = 1 << 24;
     constexpr double s_maxStoreBytes = 1 << 30;
     // For the key of a progress record and what the store's format adds.
     constexpr std::size_t s_recordReserve = 256;
@@ -99,6 +103,8 @@
     settings.adviceAddress = text(root, "advice.address", false);
     settings.machinesAddress = text(root, "machines.address", false);
     settings.cores = number(root, "capacity.cpu_share", 1, 0.001, 1'024) * number(root, "capacity.cores", 1, 1, 1'024);
+    settings.memoryMb = static_cast<std::size_t>(newerNumber(root, "limits.memory_mb", static_cast<double>(settings.memoryMb), s_minMemoryMb, s_maxLimit, settings.unfilled));
+    settings.maxDescriptors = static_cast<std::size_t>(newerNumber(root, "limits.max_fds", static_cast<double>(settings.maxDescriptors), s_minDescriptors, s_maxLimit, settings.unfilled));
     double partitions = number(root, "store.partitions", 1, 1, s_maxStorePartitions);
     settings.submissionPartitions = std::min(s_maxSubmissionPartitions, static_cast<std::uint32_t>(partitions));
     settings.storeLimits.recordBytes = static_cast<std::size_t>(newerNumber(root, "store.record_bytes", s_defaultLimits.recordBytes, s_minRecordBytes, s_maxStoreBytes, settings.unfilled));
--- a/plantainhold/entry/EntrySettings.h
+++ b/plantainhold/entry/EntrySettings.h
@@ -6,6 +6,7 @@
 #include "plantainhold/ports/Clock.h"
 #include "plantainhold/store/StoreLimits.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -27,6 +28,9 @@
     std::string machinesAddress;
     // Number of processors that this instance may use.
     double cores = 1;
+    // Memory that this instance may use, in MiB, and descriptors that it may have open.
+    std::size_t memoryMb = 160;
+    std::size_t maxDescriptors = 4'096;
     // Number of partitions over which submissions are spread.
     std::uint32_t submissionPartitions = 1;
     StoreLimits storeLimits;
--- a/plantainhold/entry/MetricsPage.cpp
+++ b/plantainhold/entry/MetricsPage.cpp
@@ -1,6 +1,7 @@
 #include "plantainhold/entry/MetricsPage.h"
 
 #include "plantainhold/entry/JobService.h"
+#include "plantainhold/http/ConnectionBudget.h"
 #include "plantainhold/jobs/JobScheduler.h"
 
 #include <prometheus/metric_family.h>
@@ -25,6 +26,19 @@
             metric.gauge.value = static_cast<double>(value);
             m_families.push_back({ std::move(name), std::move(help), prometheus::MetricType::Gauge, { metric } });
         }
+        void refusals(const ConnectionCounters& counters)
+        {
+            prometheus::MetricFamily family { "plantainhold_clients_refused_total", "Connections and requests refused or given up, by listener and reason.", prometheus::MetricType::Counter, {} };
+            for (std::size_t i = 0; i < s_listenerKinds; ++i) {
+                for (std::size_t j = 0; j < s_refusalReasons; ++j) {
+                    prometheus::ClientMetric metric;
+                    metric.label = { { "listener", std::string(s_listenerNames[i]) }, { "reason", std::string(s_refusalNames[j]) } };
+                    metric.counter.value = static_cast<double>(counters.count(i, j));
+                    family.metric.push_back(std::move(metric));
+                }
+            }
+            m_families.push_back(std::move(family));
+        }
         std::string text() const { return prometheus::TextSerializer().Serialize(m_families); }
 
     private:
@@ -45,6 +59,8 @@
     page.gauge("plantainhold_known_jobs", "Jobs in this instance's copy of the records.", input.knownJobs);
     page.gauge("plantainhold_config_version", "Version of the configuration in force.", input.configVersion);
     page.counter("plantainhold_log_lines_dropped_total", "Log lines dropped for the sake of the budget.", input.droppedLines);
+    page.gauge("plantainhold_connection_bytes", "Bytes held for connections that others opened.", static_cast<std::uint64_t>(input.connections.usedBytes()));
+    page.refusals(input.connections.counters());
     page.gauge("plantainhold_is_owner", "1 while this instance schedules the partition.", input.scheduler ? 1 : 0);
     if (!input.scheduler)
         return page.text();
--- a/plantainhold/entry/MetricsPage.h
+++ b/plantainhold/entry/MetricsPage.h
@@ -7,6 +7,7 @@
 
 namespace plantainhold {
 
+class ConnectionBudget;
 class JobScheduler;
 struct ServiceCounters;
 
@@ -20,6 +21,7 @@
     std::uint64_t droppedLines = 0;
     // Records that the store did not take from this owner.
     std::uint64_t refusedRecords = 0;
+    const ConnectionBudget& connections;
 };
 
 // Returns the metrics in the Prometheus text format. Thread-safe as long as nobody
--- a/plantainhold/http/HttpServer.h
+++ b/plantainhold/http/HttpServer.h
@@ -2,6 +2,7 @@
 // all: a planned shutdown lets open requests finish and then closes their connections.
 #pragma once
 
+#include "plantainhold/http/HttpConnection.h"
 #include "plantainhold/http/HttpMessages.h"
 #include "plantainhold/jobs/Queue.h"
 
@@ -10,7 +11,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
 #include <functional>
-#include <memory>
 #include <string_view>
 
 namespace plantainhold {
@@ -22,14 +22,15 @@
     using Handler = std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)>;
 
     // Throws ResultError (BadAddress) if the server cannot listen on the address. An
-    // exception of the handler closes the connection and is logged. The sink must outlive the server. The class is not thread-safe.
-    HttpServer(boost::asio::any_io_executor executor, std::string_view address, Handler handler, EventSink& events);
+    // exception of the handler closes the connection and is logged. The sink and the budget must outlive the server,
+    // and the server the executor's work. The class is not thread-safe.
+    HttpServer(boost::asio::any_io_executor executor, std::string_view address, Handler handler, EventSink& events, ConnectionBudget& budget, ListenerKind kind);
 
-    void setLimits(const HttpLimits& limits) { m_limits = limits; }
+    void setLimits(const HttpLimits& limits) { m_state.limits = limits; }
     // Closes each connection after its next response from now on.
-    void drain() { m_isDraining = true; }
+    void drain() { m_state.isDraining = true; }
     // Number of requests that were read and whose response is not completely sent.
-    std::size_t openRequests() const { return m_openRequests; }
+    std::size_t openRequests() const { return m_state.openRequests; }
 
 private:
     boost::asio::awaitable<void> accept();
@@ -37,12 +38,10 @@
 
     boost::asio::any_io_executor m_executor;
     boost::asio::ip::tcp::acceptor m_acceptor;
-    Handler m_handler;
     EventSink& m_events;
-    HttpLimits m_limits;
-    bool m_isDraining = false;
-    std::size_t m_openRequests = 0;
-    std::size_t m_openConnections = 0;
+    ConnectionBudget& m_budget;
+    const ListenerKind m_kind;
+    HttpListenerState m_state;
 };
 
 } // namespace plantainhold
--- a/plantainhold/testing/entry/EntrySettingsTest.cpp
+++ b/plantainhold/testing/entry/EntrySettingsTest.cpp
@@ -52,4 +52,17 @@
     CHECK(settingsWith("").unfilled.empty());
 }
 
+TEST_CASE("memory and descriptors are what the settings name, and have defaults where nobody filled them in")
+{
+    EntrySettings settings = settingsWith("[limits]\nmemory_mb = \"512\"\nmax_fds = 8192\n");
+    CHECK(settings.memoryMb == 512);
+    CHECK(settings.maxDescriptors == 8'192);
+    settings = settingsWith("[limits]\nmemory_mb = \"{{limits.memory_mb}}\"\n");
+    CHECK(settings.memoryMb == EntrySettings().memoryMb);
+    CHECK(settings.maxDescriptors == EntrySettings().maxDescriptors);
+    CHECK(settings.unfilled == std::vector<std::string> { "limits.memory_mb" });
+    CHECK_THROWS_AS(settingsWith("[limits]\nmemory_mb = 8\n"), ResultError);
+    CHECK_THROWS_AS(settingsWith("[limits]\nmax_fds = \"some\"\n"), ResultError);
+}
+
 } // namespace plantainhold
--- a/plantainhold/testing/routing/LimitsTest.cpp
+++ b/plantainhold/testing/routing/LimitsTest.cpp
@@ -1,11 +1,11 @@
 // Tests the retry budget, latency quantiles, fair queue, idle connections and byte
 // budget, the first three of them against simple reference models.
 
-#include "plantainhold/routing/ByteBudget.h"
 #include "plantainhold/routing/FairQueue.h"
 #include "plantainhold/routing/IdleConnections.h"
 #include "plantainhold/routing/LatencyTracker.h"
 #include "plantainhold/routing/RetryBudget.h"
+#include "plantainhold/util/ByteBudget.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
--- a/plantainhold/routing/ByteBudget.h
+++ b/plantainhold/util/ByteBudget.h
@@ -1,5 +1,5 @@
-// Limits the bytes of request and response bodies that an instance holds in
-// memory at one time.
+// Limits the bytes that a process holds in memory at one time for what its clients send
+// and have not read yet.
 #pragma once
 
 #include <atomic>
