--- a/plantainhold/entry/EntryInstance.cpp
+++ b/plantainhold/entry/EntryInstance.cpp
@@ -58,7 +58,7 @@
     , m_adapters(std::move(adapters))
     , m_log(log)
     , m_records(context.get_executor(), m_adapters.store, log, settings.submissionPartitions)
-    , m_submissionWriter(context.get_executor(), m_adapters.store, log, settings.storeLimits, settings.submissionPartitions)
+    , m_submissionWriter(context.get_executor(), m_adapters.store, log, settings.storeLimits, settings.submissionPartitions, settings.refusesWhileStoreIsAway ? CircuitUse::On : CircuitUse::Off)
     , m_ownerDirectory(m_records, m_submissionWriter, [this]() { return isAuthoritative(); })
     , m_peers(context.get_executor())
     , m_peerDirectory(context.get_executor(), m_adapters.store, m_peers, s_partition)
--- a/plantainhold/entry/EntrySettings.cpp
+++ b/plantainhold/entry/EntrySettings.cpp
@@ -111,6 +111,7 @@
     settings.storeLimits.recordBytes = static_cast<std::size_t>(newerNumber(root, "store.record_bytes", s_defaultLimits.recordBytes, s_minRecordBytes, s_maxStoreBytes, settings.unfilled));
     settings.storeLimits.callBytes = static_cast<std::size_t>(newerNumber(root, "store.call_bytes", s_defaultLimits.callBytes, s_minRecordBytes, s_maxStoreBytes, settings.unfilled));
     settings.storeLimits.recordBytes = std::min(settings.storeLimits.recordBytes, settings.storeLimits.callBytes);
+    settings.refusesWhileStoreIsAway = number(root, "store.refuse_while_away", 0, 0, 1) == 1;
     settings.minMembershipTtl = milliseconds(root, "store.membership_min_ms", settings.minMembershipTtl, Milliseconds(100), s_minute);
     settings.stopGrace = Milliseconds(static_cast<std::int64_t>(1'000 * number(root, "stop_grace_s", 6, 0.5, 600)));
     // The other half of the drain time is left for commands that are already in flight.
--- a/plantainhold/entry/EntrySettings.h
+++ b/plantainhold/entry/EntrySettings.h
@@ -34,6 +34,8 @@
     // Number of partitions over which submissions are spread.
     std::uint32_t submissionPartitions = 1;
     StoreLimits storeLimits;
+    // Submissions are refused unsent while the store is known to be away.
+    bool refusesWhileStoreIsAway = false;
     // Shortest time to live that the store grants to a group membership.
     Milliseconds minMembershipTtl { 1'000 };
     // Time between the stop signal and the moment when the process is killed.
--- a/plantainhold/entry/SubmissionWriter.cpp
+++ b/plantainhold/entry/SubmissionWriter.cpp
@@ -5,8 +5,8 @@
 
 namespace plantainhold {
 
-SubmissionWriter::SubmissionWriter(boost::asio::any_io_executor executor, StorePort& store, EventSink& events, const StoreLimits& limits, std::uint32_t partitions)
-    : m_gate(executor, store, events, std::string(s_submissionsTopic), partitions)
+SubmissionWriter::SubmissionWriter(boost::asio::any_io_executor executor, StorePort& store, EventSink& events, const StoreLimits& limits, std::uint32_t partitions, CircuitUse use)
+    : m_gate(executor, store, events, std::string(s_submissionsTopic), partitions, use)
 {
     for (std::uint32_t partition = 0; partition < partitions; ++partition)
         m_partitions.push_back(std::make_unique<GroupCommit>(executor, m_gate, events, limits, std::string(s_submissionsTopic), partition));
--- a/plantainhold/entry/SubmissionWriter.h
+++ b/plantainhold/entry/SubmissionWriter.h
@@ -18,7 +18,7 @@
 class SubmissionWriter {
 public:
     // The store and the sink must outlive the writer. Precondition: partitions > 0. The class is not thread-safe.
-    SubmissionWriter(boost::asio::any_io_executor executor, StorePort& store, EventSink& events, const StoreLimits& limits, std::uint32_t partitions);
+    SubmissionWriter(boost::asio::any_io_executor executor, StorePort& store, EventSink& events, const StoreLimits& limits, std::uint32_t partitions, CircuitUse use = CircuitUse::On);
 
     // Stores the request's record under the key of its kind. Returns Ok if it is stored,
     // Refused if it was not stored and never will be, Invalid if it is too large to be
--- a/plantainhold/store/StoreGate.cpp
+++ b/plantainhold/store/StoreGate.cpp
@@ -14,18 +14,19 @@
 
 } // namespace
 
-StoreGate::StoreGate(asio::any_io_executor executor, StorePort& store, EventSink& events, std::string topic, std::uint32_t partitions)
+StoreGate::StoreGate(asio::any_io_executor executor, StorePort& store, EventSink& events, std::string topic, std::uint32_t partitions, CircuitUse use)
     : m_executor(std::move(executor))
     , m_store(store)
     , m_events(events)
     , m_topic(std::move(topic))
     , m_partitions(partitions)
+    , m_use(use)
 {
 }
 
 CircuitState StoreGate::state() const
 {
-    return m_circuit.state(BootClock::now());
+    return m_use == CircuitUse::Off ? CircuitState::Closed : m_circuit.state(BootClock::now());
 }
 
 asio::awaitable<AppendResult> StoreGate::append(std::uint32_t partition, std::span<const KeyedRecord> records, Milliseconds timeout)
@@ -60,6 +61,8 @@
 
 void StoreGate::applyTransitions(const CircuitCounters& before, StoreStatus cause, TimePoint now)
 {
+    if (m_use == CircuitUse::Off)
+        return;
     if (m_circuit.counters().closings != before.closings) {
         auto openMs = std::chrono::duration_cast<Milliseconds>(now - m_circuit.openedAt()).count();
         m_events.note(EventId::StoreCircuitClosed, { { "open_ms", openMs }, { "refused", m_refused }, { "probes", m_circuit.counters().probes } });
--- a/plantainhold/store/StoreGate.h
+++ b/plantainhold/store/StoreGate.h
@@ -18,10 +18,14 @@
 
 class EventSink;
 
+// Whether records are refused while the store is away; otherwise all are sent, and the circuit counts as closed.
+enum class CircuitUse : std::uint8_t { Off,
+    On };
+
 class StoreGate {
 public:
     // The store and the sink must outlive the gate. Precondition: partitions > 0. The class is not thread-safe.
-    StoreGate(boost::asio::any_io_executor executor, StorePort& store, EventSink& events, std::string topic, std::uint32_t partitions);
+    StoreGate(boost::asio::any_io_executor executor, StorePort& store, EventSink& events, std::string topic, std::uint32_t partitions, CircuitUse use = CircuitUse::On);
 
     CircuitState state() const;
     // Appends the records, and notes for all writers what became of it. Records that may be stored already are appended
@@ -32,7 +36,8 @@
     // Notes a call that is no append, and how it ended.
     void watchSent(TimePoint now) { m_circuit.recordWatchSent(now); }
     void watchEnded(StoreStatus status, TimePoint sentAt, Milliseconds timeout);
-    // Called whenever the circuit has opened: the writer refuses its records that were never sent. The writer must outlive the gate's appends.
+    // Called whenever the circuit has opened: the writer refuses its records that were never sent. The writer must
+    // outlive the gate's appends.
     void onOpened(std::function<void()> refuse) { m_openListeners.push_back(std::move(refuse)); }
     // Counts records that were refused because the circuit is open.
     void countRefused(std::size_t records) { m_refused += records; }
@@ -52,6 +57,7 @@
     EventSink& m_events;
     const std::string m_topic;
     const std::uint32_t m_partitions;
+    const CircuitUse m_use;
     StoreCircuit m_circuit;
     std::vector<std::function<void()>> m_openListeners;
     std::uint64_t m_refused = 0;
--- a/plantainhold/testing/entry/EntrySettingsTest.cpp
+++ b/plantainhold/testing/entry/EntrySettingsTest.cpp
@@ -65,6 +65,13 @@
     CHECK_THROWS_AS(settingsWith("[limits]\nmax_fds = \"some\"\n"), ResultError);
 }
 
+TEST_CASE("submissions are refused while the store is away only where the settings ask for it")
+{
+    CHECK(!settingsWith("").refusesWhileStoreIsAway);
+    CHECK(settingsWith("refuse_while_away = 1\n").refusesWhileStoreIsAway);
+    CHECK_THROWS_AS(settingsWith("refuse_while_away = 2\n"), ResultError);
+}
+
 TEST_CASE("tasks wait for the rack of their data by the factor that the settings name, and not at all without one")
 {
     CHECK(settingsWith("[scheduling]\nremote_factor = \"1.5\"\n").scheduler.remoteFactor == 1.5);
--- a/plantainhold/testing/store/StoreTest.cpp
+++ b/plantainhold/testing/store/StoreTest.cpp
@@ -127,6 +127,26 @@
 }
 
 // LOST (review/6), for submissions: a record that the store refuses for what it contains must not keep others waiting.
+TEST_CASE("circuit off, store away: records go on being sent, and nothing is refused unsent")
+{
+    MemoryStore store;
+    store.beforeAppend = [](TopicPartition, std::span<const KeyedRecord>, Milliseconds) -> asio::awaitable<StoreStatus> { co_return StoreStatus::Unknown; };
+    asio::io_context context;
+    NullEventSink events;
+    StoreGate gate(context.get_executor(), store, events, "keyed.topic", 1, CircuitUse::Off);
+    GroupCommit commit(context.get_executor(), gate, events, store.limits, "keyed.topic", 0);
+    std::vector<StoreStatus> statuses;
+    asio::co_spawn(
+        context, [&]() -> asio::awaitable<void> {
+        for (int i = 0; i < 3; ++i)
+            statuses.push_back(co_await commit.put(KeyedRecord { "k", "v" }, std::chrono::steady_clock::now() + Milliseconds(150))); }, asio::detached);
+    context.run();
+    CHECK(statuses == std::vector<StoreStatus> { StoreStatus::Unknown, StoreStatus::Unknown, StoreStatus::Unknown });
+    CHECK(gate.state() == CircuitState::Closed);
+    CHECK(gate.refused() == 0);
+    CHECK(gate.counters().probes == 0);
+}
+
 TEST_CASE("a put that the store refuses for its content is refused alone")
 {
     MemoryStore store;
